--- a/ports/peer_client.h
+++ b/ports/peer_client.h
@@ -3,18 +3,20 @@
 
 #include "core/error.h"
 
+#include <json/value.h>
 #include <string>
 
 namespace damaskglade {
 
-/// Calls to other nodes. Params and reply are JSON texts whose types the
-/// caller's codec knows. A refusal by the peer keeps its reason and effect.
+/// Calls to other nodes. The caller's codec knows the types of parameters and
+/// reply. A refusal by the peer keeps its reason and effect; a connection that
+/// fails before the request is sent has connect_failed and Effect::None.
 class PeerClient {
 public:
   virtual ~PeerClient() = default;
-  virtual Result<std::string> call(const std::string &Address,
+  virtual Result<Json::Value> call(const std::string &Address,
                                    const std::string &Method,
-                                   const std::string &Params,
+                                   const Json::Value &Params,
                                    Millis Timeout) = 0;
 };
 
