--- a/tests/stand_ins/http_server.cpp
+++ b/tests/stand_ins/http_server.cpp
@@ -15,8 +15,7 @@
 
 constexpr const char *Loopback = "127.0.0.1";
 constexpr std::size_t MaxRequestsPerConnection = 1000000;
-// Stopping a server waits this long for idle connections.
-constexpr time_t KeepAliveSeconds = 5;
+constexpr std::int64_t MillisPerSecond = 1000;
 
 /// Starts a thread for a connection when no idle one is left: a kept-alive
 /// connection occupies its thread, and the number of clients is not known.
@@ -101,12 +100,12 @@
   Thread Listener_;
 };
 
-HttpServer::HttpServer(int Port, HttpHandler Handler)
+HttpServer::HttpServer(int Port, HttpHandler Handler, Millis KeepAlive)
     : State_(std::make_unique<State>()) {
   httplib::Server &Server = State_->Server_;
   Server.new_task_queue = [] { return new GrowingPool(); };
   Server.set_keep_alive_max_count(MaxRequestsPerConnection);
-  Server.set_keep_alive_timeout(KeepAliveSeconds);
+  Server.set_keep_alive_timeout(KeepAlive.Value_ / MillisPerSecond);
   Server.set_tcp_nodelay(true);
   // The default also sets SO_REUSEPORT, with which two servers can silently
   // share a port.
--- a/tests/stand_ins/http_server.h
+++ b/tests/stand_ins/http_server.h
@@ -1,6 +1,8 @@
 #ifndef DAMASKGLADE_TESTS_STAND_INS_HTTP_SERVER_H
 #define DAMASKGLADE_TESTS_STAND_INS_HTTP_SERVER_H
 
+#include "core/clock.h"
+
 #include <functional>
 #include <json/value.h>
 #include <memory>
@@ -30,8 +32,10 @@
 /// HTTP server on 127.0.0.1. The handler runs on several threads at once.
 class HttpServer {
 public:
-  /// Port 0 takes any free port. Ends the process if the port is taken.
-  HttpServer(int Port, HttpHandler Handler);
+  /// Port 0 takes any free port. Ends the process if the port is taken. The
+  /// destructor waits for requests in progress, and up to KeepAlive for idle
+  /// connections.
+  HttpServer(int Port, HttpHandler Handler, Millis KeepAlive = Millis{5000});
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
--- a/tests/stand_ins/table_service.cpp
+++ b/tests/stand_ins/table_service.cpp
@@ -11,7 +11,9 @@
 
 constexpr const char *TableName = "damaskglade";
 constexpr const char *TargetPrefix = "DynamoDB_20120810.";
-constexpr std::size_t MaxPage = 1000;
+// The real service ends a page after 1 MB; a small number of rows makes clients
+// follow pages.
+constexpr std::size_t MaxPage = 100;
 
 HttpResponse refuse(const std::string &Type, const std::string &Message) {
   Json::Value Body;
--- a/tests/stand_ins/timer_queue.cpp
+++ b/tests/stand_ins/timer_queue.cpp
@@ -4,7 +4,7 @@
 
 TimerQueue::TimerQueue() : Thread_([this] { run(); }) {}
 
-TimerQueue::~TimerQueue() {
+void TimerQueue::stop() {
   {
     const MutexLock Held(Mutex_);
     Stopping_ = true;
--- a/tests/stand_ins/timer_queue.h
+++ b/tests/stand_ins/timer_queue.h
@@ -13,11 +13,14 @@
 class TimerQueue {
 public:
   TimerQueue();
-  /// Discards what is not yet due.
-  ~TimerQueue();
+  ~TimerQueue() { stop(); }
   TimerQueue(const TimerQueue &) = delete;
   TimerQueue &operator=(const TimerQueue &) = delete;
 
+  /// Discards what is not yet due; returns once nothing runs any more. Objects
+  /// that the functions use may be destroyed afterwards.
+  void stop();
+
   void runAfter(Millis Delay, std::function<void()> Action);
 
 private:
