--- a/records/job_store.h
+++ b/records/job_store.h
@@ -6,6 +6,7 @@
 #include "core/job.h"
 #include "ports/metrics_sink.h"
 #include "ports/table_store.h"
+#include "records/retry.h"
 
 #include <cstdint>
 #include <memory>
@@ -24,6 +25,7 @@
   Millis GiveUpAfter_{8000};   ///< Upper bound of any caller's timeout.
   Millis Retention_{86400000}; ///< Time that a finished job's row is kept.
   Millis SweepInterval_{10000};
+  DelayRange RetryDelay_; ///< Between calls for the same changes.
 };
 
 /// Rows of durable jobs. A commit thread groups the changes of many callers
