policy: Add the ledger and placement by class

Cause: shard owners need accounts of what each worker has granted and a choice of worker within milliseconds. Change: Ledger (reserve, adopt, release, resize, reported usage, totals, verify) with an index of workers by load; place() spreads services, packs batch work and sends lookups to the least loaded worker; class guards keep a share of the worker set free for other classes. The method for free amounts is called freeOf, because the static analyzer takes a method named free for the C function.

--- /dev/null
+++ b/tests/policy/fleet.h
@@ -0,0 +1,89 @@
+#ifndef DAMASKGLADE_TESTS_POLICY_FLEET_H
+#define DAMASKGLADE_TESTS_POLICY_FLEET_H
+
+#include "policy/ledger.h"
+
+#include <algorithm>
+#include <iostream>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+namespace damaskglade::policy {
+
+/// Runs a property with a fixed seed, so that a failure repeats. Returns true
+/// if it held; rapidcheck prints the counterexample otherwise.
+template <typename Property>
+bool holds(const char *Description, Property Body) {
+  rc::detail::TestMetadata Metadata;
+  Metadata.id = Description;
+  Metadata.description = Description;
+  rc::detail::TestParams Params;
+  Params.seed = 20261204;
+  Params.maxSuccess = 200;
+  const rc::detail::TestResult Outcome =
+      rc::detail::checkTestable(Body, Metadata, Params);
+  rc::detail::printResultMessage(Outcome, std::cerr);
+  std::cerr << "\n";
+  return Outcome.template is<rc::detail::SuccessResult>();
+}
+
+inline std::string workerId(int Number) {
+  std::string Digits = std::to_string(Number);
+  return "w" + std::string(4 - std::min<std::size_t>(4, Digits.size()), '0') +
+         Digits;
+}
+
+/// Worker in rack Number / 8, racks in turn in three zones.
+inline WorkerInfo makeWorker(int Number, const Resources &Capacity = {
+                                             16000, 65536, 0, 8, 64}) {
+  WorkerInfo Info;
+  Info.Id_ = workerId(Number);
+  Info.Rack_ = "r" + std::to_string(Number / 8);
+  Info.Zone_ = "z" + std::to_string(Number / 8 % 3);
+  Info.Capacity_ = Capacity;
+  Info.Listed_ = true;
+  return Info;
+}
+
+inline Ledger makeFleet(int Workers) {
+  Ledger Fleet;
+  for (int Number = 0; Number < Workers; ++Number)
+    (void)Fleet.putWorker(makeWorker(Number));
+  return Fleet;
+}
+
+inline Reservation makeReservation(const std::string &Attempt,
+                                   const std::string &Worker,
+                                   const Resources &Size,
+                                   TaskClass Class = TaskClass::Batch) {
+  Reservation Wanted;
+  Wanted.Attempt_ = Attempt;
+  Wanted.Worker_ = Worker;
+  Wanted.Size_ = Size;
+  Wanted.Class_ = Class;
+  Wanted.Team_ = "dock";
+  return Wanted;
+}
+
+/// Sizes from a sliver to a little more than a default worker.
+inline rc::Gen<Resources> anySize() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange(0, 17000), rc::gen::inRange(0, 70000),
+                     rc::gen::inRange(0, 3), rc::gen::inRange(0, 9),
+                     rc::gen::inRange(0, 66)),
+      [](const std::tuple<int, int, int, int, int> &Amounts) {
+        return Resources{std::get<0>(Amounts), std::get<1>(Amounts),
+                         std::get<2>(Amounts), std::get<3>(Amounts),
+                         std::get<4>(Amounts)};
+      });
+}
+
+inline TaskClass anyClass() {
+  return static_cast<TaskClass>(
+      *rc::gen::inRange(0, static_cast<int>(TaskClassCount)));
+}
+
+} // namespace damaskglade::policy
+
+#endif
