--- a/ownership/protocol.h
+++ b/ownership/protocol.h
@@ -62,7 +62,6 @@
 struct SeenShard {
   ShardRow Row_;
   std::int64_t Version_ = 0;
-  Millis FirstSeen_{};
 
   friend bool operator==(const SeenShard &, const SeenShard &) = default;
 };
@@ -89,13 +88,16 @@
   std::string Writer_;
   Phase Phase_ = Phase::Joining;
   Millis Started_{}; ///< Start of the process.
+  Millis Joined_{};  ///< First join of the process; zero before.
 
   std::int64_t Incarnation_ = 0;
   std::int64_t Sequence_ = 0;
-  std::int64_t RowVersion_ = 0; ///< Of the own node row.
+  std::int64_t RowVersion_ = 0;               ///< Of the own node row.
   std::map<std::string, std::int64_t> Owned_; ///< Epoch by shard.
 
   Millis TableSent_{}; ///< Sending of the last renewal known to be applied.
+  /// The clock error bound is already taken off both ends, so that a worker
+  /// whose clock is behind refuses a start in time.
   Millis RightEnd_{};
   Millis RightEndWall_{}; ///< Wall time.
   Millis PromiseAsked_{};
@@ -109,18 +111,18 @@
   /// Sending of the granted request, by target and peer.
   std::map<std::string, std::map<std::string, Millis>> ClaimConsents_;
   Millis ListAsked_{};
-  std::int64_t ListConsentVersion_ = 0; ///< List that ListConsents_ is about.
+  Millis ListFrozen_{}; ///< When MinListVersion_ last rose above the list.
   std::set<std::string> ListConsents_;
 
-  ZoneList List_;         ///< Newest list known; version 0 if none.
-  bool ListRead_ = false; ///< Read from the table since the start.
+  ZoneList List_;     ///< Newest list known; version 0 if none.
+  Millis ListRead_{}; ///< Start of its last read from the table.
   std::map<std::string, SeenNode> Nodes_;
   std::map<std::string, SeenShard> Shards_;
+  std::map<std::string, Millis> UnownedSince_;
   Millis NodesRead_{};  ///< Start of the last complete read; zero if none.
   Millis ShardsRead_{}; ///< Likewise.
 
-  Millis VmRead_{};                   ///< Last snapshot that names this node.
-  std::set<std::string> VmShards_;    ///< Shards of the own zone.
+  std::set<std::string> VmShards_;         ///< Shards of the own zone.
   std::map<std::string, Millis> VmAbsent_; ///< Listed nodes no longer named.
 
   std::optional<PendingWrite> InFlight_;
@@ -221,11 +223,11 @@
 /// True if the node may start tasks on the shard at the given times. The wall
 /// time must be read before the monotonic time.
 bool mayGrant(const NodeState &State, const std::string &Shard, Millis Wall,
-              Millis Monotonic, const ProtocolConfig &Config);
+              Millis Monotonic);
 
 /// Latest `start_by` in wall time; zero if the node has no right now.
 Millis grantEnd(const NodeState &State, const std::string &Shard, Millis Wall,
-                Millis Monotonic, const ProtocolConfig &Config);
+                Millis Monotonic);
 
 /// True if the node has a valid right at the given times.
 bool hasRight(const NodeState &State, Millis Wall, Millis Monotonic);
--- /dev/null
+++ b/tests/fakes/fake_table.h
@@ -0,0 +1,202 @@
+#ifndef DAMASKGLADE_TESTS_FAKES_FAKE_TABLE_H
+#define DAMASKGLADE_TESTS_FAKES_FAKE_TABLE_H
+
+#include "core/thread.h"
+#include "ports/table_store.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace damaskglade::fakes {
+
+/// Rows and versions of a table, without locks or failures.
+class TableRows {
+public:
+  std::optional<TableRow> read(const TableKey &Key) const {
+    const auto Found = Rows_.find(Key);
+    return Found == Rows_.end() ? std::nullopt : std::optional(Found->second);
+  }
+
+  std::vector<TableRow> list(const std::string &Kind, const std::string &Prefix,
+                             const std::string &StartAfter,
+                             std::size_t Limit) const {
+    std::vector<TableRow> Out;
+    for (const auto &[Key, Row] : Rows_)
+      if (Key.Kind_ == Kind && Key.Id_ > StartAfter &&
+          Key.Id_.compare(0, Prefix.size(), Prefix) == 0 && Out.size() < Limit)
+        Out.push_back(Row);
+    return Out;
+  }
+
+  /// Applies all writes or none; true if all versions matched.
+  bool commit(const std::vector<TableWrite> &Writes, const std::string &Token) {
+    if (Tokens_.count(Token) != 0)
+      return true;
+    for (const TableWrite &Write : Writes) {
+      const auto Found = Rows_.find(Write.Key_);
+      const std::int64_t Version =
+          Found == Rows_.end() ? 0 : Found->second.Version_;
+      if (Version != Write.ExpectedVersion_)
+        return false;
+    }
+    for (const TableWrite &Write : Writes) {
+      if (Write.Remove_)
+        Rows_.erase(Write.Key_);
+      else
+        Rows_[Write.Key_] =
+            TableRow{Write.Key_, Write.ExpectedVersion_ + 1, Write.Body_};
+    }
+    if (!Token.empty())
+      Tokens_.insert(Token);
+    return true;
+  }
+
+private:
+  std::map<TableKey, TableRow> Rows_;
+  std::set<std::string> Tokens_;
+};
+
+/// A table service in memory that fails on request. Safe to use from several
+/// threads.
+class FakeTable : public TableStore {
+public:
+  /// All calls fail without effect.
+  void setOutage(bool On) { Outage_ = On; }
+  /// Each call takes this long, up to its timeout.
+  void setDelay(Millis Time) { DelayMs_ = Time.Value_; }
+  /// The next commits take effect but report an unknown effect.
+  void loseAnswers(int Count) { LostAnswers_ = Count; }
+  /// The next commits report an unknown effect and wait for applyLate().
+  void holdWrites(int Count) { HeldWrites_ = Count; }
+  std::int64_t calls() const { return Calls_; }
+
+  /// Applies the held writes whose versions still match; returns how many.
+  int applyLate() {
+    const MutexLock Guard(Lock_);
+    int Applied = 0;
+    for (const HeldWrite &Write : Held_)
+      Applied += Rows_.commit(Write.Writes_, Write.Token_) ? 1 : 0;
+    Held_.clear();
+    return Applied;
+  }
+
+  Result<std::optional<TableRow>> read(const TableKey &Key,
+                                       Millis Timeout) override {
+    BOOST_OUTCOME_TRYV(enter("read row", Timeout));
+    const MutexLock Guard(Lock_);
+    return Rows_.read(Key);
+  }
+
+  Result<std::vector<TableRow>> list(const std::string &Kind,
+                                     const std::string &Prefix,
+                                     const std::string &StartAfter,
+                                     std::size_t Limit,
+                                     Millis Timeout) override {
+    BOOST_OUTCOME_TRYV(enter("list rows", Timeout));
+    const MutexLock Guard(Lock_);
+    return Rows_.list(Kind, Prefix, StartAfter, Limit);
+  }
+
+  Status commit(const std::vector<TableWrite> &Writes, const std::string &Token,
+                Millis Timeout) override {
+    BOOST_OUTCOME_TRYV(enter("commit rows", Timeout));
+    const MutexLock Guard(Lock_);
+    if (takeOne(HeldWrites_)) {
+      Held_.push_back(HeldWrite{Writes, Token});
+      return failure(Effect::Unknown, "commit rows");
+    }
+    if (!Rows_.commit(Writes, Token))
+      return Error{
+          Reason::TableConflict,     Effect::None, "commit rows", "fake table",
+          "a version did not match", Millis{}};
+    if (takeOne(LostAnswers_))
+      return failure(Effect::Unknown, "commit rows");
+    return success();
+  }
+
+private:
+  struct HeldWrite {
+    std::vector<TableWrite> Writes_;
+    std::string Token_;
+  };
+
+  static bool takeOne(std::atomic<int> &Count) {
+    if (Count <= 0)
+      return false;
+    Count -= 1;
+    return true;
+  }
+
+  static Error failure(Effect Kind, const std::string &Step) {
+    return Error{Reason::TableUnavailable, Kind,    Step, "fake table",
+                 "failure on request",     Millis{}};
+  }
+
+  Status enter(const std::string &Step, Millis Timeout) {
+    Calls_ += 1;
+    const Millis Delay{DelayMs_};
+    sleepFor(std::min(Delay, Timeout));
+    // A call that takes too long is not applied here; holdWrites() is for
+    // those that are applied late.
+    if (Outage_ || Delay > Timeout)
+      return failure(Effect::None, Step);
+    return success();
+  }
+
+  Mutex Lock_;
+  TableRows Rows_;
+  std::vector<HeldWrite> Held_;
+  std::atomic<int> LostAnswers_ = 0;
+  std::atomic<int> HeldWrites_ = 0;
+  std::atomic<bool> Outage_ = false;
+  std::atomic<std::int64_t> DelayMs_ = 0;
+  std::atomic<std::int64_t> Calls_ = 0;
+};
+
+/// One node's connection to a shared table, which can be cut.
+class FakeTableLink : public TableStore {
+public:
+  explicit FakeTableLink(FakeTable &Table) : Table_(Table) {}
+  void setCut(bool On) { Cut_ = On; }
+
+  Result<std::optional<TableRow>> read(const TableKey &Key,
+                                       Millis Timeout) override {
+    if (Cut_)
+      return failure("read row");
+    return Table_.read(Key, Timeout);
+  }
+
+  Result<std::vector<TableRow>> list(const std::string &Kind,
+                                     const std::string &Prefix,
+                                     const std::string &StartAfter,
+                                     std::size_t Limit,
+                                     Millis Timeout) override {
+    if (Cut_)
+      return failure("list rows");
+    return Table_.list(Kind, Prefix, StartAfter, Limit, Timeout);
+  }
+
+  Status commit(const std::vector<TableWrite> &Writes, const std::string &Token,
+                Millis Timeout) override {
+    if (Cut_)
+      return failure("commit rows");
+    return Table_.commit(Writes, Token, Timeout);
+  }
+
+private:
+  static Error failure(const std::string &Step) {
+    return Error{Reason::TableUnavailable, Effect::None, Step, "fake table",
+                 "the connection is cut",  Millis{}};
+  }
+
+  FakeTable &Table_;
+  std::atomic<bool> Cut_ = false;
+};
+
+} // namespace damaskglade::fakes
+
+#endif
