node: Serve all kinds of work end to end through separate processes

Cause: no request could be served yet. Change: shard owner (accounts, starts, run leases, notices), job home (admission to the queue, recording, placement, monitor), lookup path, routing by advertised headroom, recovery of a dead node's jobs, callers' and peers' interfaces, and the daemon. The listener answers a POST without a body at once; before, it waited 10 s for one and closed the connection (found with curl, test PostWithoutContentLengthIsAnswered).

--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -80,6 +80,17 @@
       Response.status = Reply.Status_;
       Response.set_content(Reply.Body_, Reply.ContentType_);
     };
+    // The library waits for a body until its read timeout if a request has
+    // neither header, although HTTP/1.1 says that it has no body then.
+    Server_.set_pre_routing_handler(
+        [Answer](const httplib::Request &Request, httplib::Response &Response) {
+          const bool HasBody = Request.has_header("Content-Length") ||
+                               Request.has_header("Transfer-Encoding");
+          if (HasBody || Request.method == "GET")
+            return httplib::Server::HandlerResponse::Unhandled;
+          Answer(Request, Response);
+          return httplib::Server::HandlerResponse::Handled;
+        });
     Server_.Get(".*", Answer);
     Server_.Post(".*", Answer);
     Server_.Put(".*", Answer);
--- /dev/null
+++ b/node/fleet.cpp
@@ -0,0 +1,40 @@
+#include "node/fleet.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace damaskglade::node {
+
+Status Fleet::refresh(Millis Timeout) {
+  auto Entries = Source_.list(Timeout);
+  if (!Entries)
+    return Entries.error();
+  const MutexLock Lock(Mutex_);
+  Entries_ = std::move(Entries).value();
+  Known_ = true;
+  return success();
+}
+
+std::vector<VmEntry> Fleet::workersOf(const std::string &Shard) const {
+  const MutexLock Lock(Mutex_);
+  std::vector<VmEntry> Out;
+  std::copy_if(
+      Entries_.begin(), Entries_.end(), std::back_inserter(Out),
+      [&](const VmEntry &Vm) { return Vm.IsWorker_ && shardOf(Vm) == Shard; });
+  return Out;
+}
+
+std::vector<VmEntry> Fleet::nodes() const {
+  const MutexLock Lock(Mutex_);
+  std::vector<VmEntry> Out;
+  std::copy_if(Entries_.begin(), Entries_.end(), std::back_inserter(Out),
+               [](const VmEntry &Vm) { return !Vm.IsWorker_; });
+  return Out;
+}
+
+bool Fleet::isKnown() const {
+  const MutexLock Lock(Mutex_);
+  return Known_;
+}
+
+} // namespace damaskglade::node
--- /dev/null
+++ b/node/lookup_service.cpp
@@ -0,0 +1,136 @@
+#include "node/lookup_service.h"
+
+#include <vector>
+
+namespace damaskglade::node {
+
+namespace {
+
+constexpr std::size_t MaxRemoteOwners = 2;
+// Waiting for room repeats no work, so it is paced but not counted against the
+// retry budget.
+constexpr Millis CapacityPollMin{5};
+constexpr Millis CapacityPollMax{100};
+
+} // namespace
+
+LookupService::LookupService(NodeIdentity Self, LookupSettings Settings,
+                             Services &Ports, OwnerGateway &Owners,
+                             ShardOwner &Local, Router &Routes)
+    : Self_(std::move(Self)), Settings_(Settings), Ports_(Ports),
+      Owners_(Owners), Local_(Local), Routes_(Routes),
+      // Starts at the wall time, so that a restarted node does not reuse the
+      // attempt ids of its predecessor.
+      NextNumber_(Ports.Clock_.wall().Value_ * 1000),
+      Random_(static_cast<std::uint64_t>(Ports.Clock_.wall().Value_)) {}
+
+Result<Answer> LookupService::run(const JobSpec &Spec) {
+  const Resources Largest =
+      Routes_.cellHeadroom(Local_.headroom()).LargestTotal_;
+  const std::string_view Short = firstShortage(Spec.Size_, Largest);
+  if (!(Largest == Resources{}) && !Short.empty())
+    return Error{Reason::NeverFits, Effect::None, "check size",
+                 "size." + std::string(Short),
+                 "no worker has that much \"" + std::string(Short) + "\""};
+  if (InProgress_.fetch_add(1) >= Settings_.MaxWaiting_) {
+    --InProgress_;
+    return Error{Reason::QueueFull,
+                 Effect::None,
+                 "run lookup",
+                 Self_.Id_,
+                 "too many lookups are in progress",
+                 Millis{500}};
+  }
+  const Millis Deadline =
+      Spec.Deadline_ > Millis{} ? Spec.Deadline_ : Settings_.DefaultDeadline_;
+  {
+    const MutexLock Lock(Mutex_);
+    records::recordFirstTry(Budget_);
+  }
+  const Millis Start = Ports_.Clock_.monotonic();
+  auto Reply = runUntil(Spec, Start + Deadline);
+  if (Reply)
+    Ports_.Metrics_.observeWait(TaskClass::Lookup,
+                                Ports_.Clock_.monotonic() - Start);
+  --InProgress_;
+  return Reply;
+}
+
+Result<Answer> LookupService::runUntil(const JobSpec &Spec, Millis End) {
+  for (int Retry = 1;; ++Retry) {
+    auto Reply = tryOwners(Spec, End);
+    if (Reply)
+      return Reply;
+    Error Refusal;
+    if (!waitForRetry(Reply.error(), Retry, End, Refusal))
+      return Refusal;
+    Ports_.Metrics_.countRetry(Reply.error().Reason_);
+  }
+}
+
+bool LookupService::waitForRetry(const Error &Failure, int Retry, Millis End,
+                                 Error &Refusal) {
+  const Millis Now = Ports_.Clock_.monotonic();
+  Millis Delay;
+  if (Failure.Reason_ == Reason::NoCapacity) {
+    const MutexLock Lock(Mutex_);
+    Delay =
+        records::retryDelay({CapacityPollMin, CapacityPollMax}, Retry, Random_);
+  } else {
+    const MutexLock Lock(Mutex_);
+    const records::RetryDecision Decision =
+        records::mayRetry(Failure, true, End, Budget_, Now);
+    if (!Decision.allowed()) {
+      Refusal = Failure;
+      if (Decision.Verdict_ == records::RetryVerdict::BudgetExhausted)
+        Refusal.Reason_ = Reason::RetryBudgetExhausted;
+      return false;
+    }
+    Delay = records::retryDelay(Settings_.Delays_, Retry, Random_);
+  }
+  if (Now + Delay >= End) {
+    Refusal = Failure;
+    Refusal.RetryAfter_ = Settings_.Delays_.Max_;
+    return false;
+  }
+  sleepFor(Delay);
+  return true;
+}
+
+Result<Answer> LookupService::tryOwners(const JobSpec &Spec, Millis End) {
+  std::vector<std::string> Order{Self_.Id_};
+  for (const std::string &Node : Routes_.pickOwners(Spec.Size_, MaxRemoteOwners,
+                                                    Ports_.Clock_.monotonic()))
+    Order.push_back(Node);
+  Error Last{Reason::NoCapacity, Effect::None, "place lookup", Self_.Id_,
+             "no worker has room"};
+  for (const std::string &Node : Order) {
+    auto Reply = tryOwner(Node, Spec, End);
+    if (Reply)
+      return Reply;
+    Last = Reply.error();
+    // Only a refusal for want of room is followed by the next owner at once;
+    // everything else waits for its delay.
+    if (Last.Reason_ != Reason::NoCapacity)
+      return Last;
+    if (Node != Self_.Id_)
+      Routes_.recordRefusal(Node);
+  }
+  return Last;
+}
+
+Result<Answer> LookupService::tryOwner(const std::string &Node,
+                                       const JobSpec &Spec, Millis End) {
+  const Millis Left = End - Ports_.Clock_.monotonic();
+  if (Left <= Millis{})
+    return Error{Reason::DeadlineUnreachable, Effect::None, "run lookup", Node,
+                 "the deadline has passed"};
+  const ExecuteRequest Request{Spec, ++NextNumber_, Self_.Id_, Left};
+  BOOST_OUTCOME_TRY(Reply, Owners_.execute(Node, Request));
+  if (!isWhole(Reply))
+    return Error{Reason::AnswerTruncated, Effect::Unknown, "check answer", Node,
+                 "length or digest of the answer does not match"};
+  return Reply;
+}
+
+} // namespace damaskglade::node
--- /dev/null
+++ b/node/lookup_service.h
@@ -0,0 +1,55 @@
+#ifndef DAMASKGLADE_NODE_LOOKUP_SERVICE_H
+#define DAMASKGLADE_NODE_LOOKUP_SERVICE_H
+
+#include "node/owner_gateway.h"
+#include "records/retry.h"
+
+#include <atomic>
+#include <random>
+#include <string>
+
+namespace damaskglade::node {
+
+struct LookupSettings {
+  Millis DefaultDeadline_{5000};
+  std::size_t MaxWaiting_ = 400; ///< Lookups in progress on one node.
+  records::DelayRange Delays_;
+};
+
+/// Runs idempotent requests on whichever owner has room and returns their
+/// whole answers. Needs no table. Thread-safe.
+class LookupService {
+public:
+  LookupService(NodeIdentity Self, LookupSettings Settings, Services &Ports,
+                OwnerGateway &Owners, ShardOwner &Local, Router &Routes);
+
+  /// Errors: queue_full, no_capacity, deadline_unreachable, never_fits,
+  /// retry_budget_exhausted, answer_truncated.
+  Result<Answer> run(const JobSpec &Spec);
+  std::size_t inProgress() const { return InProgress_; }
+
+private:
+  Result<Answer> runUntil(const JobSpec &Spec, Millis End);
+  Result<Answer> tryOwners(const JobSpec &Spec, Millis End);
+  Result<Answer> tryOwner(const std::string &Node, const JobSpec &Spec,
+                          Millis End);
+  bool waitForRetry(const Error &Failure, int Retry, Millis End,
+                    Error &Refusal);
+
+  const NodeIdentity Self_;
+  const LookupSettings Settings_;
+  Services &Ports_;
+  OwnerGateway &Owners_;
+  ShardOwner &Local_;
+  Router &Routes_;
+
+  std::atomic<std::size_t> InProgress_{0};
+  std::atomic<std::int64_t> NextNumber_;
+  Mutex Mutex_;
+  std::mt19937_64 Random_;
+  records::RetryBudget Budget_;
+};
+
+} // namespace damaskglade::node
+
+#endif
--- /dev/null
+++ b/node/owner_gateway.h
@@ -0,0 +1,43 @@
+#ifndef DAMASKGLADE_NODE_OWNER_GATEWAY_H
+#define DAMASKGLADE_NODE_OWNER_GATEWAY_H
+
+#include "node/router.h"
+#include "node/services.h"
+#include "node/shard_owner.h"
+
+#include <string>
+
+namespace damaskglade::node {
+
+/// Calls a shard owner, whether it is this node or a peer.
+class OwnerGateway {
+public:
+  OwnerGateway(std::string Self, Services &Ports, ShardOwner &Local,
+               Router &Routes)
+      : Self_(std::move(Self)), Ports_(Ports), Local_(Local), Routes_(Routes) {}
+
+  // Errors of all: those of ShardOwner, and connect_failed, timeout or
+  // answer_lost from the call to a peer.
+  Result<ReserveReply> reserve(const std::string &Node,
+                               const ReserveRequest &Request);
+  void release(const std::string &Job, const std::vector<Attempt> &Tries);
+  Status startTask(const StartCommand &Command);
+  Result<Answer> execute(const std::string &Node,
+                         const ExecuteRequest &Request);
+  Result<OwnerStatus> status(const std::string &Job, const Attempt &Try);
+  Status stopTask(const std::string &Job, const Attempt &Try);
+
+private:
+  Result<Json::Value> callOwner(const std::string &Node,
+                                const std::string &Method,
+                                const Json::Value &Message, Millis Timeout);
+
+  const std::string Self_;
+  Services &Ports_;
+  ShardOwner &Local_;
+  Router &Routes_;
+};
+
+} // namespace damaskglade::node
+
+#endif
--- /dev/null
+++ b/node/peer_api.h
@@ -0,0 +1,46 @@
+#ifndef DAMASKGLADE_NODE_PEER_API_H
+#define DAMASKGLADE_NODE_PEER_API_H
+
+#include "node/job_service.h"
+#include "ownership/agent.h"
+
+#include <functional>
+#include <json/value.h>
+#include <string>
+#include <vector>
+
+namespace damaskglade::node {
+
+/// Answers the calls of other nodes. Thread-safe.
+class PeerApi {
+public:
+  PeerApi(Services &Ports, ShardOwner &Owner, JobHome &Home, Router &Routes,
+          ownership::Agent &Ownership, std::function<Heartbeat()> OwnHeartbeat)
+      : Ports_(Ports), Owner_(Owner), Home_(Home), Routes_(Routes),
+        Ownership_(Ownership), OwnHeartbeat_(std::move(OwnHeartbeat)) {}
+
+  /// Names of all methods.
+  static const std::vector<std::string> &methods();
+
+  Result<Json::Value> handle(const std::string &From, const std::string &Method,
+                             const Json::Value &Message);
+
+private:
+  Result<Json::Value> handleOwner(const std::string &Method,
+                                  const Json::Value &Message);
+  Result<Json::Value> handleHome(const std::string &Method,
+                                 const Json::Value &Message);
+  Result<Json::Value> heartbeat(const Json::Value &Message);
+  Result<Json::Value> listWorkers();
+
+  Services &Ports_;
+  ShardOwner &Owner_;
+  JobHome &Home_;
+  Router &Routes_;
+  ownership::Agent &Ownership_;
+  const std::function<Heartbeat()> OwnHeartbeat_;
+};
+
+} // namespace damaskglade::node
+
+#endif
--- /dev/null
+++ b/node/router.cpp
@@ -0,0 +1,128 @@
+#include "node/router.h"
+
+#include <algorithm>
+#include <set>
+
+namespace damaskglade::node {
+
+namespace {
+
+// Three missed heartbeats.
+constexpr Millis MaxAdvertAge{6000};
+
+} // namespace
+
+void Router::setNodes(const std::vector<ownership::NodeInfo> &Nodes) {
+  const MutexLock Lock(Mutex_);
+  std::set<std::string> Live;
+  for (const ownership::NodeInfo &Node : Nodes) {
+    if (Node.Id_ == Self_ || !Node.Live_)
+      continue;
+    Live.insert(Node.Id_);
+    PeerState &Peer = Peers_[Node.Id_];
+    Peer.Id_ = Node.Id_;
+    Peer.Address_ = Node.Address_;
+    Peer.Leaving_ = Peer.Leaving_ || Node.Leaving_;
+  }
+  // While the table is out of reach the list of nodes is empty, and peers
+  // that still answer are kept.
+  if (!Nodes.empty())
+    std::erase_if(Peers_, [&](const auto &Entry) {
+      return Live.count(Entry.first) == 0;
+    });
+}
+
+void Router::setShards(const std::vector<ownership::ShardInfo> &Shards) {
+  const MutexLock Lock(Mutex_);
+  for (const ownership::ShardInfo &Shard : Shards)
+    Shards_[Shard.Shard_] = Shard;
+}
+
+void Router::recordHeartbeat(const Heartbeat &Message, Millis Now) {
+  const MutexLock Lock(Mutex_);
+  const auto Found = Peers_.find(Message.Headroom_.Node_);
+  if (Found == Peers_.end())
+    return;
+  Found->second.Headroom_ = Message.Headroom_;
+  Found->second.Leaving_ = Message.Leaving_;
+  Found->second.Heard_ = Now;
+}
+
+void Router::recordUse(const std::string &Node, const Resources &Amount) {
+  const MutexLock Lock(Mutex_);
+  const auto Found = Peers_.find(Node);
+  if (Found == Peers_.end())
+    return;
+  Resources &Free = Found->second.Headroom_.Free_;
+  Free = largerOf(Free - Amount, Resources{});
+}
+
+void Router::recordRefusal(const std::string &Node) {
+  const MutexLock Lock(Mutex_);
+  const auto Found = Peers_.find(Node);
+  if (Found != Peers_.end())
+    Found->second.Headroom_.Largest_ = Resources{};
+}
+
+std::vector<PeerState> Router::peers() const {
+  const MutexLock Lock(Mutex_);
+  std::vector<PeerState> Out;
+  Out.reserve(Peers_.size());
+  for (const auto &[Id, Peer] : Peers_)
+    Out.push_back(Peer);
+  return Out;
+}
+
+std::string Router::addressOf(const std::string &Node) const {
+  const MutexLock Lock(Mutex_);
+  const auto Found = Peers_.find(Node);
+  return Found == Peers_.end() ? std::string() : Found->second.Address_;
+}
+
+ownership::ShardInfo Router::ownerOf(const std::string &Shard) const {
+  const MutexLock Lock(Mutex_);
+  const auto Found = Shards_.find(Shard);
+  return Found == Shards_.end() ? ownership::ShardInfo{Shard, "", 0}
+                                : Found->second;
+}
+
+std::vector<std::string> Router::pickOwners(const Resources &Size,
+                                            std::size_t Count, Millis Now) {
+  const MutexLock Lock(Mutex_);
+  std::vector<const PeerState *> Fitting;
+  for (const auto &[Id, Peer] : Peers_)
+    if (!Peer.Leaving_ && Now - Peer.Heard_ < MaxAdvertAge &&
+        fits(Size, Peer.Headroom_.Largest_) && fits(Size, Peer.Headroom_.Free_))
+      Fitting.push_back(&Peer);
+  std::shuffle(Fitting.begin(), Fitting.end(), Random_);
+  const auto HasMoreRoom = [](const PeerState *A, const PeerState *B) {
+    return dominantShare(A->Headroom_.Free_, A->Headroom_.Total_) >
+           dominantShare(B->Headroom_.Free_, B->Headroom_.Total_);
+  };
+  // Always taking the best would send all homes to one owner between two
+  // heartbeats; the better of two random ones spreads them.
+  constexpr std::size_t Choices = 2;
+  const std::size_t Compared = std::min(Choices, Fitting.size());
+  std::sort(Fitting.begin(),
+            Fitting.begin() + static_cast<std::ptrdiff_t>(Compared),
+            HasMoreRoom);
+  std::vector<std::string> Out;
+  for (std::size_t Index = 0; Index < std::min(Count, Fitting.size()); ++Index)
+    Out.push_back(Fitting[Index]->Id_);
+  return Out;
+}
+
+Headroom Router::cellHeadroom(const Headroom &Own) const {
+  const MutexLock Lock(Mutex_);
+  Headroom Sum = Own;
+  for (const auto &[Id, Peer] : Peers_) {
+    Sum.Free_ = Sum.Free_ + Peer.Headroom_.Free_;
+    Sum.Total_ = Sum.Total_ + Peer.Headroom_.Total_;
+    Sum.Largest_ = largerOf(Sum.Largest_, Peer.Headroom_.Largest_);
+    Sum.LargestTotal_ =
+        largerOf(Sum.LargestTotal_, Peer.Headroom_.LargestTotal_);
+  }
+  return Sum;
+}
+
+} // namespace damaskglade::node
--- a/records/job_row.cpp
+++ b/records/job_row.cpp
@@ -28,6 +28,8 @@
 } // namespace
 
 std::string openPrefix(const std::string &Node, std::int64_t Incarnation) {
+  if (Incarnation == AnyIncarnation)
+    return Node + "/";
   return Node + "/" + std::to_string(Incarnation) + "/";
 }
 
--- a/records/job_row.h
+++ b/records/job_row.h
@@ -36,6 +36,10 @@
   RowMeta Meta_;
 };
 
+/// Stands for all incarnations of a home.
+constexpr std::int64_t AnyIncarnation = -1;
+
+/// Prefix of the index rows of a home's unfinished jobs.
 std::string openPrefix(const std::string &Node, std::int64_t Incarnation);
 
 /// Id of a finished job's index row; Ended is wall time.
