--- a/policy/ledger.cpp
+++ b/policy/ledger.cpp
@@ -194,17 +194,6 @@
   return Found == ByTeam_.end() ? Resources{} : Found->second;
 }
 
-std::vector<WorkerIndex> Ledger::workersById() const {
-  std::vector<WorkerIndex> Order;
-  for (WorkerIndex Index = 0; Index < Accounts_.size(); ++Index)
-    if (Accounts_[Index].Present_ && isOffered(Accounts_[Index].Info_))
-      Order.push_back(Index);
-  std::sort(Order.begin(), Order.end(), [this](WorkerIndex A, WorkerIndex B) {
-    return Accounts_[A].Info_.Id_ < Accounts_[B].Info_.Id_;
-  });
-  return Order;
-}
-
 const JobSpread *Ledger::spreadOf(std::string_view Job) const {
   const auto Found = Spreads_.find(std::string(Job));
   return Found == Spreads_.end() ? nullptr : &Found->second;
--- a/policy/ledger.h
+++ b/policy/ledger.h
@@ -123,8 +123,6 @@
   const std::unordered_map<std::string, Reservation> &reservations() const {
     return Reservations_;
   }
-  /// All workers that accept work in order of id.
-  std::vector<WorkerIndex> workersById() const;
 
   /// Recomputes everything from workers and reservations. Errors: internal,
   /// naming the first account that differs.
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -40,6 +40,10 @@
           sumOfShares(Left, Capacity)};
 }
 
+bool accepts(const PlacementRequest &Request, const WorkerAccount &Account) {
+  return !Request.Accepts_ || Request.Accepts_(Account);
+}
+
 struct Choice {
   std::optional<WorkerIndex> Worker_;
   std::pair<double, double> Score_{std::numeric_limits<double>::infinity(),
@@ -57,7 +61,8 @@
     const std::size_t Position =
         Start + Step < Count ? Start + Step : Start + Step - Count;
     const IndexedWorker &Member = Bucket.Members_[Position];
-    if (!fits(Request.Size_, Member.Free_))
+    if (!fits(Request.Size_, Member.Free_) ||
+        !accepts(Request, Accounts.account(Member.Worker_)))
       continue;
     const std::pair<double, double> Score =
         By == Order::EmptiestFirst
@@ -157,7 +162,8 @@
   std::tuple<bool, std::int64_t, double> BestScore;
   for (const WorkerIndex Worker : Accounts.racks()[Rack].Members_) {
     const WorkerAccount &Account = Accounts.account(Worker);
-    if (Account.Info_.Quarantined_ || !fits(Request.Size_, Account.Free_))
+    if (Account.Info_.Quarantined_ || !fits(Request.Size_, Account.Free_) ||
+        !accepts(Request, Account))
       continue;
     std::int64_t OfJob = 0;
     if (Spread != nullptr) {
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -4,6 +4,7 @@
 #include "policy/ledger.h"
 
 #include <array>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -28,6 +29,9 @@
   Resources Size_;
   ClassGuards Guards_;
   std::uint64_t Random_ = 0; ///< Varies the choice among equal workers.
+  /// Further condition on a worker with room, for example from
+  /// backfillFilter(); empty: none.
+  std::function<bool(const WorkerAccount &)> Accepts_;
 };
 
 struct Placement {
