--- a/tests/platform/table_client_test.cpp
+++ b/tests/platform/table_client_test.cpp
@@ -201,6 +201,7 @@
   BOOST_REQUIRE(put("n", 0, "0"));
   {
     std::vector<Thread> Threads;
+    Threads.reserve(ThreadCount);
     for (int Index = 0; Index < ThreadCount; ++Index)
       Threads.emplace_back([this] {
         for (int Done = 0; Done < Increments;) {
