--- a/tests/stand_ins/worker_service.cpp
+++ b/tests/stand_ins/worker_service.cpp
@@ -251,7 +251,7 @@
                            const std::string &Event,
                            const std::string &Detail) {
   Log_.push_back(WorkerEvent{wall(), Request.Attempt_, Request.Job_, Event,
-                             Request.Epoch_, Detail});
+                             Request.Epoch_, Detail, Request.Size_});
 }
 
 void WorkerService::end(Task &Ended, const std::string &Event, Answer Result) {
@@ -374,6 +374,7 @@
     Entry["job"] = Event.Job_;
     Entry["event"] = Event.Event_;
     Entry["epoch"] = static_cast<Json::Int64>(Event.Epoch_);
+    Entry["size"] = encodeResources(Event.Size_);
     if (!Event.Detail_.empty())
       Entry["detail"] = Event.Detail_;
     Out["events"].append(Entry);
--- a/tests/stand_ins/worker_service.h
+++ b/tests/stand_ins/worker_service.h
@@ -41,6 +41,7 @@
   std::string Event_;
   std::int64_t Epoch_ = 0;
   std::string Detail_; ///< Reason of a refusal.
+  Resources Size_;     ///< Declared size of the task.
 };
 
 /// Sends a completion report to a URL; may block.
