tests: Rewrite addresses in the relay, report no outcome of lapsed tasks

A zone can be cut from the other zones only if its peers are reached through links, but a node writes its own address into its row. The relay now rewrites addresses in both directions, as a NAT gateway does, so that each zone sees the other zones' nodes behind links of its own.

The stand-in worker reported a lapsed task as finished with ok = false, which a home records as the job's answer. A lapsed task has no outcome, so it is now left out of reports and its owner counts it as lost.

--- a/tests/platform/services_test.cpp
+++ b/tests/platform/services_test.cpp
@@ -124,4 +124,19 @@
   BOOST_TEST(Client->state(Address, "x.0.1", CallTimeout).has_value());
 }
 
+// Guards against addresses that bypass the links because they arrived in two
+// pieces.
+BOOST_AUTO_TEST_CASE(RewriterFindsSplitTexts) {
+  const stand_ins::StreamRewriter::Pairs Pairs = {
+      {"10.0.0.1:10001", "10.0.0.1:20001"}};
+  const std::string Text = "a 10.0.0.1:10001 b 10.0.0.1:10002 c";
+  for (std::size_t Cut = 0; Cut <= Text.size(); ++Cut) {
+    stand_ins::StreamRewriter Rewriter(Pairs);
+    std::string Out = Rewriter.add(Text.substr(0, Cut));
+    Out += Rewriter.add(Text.substr(Cut));
+    Out += Rewriter.flush();
+    BOOST_TEST(Out == "a 10.0.0.1:20001 b 10.0.0.1:10002 c");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/worker_client_test.cpp
+++ b/tests/platform/worker_client_test.cpp
@@ -152,6 +152,7 @@
   const AttemptReport Lapsed = awaitFinished("j1.0.1");
   BOOST_TEST(!Lapsed.Answer_.Ok_);
   BOOST_TEST(Lapsed.Answer_.Body_ == "lapsed");
+  BOOST_TEST(renew(true).Finished_.empty());
   BOOST_TEST((Client_->state(Worker_.address(), "other.0.1", CallTimeout)
                   .value()
                   .State_ == AttemptState::Unknown));
--- a/tests/stand_ins/relay.cpp
+++ b/tests/stand_ins/relay.cpp
@@ -1,5 +1,6 @@
 #include "tests/stand_ins/relay.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <cerrno>
@@ -73,11 +74,38 @@
 
 } // namespace
 
+std::string StreamRewriter::add(const std::string &Piece) {
+  if (Pairs_.empty())
+    return Piece;
+  std::string Text = std::move(Kept_) + Piece;
+  for (const auto &[From, To] : Pairs_)
+    for (std::size_t At = Text.find(From); At != std::string::npos;
+         At = Text.find(From, At + From.size()))
+      Text.replace(At, From.size(), To);
+  const std::size_t Tail = keptTail(Text);
+  Kept_ = Text.substr(Text.size() - Tail);
+  Text.resize(Text.size() - Tail);
+  return Text;
+}
+
+std::string StreamRewriter::flush() { return std::exchange(Kept_, {}); }
+
+std::size_t StreamRewriter::keptTail(const std::string &Text) const {
+  std::size_t Longest = 0;
+  for (const auto &[From, To] : Pairs_)
+    for (std::size_t Size = std::min(From.size() - 1, Text.size());
+         Size > Longest; --Size)
+      if (Text.compare(Text.size() - Size, Size, From, 0, Size) == 0)
+        Longest = Size;
+  return Longest;
+}
+
 Relay::Relay(const std::vector<Link> &Links) {
   for (const Link &Wanted : Links) {
     const int Socket = listenOn(Wanted.ListenPort_);
     Listeners_[Wanted.Name_] =
-        Listener{Socket, portOf(Socket), Wanted.TargetPort_, LinkState::Open};
+        Listener{Socket, portOf(Socket), Wanted.TargetPort_, LinkState::Open,
+                 Wanted.Rewrites_};
   }
   Thread_ = Thread([this] { run(); });
 }
@@ -184,8 +212,15 @@
     return;
   }
   prepare(Client);
-  Connections_.push_back(Connection{Name, Flow{Client, Target, "", false},
-                                    Flow{Target, Client, "", false}, false});
+  StreamRewriter::Pairs Outward;
+  StreamRewriter::Pairs Inward;
+  for (const Rewrite &Each : From.Rewrites_) {
+    Outward.emplace_back(Each.Client_, Each.Target_);
+    Inward.emplace_back(Each.Target_, Each.Client_);
+  }
+  Connections_.push_back(
+      Connection{Name, Flow{Client, Target, StreamRewriter(Outward)},
+                 Flow{Target, Client, StreamRewriter(Inward)}, false});
 }
 
 void Relay::move(Connection &Pair, Flow &Direction, bool Readable) {
@@ -193,8 +228,11 @@
     std::array<char, ChunkBytes> Chunk{};
     const ssize_t Size = recv(Direction.From_, Chunk.data(), Chunk.size(), 0);
     if (Size > 0) {
-      Direction.Waiting_.assign(Chunk.data(), static_cast<std::size_t>(Size));
+      Direction.Waiting_ = Direction.Rewriter_.add(
+          std::string(Chunk.data(), static_cast<std::size_t>(Size)));
     } else if (Size == 0) {
+      const std::string Rest = Direction.Rewriter_.flush();
+      send(Direction.To_, Rest.data(), Rest.size(), MSG_NOSIGNAL);
       Direction.Ended_ = true;
       shutdown(Direction.To_, SHUT_WR);
     } else if (errno != EAGAIN) {
--- a/tests/stand_ins/relay.h
+++ b/tests/stand_ins/relay.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace damaskglade::stand_ins {
@@ -16,11 +17,44 @@
   Refuse, ///< Connections are closed at once.
 };
 
-/// A link from a listening port to a target, both on 127.0.0.1.
+/// A text that the target writes and the text that the client sees instead.
+/// Both have the same length, so that length headers stay true.
+struct Rewrite {
+  std::string Target_;
+  std::string Client_;
+
+  friend bool operator==(const Rewrite &, const Rewrite &) = default;
+};
+
+/// A link from a listening port to a target, both on 127.0.0.1. With rewrites
+/// of addresses, peers that a client learns of through this link are reached
+/// through further links, as behind a NAT gateway.
 struct Link {
   std::string Name_;
   int ListenPort_ = 0; ///< 0 takes any free port.
   int TargetPort_ = 0;
+  std::vector<Rewrite> Rewrites_ = {};
+};
+
+/// Replaces texts in a stream of bytes that arrives in pieces.
+class StreamRewriter {
+public:
+  /// Pairs of a text and its replacement of the same length.
+  using Pairs = std::vector<std::pair<std::string, std::string>>;
+
+  explicit StreamRewriter(Pairs Texts) : Pairs_(std::move(Texts)) {}
+
+  /// The bytes that can be passed on; a tail that may be the beginning of a
+  /// text is kept until the next call.
+  std::string add(const std::string &Piece);
+  /// What was kept.
+  std::string flush();
+
+private:
+  std::size_t keptTail(const std::string &Text) const;
+
+  Pairs Pairs_;
+  std::string Kept_;
 };
 
 /// TCP relay whose links can be cut. One thread serves all links.
@@ -43,13 +77,15 @@
     int Port_ = 0;
     int TargetPort_ = 0;
     LinkState State_ = LinkState::Open;
+    std::vector<Rewrite> Rewrites_;
   };
   /// One direction of a connection.
   struct Flow {
     int From_ = -1;
     int To_ = -1;
-    std::string Waiting_; ///< Read but not yet written.
-    bool Ended_ = false;  ///< The sender closed its side.
+    StreamRewriter Rewriter_;
+    std::string Waiting_ = {}; ///< Read but not yet written.
+    bool Ended_ = false;       ///< The sender closed its side.
   };
   struct Connection {
     std::string Link_;
--- a/tests/stand_ins/worker_service.cpp
+++ b/tests/stand_ins/worker_service.cpp
@@ -184,7 +184,7 @@
   for (const std::string &Attempt : Request.Acked_) {
     const auto Known = Tasks_.find(Attempt);
     if (Known != Tasks_.end() && Known->second.State_ == AttemptState::Finished)
-      Known->second.Acked_ = true;
+      Known->second.Silent_ = true;
   }
   LeaseReply Reply;
   Reply.Worker_ = Options_.Id_;
@@ -194,7 +194,7 @@
   for (auto &[Attempt, Known] : Tasks_) {
     if (Known.State_ == AttemptState::Finished) {
       // The reply to a waiting start carried the answer already.
-      if (!Known.Acked_ && !Known.Request_.Wait_)
+      if (!Known.Silent_ && !Known.Request_.Wait_)
         Reply.Finished_.push_back(reportOf(Known));
       continue;
     }
@@ -257,10 +257,11 @@
 void WorkerService::end(Task &Ended, const std::string &Event, Answer Result) {
   Ended.State_ = AttemptState::Finished;
   Ended.Answer_ = std::move(Result);
+  Ended.Silent_ = Event == "lapsed";
   record(Ended.Request_, Event);
   Changed_.notifyAll();
   const std::string &Url = Ended.Request_.ReportUrl_;
-  if (Ended.Request_.Wait_ || Url.empty() || !Report_)
+  if (Ended.Silent_ || Ended.Request_.Wait_ || Url.empty() || !Report_)
     return;
   Json::Value Body = encodeAttemptReport(reportOf(Ended));
   Body["worker"] = Options_.Id_;
--- a/tests/stand_ins/worker_service.h
+++ b/tests/stand_ins/worker_service.h
@@ -48,9 +48,11 @@
 using ReportSender =
     std::function<void(const std::string &Url, const std::string &Body)>;
 
-/// Stand-in for one worker. A task that is lapsed or stopped is reported as
-/// finished with ok = false and the answer "lapsed" or "stopped": "unknown"
-/// would say that it never started. Tasks with run_ms 0 run until stopped.
+/// Stand-in for one worker. A task that was stopped is reported as finished
+/// with ok = false and the answer "stopped". A lapsed task has no outcome to
+/// report, so that its owner counts it as lost; a query of its state answers
+/// finished with ok = false and "lapsed", because "unknown" would say that it
+/// never started. Tasks with run_ms 0 run until stopped.
 class WorkerService {
 public:
   WorkerService(WorkerOptions Options, TimerQueue &Timers, ReportSender Report);
@@ -70,7 +72,7 @@
     std::int64_t Change_ = 0; ///< Makes earlier end timers stale.
     AttemptState State_ = AttemptState::Running;
     Answer Answer_;
-    bool Acked_ = false;
+    bool Silent_ = false; ///< Not reported: acknowledged or lapsed.
   };
 
   Millis wall() const { return Clock_.wall() + Options_.ClockOffset_; }
