--- a/tests/stand_ins/table_service.cpp
+++ b/tests/stand_ins/table_service.cpp
@@ -133,7 +133,7 @@
   if (Token.size() > MaxTokenBytes)
     return refuse("ValidationException", "the token is too long");
   const std::string Content = digestOf(writeJson(Body["TransactItems"]));
-  const HttpResponse Applied = jsonResponse(200, Json::objectValue);
+  HttpResponse Applied = jsonResponse(200, Json::objectValue);
 
   const MutexLock Held(Mutex_);
   ++Transactions_;
