--- a/main/damaskgladed.cpp
+++ b/main/damaskgladed.cpp
@@ -88,9 +88,10 @@
   const auto Workers = drivers::makeWorkerClient();
   const auto PeerCalls = drivers::makePeerClient(Settings.NodeId_);
   const auto Table = drivers::makeTableClient(Settings.TableUrl_);
+  const auto Objects = drivers::makeObjectClient(Settings.ObjectsUrl_);
   const auto Vms = drivers::makeVmListClient(Settings.VmListUrl_);
   node::Services Ports{Time, Metrics, *Log, *Workers, *PeerCalls};
-  node::Node Node(makeOptions(Settings), Ports, *Table, *Vms);
+  node::Node Node(makeOptions(Settings), Ports, *Table, *Objects, *Vms);
   drivers::PeerServer Peers(node::PeerApi::methods(),
                             [&Node](const std::string &From,
                                     const std::string &Method,
--- a/node/caller_api.cpp
+++ b/node/caller_api.cpp
@@ -19,6 +19,7 @@
 constexpr Millis PeerTimeout{2000};
 
 const std::string JobsPath = "/v1/jobs";
+const std::string ConfigPath = "/v1/config";
 const std::string WorkersPath = "/v1/workers/";
 
 bool startsWith(const std::string &Text, const std::string &Prefix) {
@@ -57,6 +58,8 @@
     return submit(Request);
   if (startsWith(Request.Path_, JobsPath + "/"))
     return handleJobs(Request, Request.Path_.substr(JobsPath.size() + 1));
+  if (startsWith(Request.Path_, ConfigPath))
+    return Config_.handle(Request, Request.Path_.substr(ConfigPath.size()));
   if (Request.Path_ == "/v1/reports" && Request.Method_ == "POST")
     return report(Request);
   if (Request.Path_ == "/v1/nodes" && Request.Method_ == "GET")
--- a/node/caller_api.h
+++ b/node/caller_api.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_NODE_CALLER_API_H
 #define DAMASKGLADE_NODE_CALLER_API_H
 
+#include "node/config_api.h"
 #include "node/job_service.h"
 #include "ports/http.h"
 
@@ -13,9 +14,10 @@
 class CallerApi {
 public:
   CallerApi(NodeIdentity Self, Services &Ports, JobService &Jobs,
-            ShardOwner &Owner, Router &Routes, ownership::Agent &Ownership)
+            ShardOwner &Owner, Router &Routes, ownership::Agent &Ownership,
+            ConfigApi &Config)
       : Self_(std::move(Self)), Ports_(Ports), Jobs_(Jobs), Owner_(Owner),
-        Routes_(Routes), Ownership_(Ownership) {}
+        Routes_(Routes), Ownership_(Ownership), Config_(Config) {}
 
   /// The reply to any path but /metrics, /rpc, /healthz and /readyz.
   HttpReply handle(const HttpRequest &Request);
@@ -36,6 +38,7 @@
   ShardOwner &Owner_;
   Router &Routes_;
   ownership::Agent &Ownership_;
+  ConfigApi &Config_;
 };
 
 /// Applies drain, undrain, quarantine or release to a worker of this node.
--- a/node/job_home.cpp
+++ b/node/job_home.cpp
@@ -50,6 +50,26 @@
   Placements_.stop();
 }
 
+void JobHome::applySettings(const config::CellSettings &Cell) {
+  constexpr double Percent = 0.01;
+  policy::QueueSettings Queue = Settings_.Queue_;
+  policy::ShareSettings Shares = Settings_.Shares_;
+  for (std::size_t Class = 0; Class < TaskClassCount; ++Class) {
+    const config::ClassSettings &Each = Cell.Classes_.at(Class);
+    Shares.ClassWeight_.at(Class) = static_cast<double>(Each.Weight_);
+    Shares.ClassMinimum_.at(Class) =
+        static_cast<double>(Each.MinSharePercent_) * Percent;
+    Queue.ClassBounds_.at(Class) = static_cast<std::size_t>(Each.MaxQueued_);
+  }
+  Shares.TeamWeight_.clear();
+  for (const auto &[Name, Team] : Cell.Teams_)
+    Shares.TeamWeight_[Name] = static_cast<double>(Team.Weight_) /
+                               static_cast<double>(Cell.TeamDefault_.Weight_);
+  const MutexLock Lock(QueueMutex_);
+  Shares_.applySettings(Shares);
+  Queue_.applySettings(Queue);
+}
+
 Status JobHome::checkFits(const JobSpec &Spec) const {
   const Resources Largest =
       Routes_.cellHeadroom(Local_.headroom()).LargestTotal_;
--- a/node/job_home.h
+++ b/node/job_home.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_NODE_JOB_HOME_H
 #define DAMASKGLADE_NODE_JOB_HOME_H
 
+#include "config/settings.h"
 #include "core/work_pool.h"
 #include "node/job_table.h"
 #include "node/owner_gateway.h"
@@ -60,6 +61,8 @@
   bool finish(const std::string &Attempt, const OwnerStatus &Status);
   /// Takes over an unfinished job. Returns false if another node was first.
   bool adopt(const JobRecord &Record);
+  /// Takes over queue bounds, shares and weights.
+  void applySettings(const config::CellSettings &Cell);
   std::size_t queued() const;
   std::size_t size() const { return Jobs_.size(); }
 
--- a/node/job_json.cpp
+++ b/node/job_json.cpp
@@ -20,7 +20,7 @@
   case JobState::Finished:
     return "finished";
   case JobState::Canceled:
-    return Record.Attempts_.empty() ? "not_run" : "unknown";
+    return Record.Attempts_.empty() ? "not_run" : "interrupted";
   case JobState::Queued:
   case JobState::Running:
     break;
--- a/node/lookup_service.cpp
+++ b/node/lookup_service.cpp
@@ -24,6 +24,18 @@
       NextNumber_(Ports.Clock_.wall().Value_ * 1000),
       Random_(static_cast<std::uint64_t>(Ports.Clock_.wall().Value_)) {}
 
+LookupSettings LookupService::settings() {
+  const MutexLock Lock(Mutex_);
+  return Settings_;
+}
+
+void LookupService::applySettings(const config::CellSettings &Cell) {
+  constexpr double Percent = 0.01;
+  const MutexLock Lock(Mutex_);
+  Settings_.Delays_ = {Cell.Retry_.DelayMin_, Cell.Retry_.DelayMax_};
+  Budget_.Fraction_ = static_cast<double>(Cell.Retry_.BudgetPercent_) * Percent;
+}
+
 Result<Answer> LookupService::run(const JobSpec &Spec) {
   const Resources Largest =
       Routes_.cellHeadroom(Local_.headroom()).LargestTotal_;
@@ -32,7 +44,7 @@
     return Error{Reason::NeverFits, Effect::None, "check size",
                  "size." + std::string(Short),
                  "no worker has that much \"" + std::string(Short) + "\""};
-  if (InProgress_.fetch_add(1) >= Settings_.MaxWaiting_) {
+  if (InProgress_.fetch_add(1) >= settings().MaxWaiting_) {
     --InProgress_;
     return Error{Reason::QueueFull,
                  Effect::None,
@@ -42,7 +54,7 @@
                  Millis{500}};
   }
   const Millis Deadline =
-      Spec.Deadline_ > Millis{} ? Spec.Deadline_ : Settings_.DefaultDeadline_;
+      Spec.Deadline_ > Millis{} ? Spec.Deadline_ : settings().DefaultDeadline_;
   {
     const MutexLock Lock(Mutex_);
     records::recordFirstTry(Budget_);
@@ -90,7 +102,7 @@
   }
   if (Now + Delay >= End) {
     Refusal = Failure;
-    Refusal.RetryAfter_ = Settings_.Delays_.Max_;
+    Refusal.RetryAfter_ = settings().Delays_.Max_;
     return false;
   }
   sleepFor(Delay);
--- a/node/lookup_service.h
+++ b/node/lookup_service.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_NODE_LOOKUP_SERVICE_H
 #define DAMASKGLADE_NODE_LOOKUP_SERVICE_H
 
+#include "config/settings.h"
 #include "node/owner_gateway.h"
 #include "records/retry.h"
 
@@ -26,9 +27,11 @@
   /// Errors: queue_full, no_capacity, deadline_unreachable, never_fits,
   /// retry_budget_exhausted, answer_truncated.
   Result<Answer> run(const JobSpec &Spec);
+  void applySettings(const config::CellSettings &Cell);
   std::size_t inProgress() const { return InProgress_; }
 
 private:
+  LookupSettings settings();
   Result<Answer> runUntil(const JobSpec &Spec, Millis End);
   Result<Answer> tryOwners(const JobSpec &Spec, Millis End);
   Result<Answer> tryOwner(const std::string &Node, const JobSpec &Spec,
@@ -37,7 +40,7 @@
                     Error &Refusal);
 
   const NodeIdentity Self_;
-  const LookupSettings Settings_;
+  LookupSettings Settings_; ///< Guarded by Mutex_.
   Services &Ports_;
   OwnerGateway &Owners_;
   ShardOwner &Local_;
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -35,7 +35,8 @@
 
 } // namespace
 
-Node::Node(NodeOptions Options, Services &Ports, TableStore &Table, VmList &Vms)
+Node::Node(NodeOptions Options, Services &Ports, TableStore &Table,
+           ObjectStore &Objects, VmList &Vms)
     : Options_(std::move(Options)), Ports_(Ports), Fleet_(Vms),
       Routes_(Options_.Identity_.Id_,
               static_cast<std::uint64_t>(Ports.Clock_.wall().Value_)),
@@ -59,8 +60,17 @@
       Lookups_(Options_.Identity_, Options_.Lookups_, Ports, Gateway_, Owner_,
                Routes_),
       Jobs_(Options_.Identity_, Ports, Home_, Lookups_, Store_, Routes_),
-      Callers_(Options_.Identity_, Ports, Jobs_, Owner_, Routes_, Ownership_),
-      Peers_(Ports, Owner_, Home_, Routes_, Ownership_,
+      Versions_(Table, Objects, Ports.Clock_, Options_.Identity_.Id_),
+      Follower_(
+          config::FollowerOptions{}, Versions_,
+          [this](const std::string &Hash, Millis Timeout) {
+            return fetchConfigBody(Hash, Timeout);
+          },
+          Ports.Clock_, Ports.Metrics_),
+      Config_(Ports, Versions_, Follower_),
+      Callers_(Options_.Identity_, Ports, Jobs_, Owner_, Routes_, Ownership_,
+               Config_),
+      Peers_(Ports, Owner_, Home_, Routes_, Ownership_, Follower_,
              [this] { return ownHeartbeat(); }),
       Recovery_(Options_.Identity_, Ports, Store_, Home_, Ownership_) {}
 
@@ -69,6 +79,7 @@
 void Node::start() {
   FleetThread_ = Thread([this] { runFleetRefresh(); });
   Store_.start();
+  Follower_.start();
   Ownership_.start();
   Owner_.start([this](const EndedTask &Ended) { return notifyHome(Ended); });
   Home_.start();
@@ -87,6 +98,7 @@
   Store_.stop();
   Owner_.stop();
   Ownership_.stop();
+  Follower_.stop();
   Stopping_ = true;
   HeartbeatThread_.join();
   FleetThread_.join();
@@ -95,6 +107,9 @@
 Heartbeat Node::ownHeartbeat() const {
   Heartbeat Own;
   Own.Headroom_ = Owner_.headroom();
+  const config::VersionInForce Version = Follower_.inForce();
+  Own.ConfigVersion_ = Version.Version_;
+  Own.ConfigHash_ = Version.Hash_;
   Own.Leaving_ = Leaving_;
   return Own;
 }
@@ -113,6 +128,7 @@
   while (!Stopping_) {
     Routes_.setNodes(Ownership_.nodes());
     Routes_.setShards(Ownership_.shards());
+    applySettings();
     const Millis Now = Ports_.Clock_.monotonic();
     if (Now >= Next) {
       Next = Now + HeartbeatInterval;
@@ -136,9 +152,46 @@
       continue;
     }
     const auto Received = decodeHeartbeat(Reply.value());
-    if (Received)
-      Routes_.recordHeartbeat(Received.value(), Ports_.Clock_.monotonic());
+    if (!Received)
+      continue;
+    Routes_.recordHeartbeat(Received.value(), Ports_.Clock_.monotonic());
+    Follower_.offer(Received.value().ConfigVersion_,
+                    Received.value().ConfigHash_);
+  }
+}
+
+Result<std::string> Node::fetchConfigBody(const std::string &Hash,
+                                          Millis Timeout) {
+  Json::Value Query;
+  Query["hash"] = Hash;
+  for (const PeerState &Peer : Routes_.peers()) {
+    const auto Reply =
+        Ports_.Peers_.call(Peer.Address_, "configBody", Query, Timeout);
+    if (Reply && Reply.value()["text"].isString())
+      return Reply.value()["text"].asString();
   }
+  return Error{Reason::NotFound, Effect::None, "fetch configuration", "",
+               "no peer has the body of the version"};
+}
+
+void Node::applySettings() {
+  const std::int64_t Version = Follower_.version();
+  const auto Current = Follower_.current();
+  if (!Current || Version == AppliedVersion_)
+    return;
+  Owner_.applySettings(*Current);
+  Home_.applySettings(*Current);
+  Lookups_.applySettings(*Current);
+  AppliedVersion_ = Version;
+  Ports_.Metrics_.gauge("config_version", static_cast<double>(Version));
+  Ports_.Log_.write(LogEvent{LogLevel::Info,
+                             "configuration version " +
+                                 std::to_string(Version) + " is in force",
+                             "", "apply configuration", ""});
+}
+
+bool Node::isReady() const {
+  return Ownership_.isReady() && Follower_.current() != nullptr && !Leaving_;
 }
 
 std::string Node::findHome(const EndedTask &Ended, bool &Forget) {
@@ -177,7 +230,7 @@
   if (Request.Path_ == "/healthz")
     return HttpReply{Ok, "ok\n", "text/plain"};
   if (Request.Path_ == "/readyz") {
-    const bool Ready = Ownership_.isReady() && !Leaving_;
+    const bool Ready = isReady();
     return HttpReply{Ready ? Ok : Unavailable,
                      Ready ? "ready\n" : "not ready\n", "text/plain"};
   }
--- a/node/node.h
+++ b/node/node.h
@@ -24,7 +24,8 @@
 /// Everything that one daemon runs, apart from its drivers.
 class Node {
 public:
-  Node(NodeOptions Options, Services &Ports, TableStore &Table, VmList &Vms);
+  Node(NodeOptions Options, Services &Ports, TableStore &Table,
+       ObjectStore &Objects, VmList &Vms);
   ~Node();
   Node(const Node &) = delete;
   Node &operator=(const Node &) = delete;
@@ -48,6 +49,9 @@
   void runHeartbeats();
   void beat();
   void runFleetRefresh();
+  Result<std::string> fetchConfigBody(const std::string &Hash, Millis Timeout);
+  void applySettings();
+  bool isReady() const;
 
   const NodeOptions Options_;
   Services &Ports_;
@@ -60,6 +64,9 @@
   JobHome Home_;
   LookupService Lookups_;
   JobService Jobs_;
+  config::VersionStore Versions_;
+  config::Follower Follower_;
+  ConfigApi Config_;
   CallerApi Callers_;
   PeerApi Peers_;
   Recovery Recovery_;
@@ -67,6 +74,7 @@
   std::atomic<bool> Leaving_{false};
   std::atomic<bool> Stopping_{false};
   std::atomic<std::int64_t> InProgress_{0};
+  std::int64_t AppliedVersion_ = -1; ///< Used by the heartbeat thread only.
   Thread HeartbeatThread_;
   Thread FleetThread_;
 };
--- a/node/owned_shard.cpp
+++ b/node/owned_shard.cpp
@@ -16,8 +16,13 @@
 
 OwnedShard::OwnedShard(std::string Id, std::int64_t Epoch, std::string Owner,
                        OwnerSettings Settings, Moment Now)
-    : Id_(std::move(Id)), Epoch_(Epoch), Owner_(std::move(Owner)),
-      Settings_(Settings), Taken_(Now) {}
+    : Id_(std::move(Id)), Epoch_(Epoch), Owner_(std::move(Owner)), Taken_(Now),
+      Settings_(Settings) {}
+
+void OwnedShard::applySettings(const OwnerSettings &Settings) {
+  const MutexLock Lock(Mutex_);
+  Settings_ = Settings;
+}
 
 void OwnedShard::setWorkers(const std::vector<VmEntry> &Workers, Moment Now) {
   const MutexLock Lock(Mutex_);
@@ -317,6 +322,7 @@
 }
 
 OwnerStatus OwnedShard::unknownToWorker(const Attempt &Try, Moment Now) const {
+  const MutexLock Lock(Mutex_);
   if (Now.Wall_ <= Try.StartBy_ + Settings_.ClockError_)
     return OwnerStatus{OwnerVerdict::Pending, {}};
   // A worker that was restarted forgets what it ran, so this is not a proof
--- a/node/owned_shard.h
+++ b/node/owned_shard.h
@@ -93,6 +93,8 @@
   const std::string &id() const { return Id_; }
   std::int64_t epoch() const { return Epoch_; }
 
+  void applySettings(const OwnerSettings &Settings);
+
   /// Replaces the list of workers by what the VM list says.
   void setWorkers(const std::vector<VmEntry> &Workers, Moment Now);
 
@@ -193,10 +195,10 @@
   const std::string Id_;
   const std::int64_t Epoch_;
   const std::string Owner_;
-  const OwnerSettings Settings_;
   const Moment Taken_;
 
   mutable Mutex Mutex_;
+  OwnerSettings Settings_;
   policy::Ledger Ledger_;
   std::map<std::string, Link> Links_;
   TaskMap Tasks_;
--- a/node/peer_api.cpp
+++ b/node/peer_api.cpp
@@ -28,7 +28,7 @@
   static const std::vector<std::string> Names = {
       "heartbeat", "ownership", "execute",       "reserve",       "start",
       "release",   "stopTask",  "attemptStatus", "finished",      "jobStatus",
-      "waitJob",   "cancelJob", "listWorkers",   "controlWorker",
+      "waitJob",   "cancelJob", "listWorkers",   "controlWorker", "configBody",
   };
   return Names;
 }
@@ -40,6 +40,8 @@
     return heartbeat(Message);
   if (Method == "ownership")
     return parseJson(Ownership_.handleMessage(writeJson(Message)), Method);
+  if (Method == "configBody")
+    return configBody(Message);
   if (Method == "listWorkers")
     return listWorkers();
   if (Method == "controlWorker")
@@ -54,6 +56,7 @@
 Result<Json::Value> PeerApi::heartbeat(const Json::Value &Message) {
   BOOST_OUTCOME_TRY(Received, decodeHeartbeat(Message));
   Routes_.recordHeartbeat(Received, Ports_.Clock_.monotonic());
+  Follower_.offer(Received.ConfigVersion_, Received.ConfigHash_);
   return encode(OwnHeartbeat_());
 }
 
@@ -111,6 +114,17 @@
   return encodeJobReply(*Record);
 }
 
+Result<Json::Value> PeerApi::configBody(const Json::Value &Message) {
+  const auto Text = Follower_.body(Message["hash"].asString());
+  if (!Text)
+    return Error{Reason::NotFound, Effect::None, "fetch configuration",
+                 Message["hash"].asString(),
+                 "the version is not in force on this node"};
+  Json::Value Out;
+  Out["text"] = *Text;
+  return Out;
+}
+
 Result<Json::Value> PeerApi::listWorkers() {
   Json::Value Out;
   Out["workers"] = Json::Value(Json::arrayValue);
--- a/node/peer_api.h
+++ b/node/peer_api.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_NODE_PEER_API_H
 #define DAMASKGLADE_NODE_PEER_API_H
 
+#include "config/follower.h"
 #include "node/job_service.h"
 #include "ownership/agent.h"
 
@@ -15,9 +16,11 @@
 class PeerApi {
 public:
   PeerApi(Services &Ports, ShardOwner &Owner, JobHome &Home, Router &Routes,
-          ownership::Agent &Ownership, std::function<Heartbeat()> OwnHeartbeat)
+          ownership::Agent &Ownership, config::Follower &Follower,
+          std::function<Heartbeat()> OwnHeartbeat)
       : Ports_(Ports), Owner_(Owner), Home_(Home), Routes_(Routes),
-        Ownership_(Ownership), OwnHeartbeat_(std::move(OwnHeartbeat)) {}
+        Ownership_(Ownership), Follower_(Follower),
+        OwnHeartbeat_(std::move(OwnHeartbeat)) {}
 
   /// Names of all methods.
   static const std::vector<std::string> &methods();
@@ -32,12 +35,14 @@
                                  const Json::Value &Message);
   Result<Json::Value> heartbeat(const Json::Value &Message);
   Result<Json::Value> listWorkers();
+  Result<Json::Value> configBody(const Json::Value &Message);
 
   Services &Ports_;
   ShardOwner &Owner_;
   JobHome &Home_;
   Router &Routes_;
   ownership::Agent &Ownership_;
+  config::Follower &Follower_;
   const std::function<Heartbeat()> OwnHeartbeat_;
 };
 
--- a/node/shard_owner.cpp
+++ b/node/shard_owner.cpp
@@ -28,6 +28,23 @@
 
 ShardOwner::~ShardOwner() { stop(); }
 
+OwnerSettings ShardOwner::settings() const {
+  const MutexLock Lock(Mutex_);
+  return Settings_;
+}
+
+void ShardOwner::applySettings(const config::CellSettings &Cell) {
+  OwnerSettings Next = settings();
+  Next.RunLease_ = Cell.Tasks_.RunLease_;
+  Next.ClockError_ = Cell.Ownership_.ClockBound_;
+  {
+    const MutexLock Lock(Mutex_);
+    Settings_ = Next;
+  }
+  for (const ShardPointer &Each : shards())
+    Each->applySettings(Next);
+}
+
 std::vector<ShardOwner::ShardPointer> ShardOwner::shards() const {
   const MutexLock Lock(Mutex_);
   std::vector<ShardPointer> Out;
@@ -64,7 +81,7 @@
     return {};
   const Moment Now = momentOf(Ports_.Clock_);
   const Millis StartBy = std::min(Ownership_.grantEnd(Shard.id()),
-                                  Now.Wall_ + Settings_.HoldTime_);
+                                  Now.Wall_ + settings().HoldTime_);
   std::uint64_t Random = 0;
   {
     const MutexLock Lock(Mutex_);
@@ -127,7 +144,7 @@
     return NotOwner;
   }
   const auto Reply = Ports_.Workers_.start(Held.value().Address_, Request,
-                                           Settings_.WorkerTimeout_);
+                                           settings().WorkerTimeout_);
   if (Reply) {
     Target->confirmStart(Attempt, momentOf(Ports_.Clock_));
     if (Reply.value().State_ == AttemptState::Finished)
@@ -208,7 +225,7 @@
     return *Known;
   const std::string Attempt = attemptId(Job, Try);
   const auto Reply =
-      Ports_.Workers_.state(Address, Attempt, Settings_.WorkerTimeout_);
+      Ports_.Workers_.state(Address, Attempt, settings().WorkerTimeout_);
   if (!Reply)
     return OwnerStatus{OwnerVerdict::Pending, {}};
   switch (Reply.value().State_) {
@@ -228,7 +245,7 @@
     const std::string Address = Each->addressOf(Attempt);
     if (!Address.empty())
       return Ports_.Workers_.control(Address, Attempt, Action,
-                                     Settings_.WorkerTimeout_);
+                                     settings().WorkerTimeout_);
   }
   return Error{Reason::NotFound, Effect::None, "control task", Self_.Id_,
                "the attempt does not run on this node's workers"};
--- a/node/shard_owner.h
+++ b/node/shard_owner.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_NODE_SHARD_OWNER_H
 #define DAMASKGLADE_NODE_SHARD_OWNER_H
 
+#include "config/settings.h"
 #include "core/thread.h"
 #include "node/fleet.h"
 #include "node/owned_shard.h"
@@ -50,6 +51,8 @@
   /// A completion pushed by a worker. Errors: not_owner.
   Status report(const std::string &Worker, const AttemptReport &Report);
 
+  /// Takes over the run lease and the clock error bound of a version.
+  void applySettings(const config::CellSettings &Cell);
   Status setDrained(const std::string &Worker, bool Drained);
   Status setQuarantined(const std::string &Worker, bool Quarantined);
   Headroom headroom() const;
@@ -58,6 +61,7 @@
 private:
   using ShardPointer = std::shared_ptr<OwnedShard>;
 
+  OwnerSettings settings() const;
   std::vector<ShardPointer> shards() const;
   ShardPointer shard(const std::string &Id) const;
   ShardPointer shardOfWorker(const std::string &Worker) const;
@@ -74,7 +78,7 @@
   void runNotices();
 
   const NodeIdentity Self_;
-  const OwnerSettings Settings_;
+  OwnerSettings Settings_; ///< Guarded by Mutex_.
   Services &Ports_;
   ownership::Agent &Ownership_;
   Fleet &Vms_;
--- a/node/shard_owner_threads.cpp
+++ b/node/shard_owner_threads.cpp
@@ -62,8 +62,9 @@
     Workers += static_cast<std::int64_t>(Vms_.workersOf(Each->id()).size());
   const Millis Affordable{Workers * BytesPerExchange * MillisPerSecond /
                           ExchangeBytesPerSecond};
-  return std::clamp(Affordable, Settings_.RenewInterval_,
-                    Settings_.RunLease_ / ExchangesPerLease);
+  const OwnerSettings Current = settings();
+  return std::clamp(Affordable, Current.RenewInterval_,
+                    Current.RunLease_ / ExchangesPerLease);
 }
 
 void ShardOwner::runMaintenance() {
@@ -96,7 +97,7 @@
 
 void ShardOwner::renew(OwnedShard &Shard, const RenewalPlan &Plan) {
   const auto Reply = Ports_.Workers_.renew(Plan.Address_, Plan.Request_,
-                                           Settings_.WorkerTimeout_);
+                                           settings().WorkerTimeout_);
   if (Reply) {
     Shard.applyRenewal(Plan, Reply.value(), momentOf(Ports_.Clock_));
     return;
--- a/policy/queue.cpp
+++ b/policy/queue.cpp
@@ -90,7 +90,9 @@
   const bool HasOwnPlace =
       OfTeam < Settings_.TeamPlaces_ &&
       (OfTeam > 0 || Queue.Teams_.size() < Settings_.MaxTeams_);
-  if (!HasOwnPlace && Queue.Size_ + Queue.Reserved_ >= Settings_.ClassBound_)
+  if (!HasOwnPlace &&
+      Queue.Size_ + Queue.Reserved_ >=
+          Settings_.ClassBounds_[static_cast<std::size_t>(Class)])
     return fullError(Class, Team, "The queue of this class is full.");
   ++Queue.Reserved_;
   ++Queue.Teams_[Team].Reserved_;
--- a/policy/queue.h
+++ b/policy/queue.h
@@ -18,8 +18,9 @@
 namespace damaskglade::policy {
 
 struct QueueSettings {
-  /// Queued jobs of one class, over all teams.
-  std::size_t ClassBound_ = 20000;
+  /// Queued jobs of each class, over all teams, in order of TaskClass.
+  std::array<std::size_t, TaskClassCount> ClassBounds_{2000, 2000, 20000, 2000,
+                                                       2000};
   /// Queued jobs of one team in one class.
   std::size_t TeamBound_ = 4000;
   /// Places of each team that other teams of a class cannot fill.
@@ -65,6 +66,9 @@
   /// Accounts outlives the queue.
   JobQueue(QueueSettings Settings, Shares &Accounts);
 
+  /// Changes the bounds; jobs that are queued stay.
+  void applySettings(const QueueSettings &Settings) { Settings_ = Settings; }
+
   /// Adds a job. Errors: queue_full with retry-after. A job that is queued
   /// already stays where it is.
   Status push(QueuedJob Job);
--- a/policy/shares.cpp
+++ b/policy/shares.cpp
@@ -85,6 +85,18 @@
 
 Shares::Shares(ShareSettings Settings) : Settings_(std::move(Settings)) {}
 
+void Shares::applySettings(const ShareSettings &Settings) {
+  Settings_ = Settings;
+  for (ClassAccount &Class : Classes_) {
+    Class.ActiveWeight_ = 0.0;
+    for (auto &[Name, Account] : Class.Teams_) {
+      Account.Weight_ = weightOf(Name);
+      if (Account.Backlog_ + Account.Running_ > 0)
+        Class.ActiveWeight_ += Account.Weight_;
+    }
+  }
+}
+
 void Shares::setFleet(const Resources &Fleet) {
   Fleet_ = Fleet;
   for (ClassAccount &Class : Classes_) {
--- a/policy/shares.h
+++ b/policy/shares.h
@@ -65,6 +65,9 @@
 public:
   explicit Shares(ShareSettings Settings);
 
+  /// Changes weights and minima; use so far stays.
+  void applySettings(const ShareSettings &Settings);
+
   /// Sets the capacity that shares are fractions of: the part of the cell's
   /// fleet that this home may count on.
   void setFleet(const Resources &Fleet);
