--- a/policy/ledger.cpp
+++ b/policy/ledger.cpp
@@ -168,6 +168,12 @@
   return success();
 }
 
+void Ledger::setThrottled(const std::string &Attempt, bool Throttled) {
+  const auto Found = Reservations_.find(Attempt);
+  if (Found != Reservations_.end())
+    Found->second.Throttled_ = Throttled;
+}
+
 void Ledger::setEstimatedEnd(const std::string &Attempt, Millis End) {
   const auto Found = Reservations_.find(Attempt);
   if (Found != Reservations_.end())
--- a/policy/ledger.h
+++ b/policy/ledger.h
@@ -20,11 +20,13 @@
   std::string Zone_;
   std::string Rack_;
   Resources Capacity_;
-  bool Leaving_ = false;     ///< Receives no new work.
-  bool Listed_ = false;      ///< False until its tasks are known, and while it
-                             ///< is unreachable; it then counts as full.
-  bool Quarantined_ = false; ///< Not offered by place(); reserve() still
-                             ///< works, for trial starts.
+  bool Leaving_ = false;      ///< Receives no new work.
+  bool Listed_ = false;       ///< False until its tasks are known, and while it
+                              ///< is unreachable; it then counts as full.
+  bool Quarantined_ = false;  ///< Not offered by place(); reserve() still
+                              ///< works, for trial starts.
+  bool CanCheckpoint_ = true; ///< False once the worker refused the call.
+  bool CanThrottle_ = true;   ///< False once the worker refused the call.
 
   friend bool operator==(const WorkerInfo &, const WorkerInfo &) = default;
 };
@@ -39,7 +41,8 @@
   std::string Team_;
   Millis Start_{};          ///< Same clock as the caller's other times.
   Millis EstimatedEnd_{};   ///< Zero if unknown.
-  bool Idempotent_ = false; ///< Only such tasks may be stopped.
+  bool Idempotent_ = false; ///< Only such tasks may be stopped to make room.
+  bool Throttled_ = false;  ///< Runs with less than its full size.
 
   friend bool operator==(const Reservation &, const Reservation &) = default;
 };
@@ -109,6 +112,9 @@
   /// Changes the size of a reservation, for example after a throttle. Errors:
   /// not_found, invalid_field, full.
   Status resize(const std::string &Attempt, const Resources &Size);
+  /// Marks an attempt as throttled or resumed; does nothing for an unknown
+  /// attempt. The size is changed by resize().
+  void setThrottled(const std::string &Attempt, bool Throttled);
   /// Changes the estimated end; does nothing for an unknown attempt.
   void setEstimatedEnd(const std::string &Attempt, Millis End);
 
