tests: Set the region of nodes in process tests

The daemon requires the key "region" and ended at once; the cluster now also reports a node that ends during the start instead of waiting for the timeout.

--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -97,7 +97,8 @@
   const std::string Path = Folder_ + "/" + Node.Id_ + ".ini";
   std::ofstream File(Path);
   File << "[node]\nid = " << Node.Id_ << "\nzone = " << Node.Zone_
-       << "\nlisten = " << Node.address() << "\n[platform]\n";
+       << "\nregion = selangor\nlisten = " << Node.address()
+       << "\n[platform]\n";
   for (const std::string &Part : PlatformParts) {
     const std::string Key = Part == "vms" ? "vm_list" : Part;
     File << Key << "_url = http://"
@@ -169,10 +170,10 @@
   return Reply && Reply.value().Status_ == HttpOk;
 }
 
-bool Cluster::waitUntilReady(const NodeSlot &Node, Millis Timeout) {
+bool Cluster::waitUntilReady(NodeSlot &Node, Millis Timeout) {
   const Millis End = Clock_.monotonic() + Timeout;
   while (!isReady(Node)) {
-    if (Clock_.monotonic() > End)
+    if (Clock_.monotonic() > End || !Node.Process_->isRunning())
       return false;
     sleepFor(PollInterval);
   }
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -66,7 +66,7 @@
   /// A node that replaces another one in its zone; not yet started.
   NodeSlot &addReplacement(const std::string &Zone);
   bool isReady(const NodeSlot &Node);
-  bool waitUntilReady(const NodeSlot &Node, Millis Timeout);
+  bool waitUntilReady(NodeSlot &Node, Millis Timeout);
   /// Publishes the running nodes and all workers in the VM list.
   void publishVms();
 
--- a/tests/process/scenario.cpp
+++ b/tests/process/scenario.cpp
@@ -1,5 +1,6 @@
 #include "tests/process/scenario.h"
 
+#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
 #include <cstdlib>
