--- /dev/null
+++ b/tests/bench/workload.cpp
@@ -0,0 +1,390 @@
+#include "tests/bench/workload.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <random>
+
+namespace damaskglade::bench {
+
+namespace {
+
+using policy::QueuedJob;
+
+constexpr double MaxDeclarationError = 4.0;
+
+// Spread of the logarithm of run times; the longest of 1,000 runs is about
+// 15 times the mean.
+constexpr double RunSigma = 1.2;
+
+constexpr Resources Small{250, 256, 0, 1, 1};
+constexpr Resources Medium{1000, 2048, 0, 1, 2};
+
+std::vector<std::string> teamNames(int Count) {
+  std::vector<std::string> Names;
+  for (int Number = 0; Number < Count; ++Number)
+    Names.push_back("team-" + std::to_string(Number));
+  return Names;
+}
+
+std::vector<Resources> batchSizes() {
+  return {Resources{1000, 2048, 0, 1, 2}, Resources{2000, 4096, 0, 1, 2},
+          Resources{2000, 8192, 0, 1, 2}, Resources{4000, 6144, 0, 1, 2}};
+}
+
+/// Random draws for one arrival list.
+class Source {
+public:
+  Source(const Workload &Work, std::uint64_t Seed)
+      : Random_(Seed), Work_(Work) {
+    // A team's declarations are off in the same direction most of the time.
+    for (std::size_t Index = 0; Index < Work.Teams_.size(); ++Index)
+      TeamError_.push_back(declarationError());
+  }
+
+  double declarationError() {
+    return std::pow(MaxDeclarationError,
+                    std::uniform_real_distribution<>(-1.0, 1.0)(Random_));
+  }
+
+  Millis runTime(double MeanMs) {
+    const double Mu = std::log(MeanMs) - RunSigma * RunSigma / 2.0;
+    const double Drawn = std::lognormal_distribution<>(Mu, RunSigma)(Random_);
+    return Millis{std::max<std::int64_t>(1, std::llround(Drawn))};
+  }
+
+  double interval(double MeanMs) {
+    return std::exponential_distribution<>(1.0 / MeanMs)(Random_);
+  }
+
+  std::size_t index(std::size_t Count) {
+    return std::uniform_int_distribution<std::size_t>(0, Count - 1)(Random_);
+  }
+
+  std::int64_t tasks(const Stream &From) {
+    return std::uniform_int_distribution<std::int64_t>(From.MinTasks_,
+                                                       From.MaxTasks_)(Random_);
+  }
+
+  Arrival draw(const Stream &From, Millis Time) {
+    Arrival Drawn;
+    QueuedJob &Job = Drawn.Declared_;
+    const std::size_t Team = index(Work_.Teams_.size());
+    Job.Team_ = From.Flood_ ? "flood" : Work_.Teams_[Team];
+    Job.Class_ = From.Class_;
+    Job.Urgency_ = From.Urgency_;
+    Job.Size_ = From.Sizes_[index(From.Sizes_.size())];
+    Job.Tasks_ = tasks(From);
+    Drawn.Time_ = Time;
+    Drawn.RealRun_ = runTime(From.MeanRunMs_);
+    Drawn.Flood_ = From.Flood_;
+    const double Error =
+        std::clamp((From.Flood_ ? 1.0 : TeamError_[Team]) *
+                       std::lognormal_distribution<>(0.0, 0.3)(Random_),
+                   1.0 / MaxDeclarationError, MaxDeclarationError);
+    Job.Run_ = Millis{std::max<std::int64_t>(
+        1, std::llround(static_cast<double>(Drawn.RealRun_.Value_) * Error))};
+    Job.Enqueued_ = Time;
+    if (From.Deadline_ > Millis{})
+      Job.Deadline_ = Time + From.Deadline_;
+    return Drawn;
+  }
+
+private:
+  std::mt19937_64 Random_;
+  const Workload &Work_;
+  std::vector<double> TeamError_;
+};
+
+/// Arrivals per millisecond that take the given share of the fleet.
+double arrivalRate(const Stream &From, double Share,
+                   const Resources &Capacity) {
+  double Each = 0.0;
+  for (const Resources &Size : From.Sizes_)
+    Each += dominantShare(Size, Capacity);
+  Each /= static_cast<double>(From.Sizes_.size());
+  const double Tasks =
+      static_cast<double>(From.MinTasks_ + From.MaxTasks_) / 2.0;
+  return Share / (Each * Tasks * From.MeanRunMs_);
+}
+
+constexpr std::array Amounts{&Resources::MilliCpus_, &Resources::MemoryMib_,
+                             &Resources::Accelerators_, &Resources::Slots_,
+                             &Resources::Connections_};
+
+std::size_t serviceCount(const Workload &Work) {
+  return static_cast<std::size_t>(
+      Work.ServiceShare_ / dominantShare(Medium, Work.Fleet_.capacity()));
+}
+
+/// Factor on the streams' shares at which the most used resource has the
+/// workload's load. Shares of different resources do not add up otherwise.
+double loadFactor(const Workload &Work) {
+  const Resources Capacity = Work.Fleet_.capacity();
+  double Factor = std::numeric_limits<double>::infinity();
+  for (const auto Amount : Amounts) {
+    if (Capacity.*Amount == 0)
+      continue;
+    const auto Whole = static_cast<double>(Capacity.*Amount);
+    double Demand = 0.0;
+    for (const Stream &From : Work.Streams_) {
+      if (From.Flood_)
+        continue;
+      double Mean = 0.0;
+      for (const Resources &Size : From.Sizes_)
+        Mean += static_cast<double>(Size.*Amount);
+      Mean /= static_cast<double>(From.Sizes_.size());
+      const double Tasks =
+          static_cast<double>(From.MinTasks_ + From.MaxTasks_) / 2.0;
+      Demand += arrivalRate(From, From.LoadShare_, Capacity) * Mean * Tasks *
+                From.MeanRunMs_ / Whole;
+    }
+    const double Services = static_cast<double>(serviceCount(Work)) *
+                            static_cast<double>(Medium.*Amount) / Whole;
+    if (Demand > 0.0)
+      Factor = std::min(Factor, (Work.Load_ - Services) / Demand);
+  }
+  return Factor;
+}
+
+/// Moves an evenly spread time into the active part of its period.
+Millis inWave(const Stream &From, double Time) {
+  if (From.WavePeriod_ == Millis{})
+    return Millis{static_cast<std::int64_t>(Time)};
+  const auto Period = static_cast<double>(From.WavePeriod_.Value_);
+  const double Start = std::floor(Time / Period) * Period;
+  return Millis{static_cast<std::int64_t>(Start + (Time - Start) / 3.0)};
+}
+
+/// Services that run from the start to the end.
+void addServices(const Workload &Work, std::vector<Arrival> &Arrivals) {
+  const std::size_t Count = serviceCount(Work);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Arrival Service;
+    Service.Declared_.Team_ = Work.Teams_[Index % Work.Teams_.size()];
+    Service.Declared_.Class_ = TaskClass::Service;
+    Service.Declared_.Size_ = Medium;
+    Service.Declared_.Run_ = Work.Duration_ * 10;
+    Service.RealRun_ = Work.Duration_ * 10;
+    Arrivals.push_back(Service);
+  }
+}
+
+} // namespace
+
+Resources Fleet::capacity() const {
+  Resources Sum;
+  for (const WorkerGroup &Group : Groups_)
+    Sum = Sum + policy::timesTasks(Group.Capacity_, Group.Count_);
+  return Sum;
+}
+
+Fleet depotFleet() {
+  return Fleet{"depot-48", {{48, Resources{16000, 65536, 0, 8, 64}}}, 8, 3};
+}
+
+Fleet serviceFleet() {
+  return Fleet{"restauro-48", {{48, Resources{16000, 32768, 0, 8, 64}}}, 8, 3};
+}
+
+Fleet designFleet() {
+  return Fleet{"design-500",
+               {{325, Resources{16000, 65536, 0, 8, 64}},
+                {175, Resources{16000, 65536, 4, 8, 64}}},
+               8,
+               6};
+}
+
+Workload depotMix(double Load, Millis Duration) {
+  Workload Work;
+  Work.Name_ = "depot";
+  Work.Fleet_ = depotFleet();
+  Work.Teams_ = teamNames(4);
+  Work.ServiceShare_ = 0.05;
+  Work.Load_ = Load;
+  Work.Duration_ = Duration;
+  // Parts of the load above the services, which sum up to 1 - 0.05 / 0.9.
+  Work.Streams_ = {
+      {TaskClass::Lookup,
+       Urgency::Normal,
+       0.17,
+       30.0,
+       1,
+       1,
+       {Small},
+       Millis{1000},
+       false},
+      {TaskClass::Request,
+       Urgency::Normal,
+       0.17,
+       200.0,
+       1,
+       1,
+       {Small},
+       Millis{3000},
+       false},
+      {TaskClass::Batch, Urgency::Normal, 0.40, 4000.0, 1, 1, batchSizes(),
+       Millis{90000}, false},
+      {TaskClass::Batch, Urgency::Urgent, 0.05, 2000.0, 1, 1, batchSizes(),
+       Millis{30000}, false},
+      {TaskClass::Gang,
+       Urgency::Normal,
+       0.15,
+       5000.0,
+       2,
+       8,
+       {Medium},
+       Millis{90000},
+       false},
+  };
+  // Batch work and gangs are submitted in waves, lookups and requests evenly.
+  for (Stream &From : Work.Streams_)
+    if ((From.Class_ == TaskClass::Batch || From.Class_ == TaskClass::Gang) &&
+        From.Urgency_ != Urgency::Urgent)
+      From.WavePeriod_ = Millis{30000};
+  return Work;
+}
+
+Workload serviceMix(double Load, Millis Duration) {
+  Workload Work;
+  Work.Name_ = "restauro";
+  Work.Fleet_ = serviceFleet();
+  Work.Teams_ = teamNames(6);
+  Work.ServiceShare_ = 0.15;
+  Work.Load_ = Load;
+  Work.Duration_ = Duration;
+  Work.Streams_ = {
+      {TaskClass::Lookup,
+       Urgency::Normal,
+       0.15,
+       20.0,
+       1,
+       1,
+       {Small},
+       Millis{1000},
+       false},
+      {TaskClass::Request,
+       Urgency::Normal,
+       0.25,
+       1500.0,
+       1,
+       1,
+       {Medium},
+       Millis{60000},
+       false},
+      {TaskClass::Batch, Urgency::Normal, 0.28, 5000.0, 1, 1, batchSizes(),
+       Millis{90000}, false},
+      {TaskClass::Batch, Urgency::Urgent, 0.05, 2000.0, 1, 1, batchSizes(),
+       Millis{30000}, false},
+      {TaskClass::Gang,
+       Urgency::Normal,
+       0.10,
+       5000.0,
+       2,
+       8,
+       {Medium},
+       Millis{90000},
+       false},
+  };
+  // Batch work and gangs are submitted in waves, lookups and requests evenly.
+  for (Stream &From : Work.Streams_)
+    if ((From.Class_ == TaskClass::Batch || From.Class_ == TaskClass::Gang) &&
+        From.Urgency_ != Urgency::Urgent)
+      From.WavePeriod_ = Millis{30000};
+  return Work;
+}
+
+Workload designMix(double Load, Millis Duration) {
+  Workload Work;
+  Work.Name_ = "design";
+  Work.Fleet_ = designFleet();
+  Work.Teams_ = teamNames(110);
+  Work.ServiceShare_ = 0.15;
+  Work.Load_ = Load;
+  Work.Duration_ = Duration;
+  std::vector<Resources> Accelerated{Resources{2000, 8192, 1, 1, 2},
+                                     Resources{4000, 16384, 2, 1, 2}};
+  Work.Streams_ = {
+      {TaskClass::Lookup,
+       Urgency::Normal,
+       0.02,
+       30.0,
+       1,
+       1,
+       {Small},
+       Millis{1000},
+       false},
+      {TaskClass::Request,
+       Urgency::Normal,
+       0.08,
+       2000.0,
+       1,
+       1,
+       {Medium},
+       Millis{60000},
+       false},
+      {TaskClass::Batch, Urgency::Normal, 0.48, 80000.0, 1, 1, batchSizes(),
+       Millis{}, false},
+      {TaskClass::Batch, Urgency::Normal, 0.15, 80000.0, 1, 1, Accelerated,
+       Millis{}, false},
+      {TaskClass::Gang,
+       Urgency::Normal,
+       0.10,
+       60000.0,
+       2,
+       16,
+       {Medium},
+       Millis{},
+       false},
+      {TaskClass::Batch, Urgency::Urgent, 0.02, 20000.0, 1, 1, batchSizes(),
+       Millis{}, false},
+  };
+  // Batch work and gangs are submitted in waves, lookups and requests evenly.
+  for (Stream &From : Work.Streams_)
+    if ((From.Class_ == TaskClass::Batch || From.Class_ == TaskClass::Gang) &&
+        From.Urgency_ != Urgency::Urgent)
+      From.WavePeriod_ = Millis{150000};
+  return Work;
+}
+
+Workload withFlood(Workload Base, Urgency Level, double Factor) {
+  Base.Name_ += Level == Urgency::Urgent ? "+urgent-flood" : "+low-flood";
+  Base.Streams_.push_back({TaskClass::Batch,
+                           Level,
+                           Factor,
+                           3000.0,
+                           1,
+                           1,
+                           {Medium},
+                           Millis{},
+                           true});
+  return Base;
+}
+
+std::vector<Arrival> makeArrivals(const Workload &Work, std::uint64_t Seed) {
+  std::vector<Arrival> Arrivals;
+  addServices(Work, Arrivals);
+  const double Factor = loadFactor(Work);
+  std::uint64_t StreamSeed = Seed;
+  for (const Stream &From : Work.Streams_) {
+    // One source for each stream, so that a flood leaves the arrivals of the
+    // other work as they are.
+    Source Draws(Work, ++StreamSeed * 7919);
+    const double Share = From.LoadShare_ * (From.Flood_ ? 1.0 : Factor);
+    const double Rate = arrivalRate(From, Share, Work.Fleet_.capacity());
+    const Millis Start = From.Flood_ ? Work.WarmUp_ : Millis{};
+    const auto Length = static_cast<double>((Work.Duration_ - Start).Value_);
+    double Time = 0.0;
+    while ((Time += Draws.interval(1.0 / Rate)) < Length)
+      Arrivals.push_back(Draws.draw(From, Start + inWave(From, Time)));
+  }
+  std::stable_sort(
+      Arrivals.begin(), Arrivals.end(),
+      [](const Arrival &A, const Arrival &B) { return A.Time_ < B.Time_; });
+  for (std::size_t Index = 0; Index < Arrivals.size(); ++Index)
+    Arrivals[Index].Declared_.Id_ = "job" + std::to_string(Index);
+  return Arrivals;
+}
+
+} // namespace damaskglade::bench
--- /dev/null
+++ b/tests/bench/workload.h
@@ -0,0 +1,83 @@
+#ifndef DAMASKGLADE_TESTS_BENCH_WORKLOAD_H
+#define DAMASKGLADE_TESTS_BENCH_WORKLOAD_H
+
+#include "policy/queue.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace damaskglade::bench {
+
+/// One submission of an arrival list. The schedulers see Declared_ only.
+struct Arrival {
+  Millis Time_{};
+  policy::QueuedJob Declared_;
+  Millis RealRun_{};
+  bool Flood_ = false; ///< Part of a flood, not of the work that is measured.
+};
+
+/// Workers of one kind.
+struct WorkerGroup {
+  int Count_ = 0;
+  Resources Capacity_;
+};
+
+struct Fleet {
+  std::string Name_;
+  std::vector<WorkerGroup> Groups_;
+  int WorkersPerRack_ = 8;
+  int Zones_ = 3;
+
+  Resources capacity() const;
+};
+
+/// Jobs of one class that arrive at random times.
+struct Stream {
+  TaskClass Class_ = TaskClass::Batch;
+  Urgency Urgency_ = Urgency::Normal;
+  /// Relative load of the stream; for a flood a multiple of the fleet.
+  double LoadShare_ = 0.0;
+  double MeanRunMs_ = 1000.0;
+  std::int64_t MinTasks_ = 1;
+  std::int64_t MaxTasks_ = 1;
+  /// Sizes, drawn with equal probability.
+  std::vector<Resources> Sizes_;
+  Millis Deadline_{}; ///< After submission; zero means none.
+  bool Flood_ = false;
+  /// All arrivals come in the first third of each period; zero: evenly.
+  Millis WavePeriod_{};
+};
+
+struct Workload {
+  std::string Name_;
+  Fleet Fleet_;
+  std::vector<Stream> Streams_;
+  std::vector<std::string> Teams_;
+  /// Share of the fleet taken by long-running services from the start.
+  double ServiceShare_ = 0.0;
+  double Load_ = 0.9;
+  Millis Duration_{60000};
+  /// Arrivals before this time are not measured.
+  Millis WarmUp_{10000};
+};
+
+Fleet depotFleet();
+Fleet serviceFleet();
+Fleet designFleet();
+
+/// The mixes of the two deployments and of the design size.
+Workload depotMix(double Load, Millis Duration);
+Workload serviceMix(double Load, Millis Duration);
+Workload designMix(double Load, Millis Duration);
+
+/// Adds one team's flood of Factor times the fleet's capacity.
+Workload withFlood(Workload Base, Urgency Level, double Factor);
+
+/// Arrivals in order of time. Run times are heavy-tailed (log-normal) and
+/// differ from the declared ones by up to 4 times.
+std::vector<Arrival> makeArrivals(const Workload &Work, std::uint64_t Seed);
+
+} // namespace damaskglade::bench
+
+#endif
