policy: Leave work alone in a round that is as large as refused work

Cause: in a trial the design mix spent its time on gangs that were tried again in every round, because only single tasks were recognised as refused. Change: refusals record size, tasks and run time; a class is left alone after 16 refusals in a round.

--- a/policy/queue.cpp
+++ b/policy/queue.cpp
@@ -10,9 +10,6 @@
 constexpr Millis MinRetryAfter{100};
 constexpr Millis MaxRetryAfter{30000};
 
-// More sizes than this are not told apart; the check must stay cheap.
-constexpr std::size_t MaxRefusedSizes = 8;
-
 // Stale entries of the heap of deadlines before it is rebuilt.
 constexpr std::size_t ExpirySlack = 1024;
 
@@ -222,15 +219,12 @@
 
 void JobQueue::putBack(const Candidate &Refused) {
   const QueuedJob &Job = Refused.Job_;
-  if (Job.Tasks_ == 1) {
-    ClassQueue &Queue = classQueue(Job.Class_);
-    RefusedSizes &Known =
-        Refused.MayPreempt_ ? Queue.RefusedPreempting_ : Queue.Refused_;
-    if (Known.Round_ != Round_)
-      Known = RefusedSizes{Round_, {}};
-    if (Known.Sizes_.size() < MaxRefusedSizes)
-      Known.Sizes_.push_back(Job.Size_);
-  }
+  ClassQueue &Queue = classQueue(Job.Class_);
+  Refusals &Known =
+      Refused.MayPreempt_ ? Queue.RefusedPreempting_ : Queue.Refused_;
+  if (Known.Round_ != Round_)
+    Known = Refusals{Round_, {}};
+  Known.Shapes_.push_back(RefusedShape{Job.Size_, Job.Tasks_, Job.Run_});
   insert(Job, true, Round_);
 }
 
@@ -291,6 +285,11 @@
 
 JobQueue::Found JobQueue::chooseInClass(TaskClass Class, const Scan &Context) {
   ClassQueue &Queue = classQueue(Class);
+  const Refusals &Known =
+      Context.Tier_ == Tier::Urgent ? Queue.RefusedPreempting_ : Queue.Refused_;
+  if (Known.Round_ == Round_ &&
+      Known.Shapes_.size() >= Settings_.RoundRefusals_)
+    return std::nullopt;
   Ranking_.clear();
   for (auto Team = Queue.Teams_.begin(); Team != Queue.Teams_.end(); ++Team) {
     if (Team->second.Size_ == 0)
@@ -351,11 +350,12 @@
                          const Scan &Context) const {
   if (Job.RefusedRound_ == Round_)
     return true;
-  const RefusedSizes &Known =
+  const Refusals &Known =
       Context.Tier_ == Tier::Urgent ? Class.RefusedPreempting_ : Class.Refused_;
   if (Known.Round_ == Round_)
-    for (const Resources &Size : Known.Sizes_)
-      if (fits(Size, Job.Job_.Size_))
+    for (const RefusedShape &Shape : Known.Shapes_)
+      if (Shape.Tasks_ <= Job.Job_.Tasks_ && Shape.Run_ <= Job.Job_.Run_ &&
+          fits(Shape.Size_, Job.Job_.Size_))
         return true;
   if (Context.Tier_ != Tier::Shared)
     return false;
--- a/policy/queue.h
+++ b/policy/queue.h
@@ -29,6 +29,9 @@
   /// Jobs of one team, class and urgency that are examined for one candidate,
   /// so that a job that does not fit holds up no smaller one behind it.
   std::size_t ScanDepth_ = 16;
+  /// Refusals in one class after which it is left alone until the next round.
+  /// Bounds the time that is spent on work that does not fit.
+  std::size_t RoundRefusals_ = 16;
 };
 
 /// A job that waits for a placement. Times are monotonic.
@@ -80,7 +83,7 @@
   /// Removes and returns the job to place next. Free is the capacity that this
   /// home may count on; work above its class's minimum does not start if that
   /// would take the reserve for interactive work. Jobs put back since
-  /// beginRound(), and jobs at least as large, are passed over.
+  /// beginRound(), and jobs at least as large and long, are passed over.
   std::optional<Candidate> take(Millis Now, const Resources &Free);
 
   /// Puts a job whose placement was refused at the front of its queue.
@@ -127,18 +130,23 @@
   };
   // Iterators must stay valid while other teams come and go.
   using TeamMap = std::map<std::string, TeamQueue>;
-  /// Sizes of single tasks that were refused in a round.
-  struct RefusedSizes {
+  struct RefusedShape {
+    Resources Size_;
+    std::int64_t Tasks_ = 1;
+    Millis Run_{};
+  };
+  /// What was refused in a round; work at least as large and as long is too.
+  struct Refusals {
     std::uint64_t Round_ = 0;
-    std::vector<Resources> Sizes_;
+    std::vector<RefusedShape> Shapes_;
   };
   struct ClassQueue {
     TeamMap Teams_;
     std::size_t Size_ = 0;
     std::size_t Reserved_ = 0;
     std::size_t Urgent_ = 0; ///< Queued urgent jobs.
-    RefusedSizes Refused_;
-    RefusedSizes RefusedPreempting_;
+    Refusals Refused_;
+    Refusals RefusedPreempting_;
   };
   struct Place {
     TeamMap::iterator Team_;
