--- a/ownership/table.cpp
+++ b/ownership/table.cpp
@@ -210,7 +210,8 @@
     applyWrite(Context, Write);
     return;
   }
-  State.RetryAfter_ = Context.Now_ + Context.Config_.RenewInterval_ / 4;
+  State.RetryAfter_ =
+      Context.Now_ + std::max(Context.Config_.RenewInterval_ / 4, Millis{1});
   State.ReadNow_ = true;
   if (Done.Result_ == CommitResult::Unavailable)
     return;
--- a/tests/ownership/agent_test.cpp
+++ b/tests/ownership/agent_test.cpp
@@ -55,6 +55,7 @@
 public:
   Zone(const std::vector<std::string> &Nodes, int Racks) {
     std::vector<VmEntry> Vms;
+    Vms.reserve(Nodes.size() + static_cast<std::size_t>(Racks));
     for (const std::string &Node : Nodes)
       Vms.push_back({Node, "z", "", Node, false, false});
     for (int Rack = 0; Rack < Racks; ++Rack)
