ownership: Adopt handed-over shards in step with renewals

Random schedules over six nodes showed shards that stayed without a granting owner for good: a read counted only if it started after the last renewal had ended, which never happened where both kept the same pace. Only transactions that move shards matter; plain renewals no longer delay the adoption.

--- a/ownership/claim.cpp
+++ b/ownership/claim.cpp
@@ -113,8 +113,9 @@
 
 // Claims of several peers at once would conflict, so they take turns, those
 // with the fewest shards first.
-Millis claimDelay(const StepContext &Context) {
-  const ShardCounts Counts = countShards(Context);
+Millis claimDelay(const StepContext &Context, const std::string &Target) {
+  ShardCounts Counts = countShards(Context);
+  Counts.erase(Target);
   const std::size_t Own = Counts.at(Context.State_.Id_);
   const auto Ahead =
       std::count_if(Counts.begin(), Counts.end(), [&](const auto &Entry) {
@@ -127,14 +128,16 @@
 std::vector<RowWrite> planFence(StepContext &Context) {
   NodeState &State = Context.State_;
   const ProtocolConfig &Config = Context.Config_;
-  const Millis Delay = claimDelay(Context);
   for (auto &[Id, Seen] : State.Nodes_) {
-    // Consents are collected while the margin passes.
     if (Seen.Row_.Zone_ != State.Zone_ || Id == State.Id_ ||
         Seen.Row_.State_ != NodeRowState::Live ||
-        Context.Now_ < Seen.FirstSeen_ + Config.Lease_ + Delay ||
+        Context.Now_ < Seen.FirstSeen_ + Config.Lease_ ||
         Context.Now_ > Seen.LastSeen_ + Config.Lease_ / 2)
       continue;
+    const Millis Delay = claimDelay(Context, Id);
+    // Consents are collected while the margin passes.
+    if (Context.Now_ < Seen.FirstSeen_ + Config.Lease_ + Delay)
+      continue;
     if (!Config.Faults_.SkipConsent_)
       askConsents(Context, Id);
     if (Context.Now_ <
--- a/ownership/protocol.h
+++ b/ownership/protocol.h
@@ -127,7 +127,6 @@
 
   std::optional<PendingWrite> InFlight_;
   std::vector<PendingWrite> Unresolved_; ///< Sent earlier, effect unknown.
-  Millis WriteDone_{};                   ///< End of the last write.
   Millis RetryAfter_{};                  ///< No write before this time.
   /// Only a read that starts later shows whether a change is worth another
   /// try after a conflict.
--- a/ownership/table.cpp
+++ b/ownership/table.cpp
@@ -19,6 +19,8 @@
   Context.Actions_.push_back(GainedShard{Row.Id_, Row.Epoch_});
 }
 
+bool hasChanges(const PendingWrite &Write) { return Write.Rows_.size() > 1; }
+
 bool isMine(const NodeState &State, const ShardRow &Row) {
   return Row.Owner_ == State.Id_ && Row.Incarnation_ == State.Incarnation_;
 }
@@ -103,7 +105,7 @@
     extendByTable(Context, Write);
   for (const RowWrite &Row : Write.Rows_)
     applyRow(Context, Row);
-  if (Write.Rows_.size() == 1 && Own.State_ == NodeRowState::Live)
+  if (!hasChanges(Write) && Own.State_ == NodeRowState::Live)
     return;
   PeerMessage Hint;
   Hint.Kind_ = MessageKind::Changed;
@@ -149,12 +151,15 @@
 }
 
 // Takes over shards that a peer handed to this node, and drops what the table
-// gives to others. Only a read that started after the last transaction had
-// ended, with none of unknown effect left, shows what this node owns.
-void reconcileShards(StepContext &Context, Millis ReadStarted) {
+// gives to others. A transaction that may still give shards away decides
+// first. Plain renewals don't matter: waiting for those as well would never
+// end where reads and renewals keep the same pace.
+void reconcileShards(StepContext &Context) {
   NodeState &State = Context.State_;
-  if (State.Phase_ != Phase::Member || State.InFlight_ ||
-      !State.Unresolved_.empty() || ReadStarted <= State.WriteDone_)
+  if (State.Phase_ != Phase::Member ||
+      (State.InFlight_ && hasChanges(*State.InFlight_)) ||
+      std::any_of(State.Unresolved_.begin(), State.Unresolved_.end(),
+                  hasChanges))
     return;
   for (const auto &[Id, Seen] : State.Shards_) {
     if (isMine(State, Seen.Row_))
@@ -196,7 +201,7 @@
   }
   checkOwnRow(Context);
   if (Read.HasShards_)
-    reconcileShards(Context, Read.Started_);
+    reconcileShards(Context);
 }
 
 void handleCommit(StepContext &Context, const CommitDone &Done) {
@@ -205,7 +210,6 @@
     return;
   const PendingWrite Write = *State.InFlight_;
   State.InFlight_.reset();
-  State.WriteDone_ = Context.Now_;
   if (Done.Result_ == CommitResult::Ok) {
     applyWrite(Context, Write);
     return;
@@ -221,9 +225,9 @@
   // A write that gives shards away is never the one that is forgotten: none
   // with changes is sent while others are unresolved.
   if (State.Unresolved_.size() >= MaxUnresolved) {
-    const auto Plain = std::find_if(
-        State.Unresolved_.begin(), State.Unresolved_.end(),
-        [](const PendingWrite &Old) { return Old.Rows_.size() == 1; });
+    const auto Plain =
+        std::find_if(State.Unresolved_.begin(), State.Unresolved_.end(),
+                     [](const PendingWrite &Old) { return !hasChanges(Old); });
     if (Plain != State.Unresolved_.end())
       State.Unresolved_.erase(Plain);
   }
