--- a/policy/ledger.h
+++ b/policy/ledger.h
@@ -151,6 +151,9 @@
   void add(const Reservation &Wanted);
   void remove(const Reservation &Held);
   void countReserved(const Reservation &Held, const Resources &Delta);
+  Status compareWorker(const std::string &Worker, const Ledger &Fresh) const;
+  Status compareRacks(const Ledger &Fresh) const;
+  Status compareSpreads(const Ledger &Fresh) const;
   void detach(WorkerIndex Worker);
   void attach(WorkerIndex Worker);
 
--- a/policy/ledger_verify.cpp
+++ b/policy/ledger_verify.cpp
@@ -1,5 +1,6 @@
 #include "policy/ledger.h"
 
+#include <string>
 #include <unordered_map>
 
 namespace damaskglade::policy {
@@ -28,6 +29,12 @@
   return Count;
 }
 
+bool sameEntry(const IndexedWorker *A, const IndexedWorker *B) {
+  if (A == nullptr || B == nullptr)
+    return A == B;
+  return A->Free_ == B->Free_ && A->Load_ == B->Load_;
+}
+
 bool boundsHold(const LoadIndex &Index) {
   for (const LoadBucket &Bucket : Index.buckets())
     for (const IndexedWorker &Member : Bucket.Members_)
@@ -38,55 +45,76 @@
 
 } // namespace
 
+Status Ledger::compareWorker(const std::string &Worker,
+                             const Ledger &Fresh) const {
+  const WorkerIndex Index = ByWorker_.at(Worker);
+  const WorkerIndex Other = Fresh.ByWorker_.at(Worker);
+  const WorkerAccount &Mine = Accounts_[Index];
+  const WorkerAccount &Theirs = Fresh.Accounts_[Other];
+  if (Mine.Reserved_ != Theirs.Reserved_)
+    return differs(Worker, "reserved amount");
+  if (Mine.Free_ != Theirs.Free_ || Mine.Load_ != Theirs.Load_)
+    return differs(Worker, "free amount");
+  if (Mine.Attempts_.size() != Theirs.Attempts_.size() ||
+      attemptsHeld(Mine, Reservations_) != Mine.Attempts_.size())
+    return differs(Worker, "list of attempts");
+  if (!sameEntry(Plain_.find(Index), Fresh.Plain_.find(Other)) ||
+      !sameEntry(Accelerated_.find(Index), Fresh.Accelerated_.find(Other)))
+    return differs(Worker, "index entry");
+  return success();
+}
+
+Status Ledger::compareRacks(const Ledger &Fresh) const {
+  for (const RackAccount &Rack : Racks_) {
+    // A rack whose workers are all gone is absent from the fresh ledger.
+    RackAccount Other;
+    for (const RackAccount &Candidate : Fresh.Racks_)
+      if (Candidate.Zone_ == Rack.Zone_ && Candidate.Rack_ == Rack.Rack_)
+        Other = Candidate;
+    if (Rack.Capacity_ != Other.Capacity_ || Rack.Free_ != Other.Free_ ||
+        Rack.Members_.size() != Other.Members_.size())
+      return differs(Rack.Zone_ + "/" + Rack.Rack_, "rack sum");
+  }
+  return success();
+}
+
+Status Ledger::compareSpreads(const Ledger &Fresh) const {
+  if (Spreads_.size() != Fresh.Spreads_.size())
+    return differs("spreads", "number of jobs");
+  for (const auto &[Job, Spread] : Spreads_) {
+    const JobSpread *Other = Fresh.spreadOf(Job);
+    if (Other == nullptr || Other->size() != Spread.size())
+      return differs(Job, "spread");
+    for (const auto &[Index, Count] : Spread) {
+      const auto Found =
+          Other->find(Fresh.ByWorker_.at(Accounts_[Index].Info_.Id_));
+      if (Found == Other->end() || Found->second != Count)
+        return differs(Job, "spread");
+    }
+  }
+  return success();
+}
+
 // Adds everything up again in a second ledger and compares account by
 // account.
 Status Ledger::verify() const {
   Ledger Fresh;
-  for (const WorkerAccount &Account : Accounts_) {
-    if (!Account.Present_)
-      continue;
-    BOOST_OUTCOME_TRYV(Fresh.putWorker(Account.Info_));
-  }
+  for (const WorkerAccount &Account : Accounts_)
+    if (Account.Present_) {
+      BOOST_OUTCOME_TRYV(Fresh.putWorker(Account.Info_));
+    }
   for (const auto &[Attempt, Held] : Reservations_) {
     BOOST_OUTCOME_TRYV(Fresh.adopt(Held));
   }
-
-  for (const auto &[Id, Index] : ByWorker_) {
-    const WorkerAccount &Mine = Accounts_[Index];
-    // Setting the usage so that the excess comes out again checks the free
-    // amounts that follow from it.
-    BOOST_OUTCOME_TRYV(Fresh.setReported(Id, Mine.Reserved_ + Mine.Excess_));
-    const WorkerAccount &Other = *Fresh.worker(Id);
-    if (Mine.Reserved_ != Other.Reserved_)
-      return differs(Id, "reserved amount");
-    if (Mine.Free_ != Other.Free_ || Mine.Load_ != Other.Load_)
-      return differs(Id, "free amount");
-    if (Mine.Attempts_.size() != Other.Attempts_.size() ||
-        attemptsHeld(Mine, Reservations_) != Mine.Attempts_.size())
-      return differs(Id, "list of attempts");
-    for (const auto &[MyIndex, OtherIndex] :
-         {std::pair{&Plain_, &Fresh.Plain_},
-          std::pair{&Accelerated_, &Fresh.Accelerated_}}) {
-      const IndexedWorker *MyEntry = MyIndex->find(Index);
-      const IndexedWorker *OtherEntry =
-          OtherIndex->find(Fresh.ByWorker_.at(Id));
-      if ((MyEntry == nullptr) != (OtherEntry == nullptr) ||
-          (MyEntry != nullptr && (MyEntry->Free_ != OtherEntry->Free_ ||
-                                  MyEntry->Load_ != OtherEntry->Load_)))
-        return differs(Id, "index entry");
-    }
-  }
-  for (const RackAccount &Rack : Racks_) {
-    Resources Capacity;
-    Resources Free;
-    for (const RackAccount &Other : Fresh.Racks_)
-      if (Other.Zone_ == Rack.Zone_ && Other.Rack_ == Rack.Rack_) {
-        Capacity = Other.Capacity_;
-        Free = Other.Free_;
-      }
-    if (Rack.Capacity_ != Capacity || Rack.Free_ != Free)
-      return differs(Rack.Zone_ + "/" + Rack.Rack_, "rack sum");
+  for (const auto &[Worker, Index] : ByWorker_) {
+    // The excess comes from reports, so it is carried over; what follows from
+    // it is recomputed.
+    BOOST_OUTCOME_TRYV(Fresh.setReported(
+        Worker, Fresh.worker(Worker)->Reserved_ + Accounts_[Index].Excess_));
+    BOOST_OUTCOME_TRYV(compareWorker(Worker, Fresh));
   }
+  BOOST_OUTCOME_TRYV(compareRacks(Fresh));
+  BOOST_OUTCOME_TRYV(compareSpreads(Fresh));
   if (Totals_ != Fresh.Totals_)
     return differs("totals", "sum");
   if (ByTeam_ != Fresh.ByTeam_)
@@ -96,16 +124,6 @@
     return differs("index", "number of workers");
   if (!boundsHold(Plain_) || !boundsHold(Accelerated_))
     return differs("index", "bucket bound");
-  for (const auto &[Job, Spread] : Spreads_) {
-    const JobSpread *Other = Fresh.spreadOf(Job);
-    if (Other == nullptr || Other->size() != Spread.size())
-      return differs(Job, "spread");
-    for (const auto &[Index, Count] : Spread)
-      if (Other->at(Fresh.ByWorker_.at(Accounts_[Index].Info_.Id_)) != Count)
-        return differs(Job, "spread");
-  }
-  if (Spreads_.size() != Fresh.Spreads_.size())
-    return differs("spreads", "number of jobs");
   return success();
 }
 
--- a/policy/never_fits.cpp
+++ b/policy/never_fits.cpp
@@ -33,7 +33,7 @@
                                           return fits(Size, Capacity);
                                         }))
     return std::nullopt;
-  const NamedAmount *Worst = nullptr;
+  const NamedAmount *Worst = &Amounts.front();
   std::ptrdiff_t MostShort = 0;
   std::int64_t Largest = 0;
   for (const NamedAmount &Named : Amounts) {
