--- a/tests/policy/shard_choice_test.cpp
+++ b/tests/policy/shard_choice_test.cpp
@@ -25,6 +25,7 @@
   std::map<std::string, int> PerShard;
   for (int Task = 0; Task < 12; ++Task) {
     std::vector<ShardSummary> Summaries;
+    Summaries.reserve(Shards.size());
     for (const auto &[Shard, Accounts] : Shards)
       Summaries.push_back(summarizeShard(Accounts, Shard, Zones[Shard], "job"));
     const auto Order = rankShards(Summaries, TaskClass::Service, Size);
