tests: Wait for complete zone lists and know the names of lookups

The cluster now waits until the list rows name all nodes, and the checker maps the names of lookups to the caller's job id; the id and the payload must still match.

--- a/tests/process/checker.cpp
+++ b/tests/process/checker.cpp
@@ -102,6 +102,15 @@
   }
 }
 
+/// The answer with the caller's job id: a worker echoes the name by which the
+/// node knows the job.
+std::string answeredText(const std::string &Body) {
+  const std::size_t Colon = Body.find(':');
+  return Colon == std::string::npos
+             ? Body
+             : callersJob(Body.substr(0, Colon)) + Body.substr(Colon);
+}
+
 void checkAnswers(const JobResult &Job, std::vector<Violation> &Out) {
   const std::string Expected = Job.Id_ + ":" + Job.Spec_.Payload_;
   if (Job.Answers_.size() != static_cast<std::size_t>(Job.Spec_.Tasks_))
@@ -113,7 +122,7 @@
     if (!Reply.Ok_)
       Out.push_back(Violation{ViolationKind::Lost, Job.Id_,
                               "failed with \"" + Reply.Body_ + "\""});
-    else if (!isWhole(Reply) || Reply.Body_ != Expected)
+    else if (!isWhole(Reply) || answeredText(Reply.Body_) != Expected)
       Out.push_back(Violation{ViolationKind::WrongAnswer, Job.Id_,
                               "\"" + Reply.Body_ + "\""});
   }
--- a/tests/process/checker_test.cpp
+++ b/tests/process/checker_test.cpp
@@ -192,6 +192,22 @@
   expectOnly(ViolationKind::WrongAnswer, {Missing}, {goodLog()});
 }
 
+// A node names each execution of a lookup; only this prefix may differ.
+BOOST_AUTO_TEST_CASE(KnowsTheNamesOfLookups) {
+  const std::string Id = "0123456789abcdef0123456789abcdef";
+  BOOST_TEST(callersJob("lookup-node-1-" + Id) == Id);
+  BOOST_TEST(callersJob("other-" + Id) == "other-" + Id);
+  JobResult Job = finishedJob(Id, TaskClass::Lookup);
+  const std::string Named = "lookup-node-1-" + Id;
+  Job.Answers_ = {makeAnswer(true, Named + ":crates")};
+  const WorkerLog Log = workerLog("w1", {entry(100, Id + ".0.1", "started"),
+                                         entry(200, Id + ".0.1", "finished")});
+  BOOST_TEST(checkRun({Job}, {Log}).empty());
+  const std::string Other = "f123456789abcdef0123456789abcdef";
+  Job.Answers_ = {makeAnswer(true, "lookup-node-1-" + Other + ":crates")};
+  expectOnly(ViolationKind::WrongAnswer, {Job}, {Log});
+}
+
 BOOST_AUTO_TEST_CASE(FindsFinishThatNoWorkerSaw) {
   expectOnly(ViolationKind::WrongAnswer, {finishedJob("a", TaskClass::Batch)},
              {});
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <map>
 #include <set>
 
 namespace damaskglade::process_tests {
@@ -139,7 +140,8 @@
   for (std::size_t Index = 0; Index < UsedNodes_; ++Index)
     if (!waitUntilReady(Nodes_[Index], End - Clock_.monotonic()))
       return false;
-  while (!allWorkersReached()) {
+  // Until a node is listed in its zone, a majority can't outvote one that dies.
+  while (!allWorkersReached() || !listsComplete()) {
     if (Clock_.monotonic() > End)
       return false;
     sleepFor(PollInterval);
@@ -256,6 +258,23 @@
   return Reached.size() == Workers_.size();
 }
 
+bool Cluster::listsComplete() {
+  std::map<std::string, std::set<std::string>> Listed;
+  const Json::Value Dump = get(local(TablePort_), "/_dump");
+  for (const Json::Value &Row : Dump["rows"]) {
+    if (Row["pk"]["S"].asString() != "list")
+      continue;
+    const auto Body = parseJson(Row["body"]["S"].asString(), "zone list");
+    if (!Body)
+      continue;
+    for (const Json::Value &Node : Body.value()["nodes"])
+      Listed[Row["sk"]["S"].asString()].insert(Node.asString());
+  }
+  return std::all_of(Nodes_.begin(), Nodes_.end(), [&](NodeSlot &Node) {
+    return !Node.Process_ || Listed[Node.Zone_].count(Node.Id_) != 0;
+  });
+}
+
 std::vector<std::pair<std::string, std::string>>
 Cluster::owners(const std::string &Zone) {
   std::vector<std::pair<std::string, std::string>> Out;
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -90,6 +90,8 @@
   std::string post(const std::string &Address, const std::string &Path,
                    const std::string &Body);
   bool allWorkersReached();
+  /// True if the list of each zone names all its running nodes.
+  bool listsComplete();
   std::string logFile(const std::string &Name) const;
 
   const ClusterOptions Options_;
--- a/tests/process/run_record.h
+++ b/tests/process/run_record.h
@@ -50,6 +50,10 @@
   friend bool operator==(const WorkerLog &, const WorkerLog &) = default;
 };
 
+/// The job id that the caller knows. A node gives each execution of a lookup
+/// the name "lookup-<node>-<job id>".
+std::string callersJob(const std::string &Job);
+
 /// Decodes the reply of a stand-in worker to GET /_log.
 WorkerLog decodeWorkerLog(const Json::Value &Value);
 
