policy: Reserve the average use of interactive work, not its peak

Cause: the remembered peak of lookups and requests kept up to half of the fleet idle while batch work waited. Change: the reserve is the decaying average use and two standard deviations of random arrivals (the square root of the number of jobs).

--- a/policy/shares.cpp
+++ b/policy/shares.cpp
@@ -20,9 +20,12 @@
                    static_cast<double>(HalfLife.Value_));
 }
 
+std::int64_t rounded(double Amount) {
+  return static_cast<std::int64_t>(std::ceil(Amount));
+}
+
 std::int64_t scaled(std::int64_t Amount, double Factor) {
-  return static_cast<std::int64_t>(
-      std::ceil(static_cast<double>(Amount) * Factor));
+  return rounded(static_cast<double>(Amount) * Factor);
 }
 
 Resources scaled(const Resources &Amount, double Factor) {
@@ -137,14 +140,14 @@
   TeamAccount &Account = activate(Class, Team);
   ++Account.Running_;
   ClassAccount &Owner = classAccount(Class);
+  Owner.Average_ = averageAt(Owner, Now);
   Account.All_.start(Amount, Fleet_, Settings_.HalfLife_, Now);
   Owner.All_.start(Amount, Fleet_, Settings_.HalfLife_, Now);
   if (Level == Urgency::Urgent) {
     Account.Urgent_.start(Amount, Fleet_, Settings_.HalfLife_, Now);
     Owner.Urgent_.start(Amount, Fleet_, Settings_.HalfLife_, Now);
   }
-  Owner.Peak_ = largerOf(peakAt(Owner, Now), Owner.All_.running());
-  Owner.PeakUpdated_ = Now;
+  ++Owner.Running_;
 }
 
 void Shares::finish(TaskClass Class, const std::string &Team, Urgency Level,
@@ -155,6 +158,8 @@
     return;
   TeamAccount &Account = Found->second;
   --Account.Running_;
+  Owner.Average_ = averageAt(Owner, Now);
+  --Owner.Running_;
   Account.All_.finish(Amount, Fleet_, Settings_.HalfLife_, Now);
   Owner.All_.finish(Amount, Fleet_, Settings_.HalfLife_, Now);
   if (Level == Urgency::Urgent) {
@@ -228,18 +233,41 @@
   return teamShare(Account, Now) / Account.Weight_;
 }
 
-Resources Shares::peakAt(const ClassAccount &Class, Millis Now) const {
-  const double Kept = decay(Now - Class.PeakUpdated_, Settings_.PeakHalfLife_);
-  // Without the lower bound rounding up would keep one unit for ever.
-  return Kept < 0.01 ? Resources{} : scaled(Class.Peak_, Kept);
+Shares::RunningAverage Shares::averageAt(const ClassAccount &Class,
+                                         Millis Now) const {
+  const RunningAverage &Old = Class.Average_;
+  const Resources &Running = Class.All_.running();
+  const double Kept = decay(Now - Old.Updated_, Settings_.HalfLife_);
+  const auto Mix = [Kept](double Past, std::int64_t Present) {
+    return Past * Kept + static_cast<double>(Present) * (1.0 - Kept);
+  };
+  return RunningAverage{Mix(Old.MilliCpus_, Running.MilliCpus_),
+                        Mix(Old.MemoryMib_, Running.MemoryMib_),
+                        Mix(Old.Accelerators_, Running.Accelerators_),
+                        Mix(Old.Slots_, Running.Slots_),
+                        Mix(Old.Connections_, Running.Connections_),
+                        Mix(Old.Jobs_, Class.Running_),
+                        std::max(Old.Updated_, Now)};
 }
 
 Resources Shares::interactiveReserve(Millis Now) const {
   Resources Reserve;
   for (const TaskClass Class : Interactive) {
     const ClassAccount &Owner = classAccount(Class);
+    const RunningAverage Average = averageAt(Owner, Now);
+    // Less than a hundredth of a job on average is no load worth idling for.
+    if (Average.Jobs_ < 0.01)
+      continue;
+    // The number of jobs that run at once varies by about its square root.
+    const double Factor =
+        1.0 + Settings_.ReserveDeviations_ / std::sqrt(Average.Jobs_);
+    const Resources Expected{rounded(Average.MilliCpus_ * Factor),
+                             rounded(Average.MemoryMib_ * Factor),
+                             rounded(Average.Accelerators_ * Factor),
+                             rounded(Average.Slots_ * Factor),
+                             rounded(Average.Connections_ * Factor)};
     const Resources Guaranteed =
-        smallerOf(peakAt(Owner, Now), scaled(Fleet_, classMinimum(Class)));
+        smallerOf(Expected, scaled(Fleet_, classMinimum(Class)));
     Reserve = Reserve + (largerOf(Guaranteed, Owner.All_.running()) -
                          Owner.All_.running());
   }
--- a/policy/shares.h
+++ b/policy/shares.h
@@ -23,8 +23,9 @@
   std::unordered_map<std::string, double> TeamWeight_;
   /// Time in which past use loses half of its effect.
   Millis HalfLife_{10000};
-  /// Time in which the remembered peak of interactive work halves.
-  Millis PeakHalfLife_{60000};
+  /// Standard deviations above the average use of interactive work, as of
+  /// random arrivals, up to which capacity is kept free for it.
+  double ReserveDeviations_ = 2.0;
 };
 
 /// What one class or team uses: the tasks that run now and a decaying average
@@ -98,19 +99,29 @@
   double classRank(TaskClass Class, Millis Now) const;
   double teamRank(const TeamAccount &Account, Millis Now) const;
 
-  /// Capacity to keep free for lookups and requests: their remembered peak use
-  /// up to their minimum, less what they use now.
+  /// Capacity to keep free for lookups and requests: their average use and a
+  /// margin, up to their minimum, less what they use now.
   Resources interactiveReserve(Millis Now) const;
 
 private:
   using TeamMap = std::unordered_map<std::string, TeamAccount>;
+  /// Decaying averages of what a class runs.
+  struct RunningAverage {
+    double MilliCpus_ = 0.0;
+    double MemoryMib_ = 0.0;
+    double Accelerators_ = 0.0;
+    double Slots_ = 0.0;
+    double Connections_ = 0.0;
+    double Jobs_ = 0.0;
+    Millis Updated_{};
+  };
   struct ClassAccount {
     UsageAccount All_;
     UsageAccount Urgent_;
     TeamMap Teams_;
     double ActiveWeight_ = 0.0; ///< Of teams with queued or running jobs.
-    Resources Peak_;
-    Millis PeakUpdated_{};
+    RunningAverage Average_;
+    std::int64_t Running_ = 0; ///< Running jobs.
   };
 
   ClassAccount &classAccount(TaskClass Class);
@@ -118,7 +129,7 @@
   TeamAccount &activate(TaskClass Class, const std::string &Team);
   void deactivate(ClassAccount &Class, TeamMap::iterator Team);
   double weightOf(const std::string &Team) const;
-  Resources peakAt(const ClassAccount &Class, Millis Now) const;
+  RunningAverage averageAt(const ClassAccount &Class, Millis Now) const;
 
   ShareSettings Settings_;
   Resources Fleet_;
--- a/tests/bench/measures.cpp
+++ b/tests/bench/measures.cpp
@@ -8,6 +8,7 @@
 
 DEFINE_bool(quick, false, "Shorter runs, for a check of the programs");
 DEFINE_uint64(seed, 20261204, "Seed of the arrival lists");
+DEFINE_string(fleet, "", "Runs only workloads whose name starts like this");
 DEFINE_string(only, "", "Runs only the measure group of this name");
 
 namespace damaskglade::bench {
@@ -113,6 +114,8 @@
   return Millis{Seconds * 1000} / (FLAGS_quick ? 3 : 1);
 }
 
+bool isWanted(const std::string &Name) { return Name.starts_with(FLAGS_fleet); }
+
 constexpr std::array Measured{TaskClass::Lookup, TaskClass::Request,
                               TaskClass::Batch, TaskClass::Gang};
 
@@ -126,6 +129,8 @@
        {shorten(depotMix(0.9, length(180)), length(30)),
         shorten(serviceMix(0.9, length(180)), length(30)),
         shorten(designMix(0.9, length(1500)), length(600))}) {
+    if (!isWanted(Work.Name_))
+      continue;
     const Comparison Both = compare(Work, true);
     for (const TaskClass Class : Measured) {
       const Selection Wanted{Class, std::nullopt, Work.Duration_ / 3};
@@ -181,6 +186,8 @@
 
 void measurePacking() {
   for (const Fleet &Workers : {depotFleet(), serviceFleet(), designFleet()}) {
+    if (!isWanted(Workers.Name_))
+      continue;
     const Workload Work = saturation(Workers);
     const Comparison Both = compare(Work, true);
     // No schedule holds more than the whole capacity: the volume bound is 1.
@@ -196,6 +203,8 @@
   for (Workload Work : {shorten(depotMix(0.95, length(300)), length(30)),
                         shorten(serviceMix(0.95, length(300)), length(30)),
                         shorten(designMix(0.95, length(1800)), length(600))}) {
+    if (!isWanted(Work.Name_))
+      continue;
     for (Stream &From : Work.Streams_)
       if (From.Class_ == TaskClass::Gang)
         From.Deadline_ = Millis{};
@@ -225,6 +234,8 @@
        {shorten(depotMix(0.6, length(240)), length(20)),
         shorten(serviceMix(0.6, length(240)), length(20)),
         shorten(designMix(0.6, length(900)), length(300))}) {
+    if (!isWanted(Base.Name_))
+      continue;
     const Selection Wanted{std::nullopt, std::nullopt, Base.Duration_ / 2};
     const Comparison Quiet = compare(Base);
     const double OursQuiet = 1.0 - lateShare(Quiet, Quiet.Ours_, Wanted);
