--- a/node/job_home.cpp
+++ b/node/job_home.cpp
@@ -34,6 +34,7 @@
       Store_(Store), Owners_(Owners), Local_(Local), Routes_(Routes),
       Incarnation_(std::move(Incarnation)), Shares_(Settings_.Shares_),
       Queue_(Settings_.Queue_, Shares_),
+      Admission_(policy::AdmissionSettings{}, Queue_, Shares_),
       Placements_(Settings_.PlacementThreads_, MaxQueuedPlacements) {}
 
 JobHome::~JobHome() { stop(); }
@@ -93,10 +94,7 @@
   Record.HomeIncarnation_ = Incarnation_();
   Record.Submitted_ = Ports_.Clock_.wall();
   Record.Answers_.resize(static_cast<std::size_t>(Spec.Tasks_));
-  {
-    const MutexLock Lock(QueueMutex_);
-    BOOST_OUTCOME_TRYV(Queue_.reserve(Spec.Class_, Spec.Team_));
-  }
+  BOOST_OUTCOME_TRYV(admit(Record));
   const auto Written = Store_.create(Record, Settings_.StoreTimeout_);
   {
     const MutexLock Lock(QueueMutex_);
@@ -125,6 +123,15 @@
   return Accepted{*Present, false};
 }
 
+// Refuses before anything is written, and sets a place in the queue aside for
+// the time of the write.
+Status JobHome::admit(const JobRecord &Record) {
+  const Millis Now = Ports_.Clock_.monotonic();
+  const MutexLock Lock(QueueMutex_);
+  BOOST_OUTCOME_TRYV(Admission_.admit(queuedJob(Record, Now), Now));
+  return Queue_.reserve(Record.Spec_.Class_, Record.Spec_.Team_);
+}
+
 void JobHome::enqueue(const JobEntry &Entry) {
   const MutexLock Lock(QueueMutex_);
   Queue_.adopt(queuedJob(Entry.Record_, Ports_.Clock_.monotonic()));
@@ -174,10 +181,12 @@
   const Resources Amount = policy::timesTasks(Spec.Size_, Spec.Tasks_);
   const Millis Now = Ports_.Clock_.monotonic();
   const MutexLock Lock(QueueMutex_);
-  if (Charged)
+  if (Charged) {
+    Admission_.started(queuedJob(Entry.Record_, Now), Now);
     Shares_.start(Spec.Class_, Spec.Team_, Spec.Urgency_, Amount, Now);
-  else
+  } else {
     Shares_.finish(Spec.Class_, Spec.Team_, Spec.Urgency_, Amount, Now);
+  }
   RoundDue_ = true;
 }
 
--- a/node/job_home.h
+++ b/node/job_home.h
@@ -5,6 +5,7 @@
 #include "core/work_pool.h"
 #include "node/job_table.h"
 #include "node/owner_gateway.h"
+#include "policy/admission.h"
 #include "policy/queue.h"
 #include "records/job_store.h"
 
@@ -70,6 +71,7 @@
   // job_home.cpp
   Result<Accepted> resolveConflict(const JobSpec &Spec, const JobRecord &New);
   Status checkFits(const JobSpec &Spec) const;
+  Status admit(const JobRecord &Record);
   void enqueue(const JobEntry &Entry);
   Result<JobRecord> writeRecord(JobTable::Guard &Job, const JobRecord &Next);
   void finishCancel(JobTable::Guard &Job);
@@ -116,6 +118,7 @@
   mutable Mutex QueueMutex_;
   policy::Shares Shares_;
   policy::JobQueue Queue_;
+  policy::Admission Admission_;
 
   WorkPool Placements_;
   std::atomic<bool> Stopping_{false};
