--- a/ownership/protocol.cpp
+++ b/ownership/protocol.cpp
@@ -16,6 +16,7 @@
     State.VmAbsent_.clear();
     return;
   }
+  State.VmRead_ = Context.Now_;
   for (const std::string &Node : State.List_.Nodes_) {
     if (Snapshot.Nodes_.count(Node) != 0)
       State.VmAbsent_.erase(Node);
--- a/ownership/protocol.h
+++ b/ownership/protocol.h
@@ -122,7 +122,8 @@
   Millis NodesRead_{};  ///< Start of the last complete read; zero if none.
   Millis ShardsRead_{}; ///< Likewise.
 
-  std::set<std::string> VmShards_;         ///< Shards of the own zone.
+  Millis VmRead_{};                ///< Last snapshot that named this node.
+  std::set<std::string> VmShards_; ///< Shards of the own zone.
   std::map<std::string, Millis> VmAbsent_; ///< Listed nodes no longer named.
 
   std::optional<PendingWrite> InFlight_;
--- a/ownership/right.cpp
+++ b/ownership/right.cpp
@@ -183,10 +183,13 @@
   const Millis Age = Context.Now_ - Seen.FirstSeen_;
   if (Seen.Row_.State_ == NodeRowState::Released)
     return Age >= restartWait(Context.Config_);
+  // Only a row that has not changed since the VM list ceased to name the node
+  // is that of the dead process. A new process of the same id may own shards
+  // before the list names it.
   const auto Absent = State.VmAbsent_.find(Node);
   return Absent != State.VmAbsent_.end() &&
-         Context.Now_ >= Absent->second + Context.Config_.VmLag_ &&
-         Age >= Context.Config_.Lease_ + claimMargin(Context.Config_);
+         State.VmRead_ >=
+             std::max(Absent->second, Seen.FirstSeen_) + Context.Config_.VmLag_;
 }
 
 void adoptList(StepContext &Context, const ZoneList &List) {
--- a/ownership/table.cpp
+++ b/ownership/table.cpp
@@ -40,16 +40,24 @@
       State.Phase_ == Phase::Leaving ? Phase::Stopped : Phase::Joining;
 }
 
-bool mergeNode(StepContext &Context, const NodeRow &Row, std::int64_t Version,
+// True if a claimant wrote the new row, so that the node itself has not shown
+// any life since the old one.
+bool isFenceOf(const NodeRow &Old, const NodeRow &New) {
+  return New.State_ == NodeRowState::Fenced && Old.Writer_ == New.Writer_ &&
+         Old.Sequence_ == New.Sequence_;
+}
+
+void mergeNode(StepContext &Context, const NodeRow &Row, std::int64_t Version,
                Millis SeenAt) {
   SeenNode &Seen = Context.State_.Nodes_[Row.Id_];
   if (Version < Seen.Version_)
-    return false;
+    return;
   if (Version == Seen.Version_)
     Seen.LastSeen_ = std::max(Seen.LastSeen_, SeenAt);
   else
-    Seen = SeenNode{Row, Version, Context.Now_, SeenAt};
-  return true;
+    Seen = SeenNode{Row, Version,
+                    isFenceOf(Seen.Row_, Row) ? Seen.FirstSeen_ : Context.Now_,
+                    SeenAt};
 }
 
 void mergeShard(NodeState &State, const ShardRow &Row, std::int64_t Version) {
