tests: Tell late outcomes from lost ones, claim ports by block

Jobs whose acceptance was recorded by a late write got no outcome within the 45 s that the callers wait and were counted as lost; whether they end later was not visible. Outcomes are now awaited for 90 s, and one after 45 s is a violation of its own kind, so the limit stays as strict.

Test programs that run at the same time could pick the same ports between the check and the use. Each now holds a block of 200 ports.

--- a/tests/process/checker.cpp
+++ b/tests/process/checker.cpp
@@ -139,6 +139,12 @@
   }
   if (Job.State_ == JobState::Finished)
     checkAnswers(Job, Out);
+  if (Job.Accepted_ && EndsAlone &&
+      Job.Ended_ - Job.Submitted_ > MaxOutcomeTime)
+    Out.push_back(Violation{
+        ViolationKind::Late, Job.Id_,
+        "ended after " + std::to_string((Job.Ended_ - Job.Submitted_).Value_) +
+            " ms"});
   // After a submission without a reply, "not run" speaks of the repeat only.
   if (Job.State_ == JobState::NotRun && Started && !Job.Ambiguous_)
     Out.push_back(Violation{ViolationKind::NotRunButRan, Job.Id_,
@@ -185,10 +191,16 @@
 } // namespace
 
 const char *violationName(ViolationKind Kind) {
-  constexpr std::array<const char *, 9> Names = {
-      "lost",       "finished_twice", "ran_twice",    "not_run_but_ran",
-      "overlap",    "over_limit",     "wrong_answer", "lower_epoch",
-      "unknown_job"};
+  constexpr std::array<const char *, 10> Names = {"lost",
+                                                  "late",
+                                                  "finished_twice",
+                                                  "ran_twice",
+                                                  "not_run_but_ran",
+                                                  "overlap",
+                                                  "over_limit",
+                                                  "wrong_answer",
+                                                  "lower_epoch",
+                                                  "unknown_job"};
   return Names.at(static_cast<std::size_t>(Kind));
 }
 
--- a/tests/process/checker.h
+++ b/tests/process/checker.h
@@ -11,6 +11,7 @@
 
 enum class ViolationKind {
   Lost,          ///< Accepted, but not finished with an answer.
+  Late,          ///< Accepted, but finished only after MaxOutcomeTime.
   FinishedTwice, ///< A task of a durable job finished more than once.
   RanTwice,      ///< A non-idempotent task was started more than once.
   NotRunButRan,  ///< Reported as not run, but started.
@@ -21,6 +22,10 @@
   UnknownJob,    ///< A start of a job that no caller submitted.
 };
 
+/// Time within which an accepted job of the load must end, faults included. Its
+/// run takes under a second; the rest allows for every lease to run out.
+constexpr Millis MaxOutcomeTime{45000};
+
 const char *violationName(ViolationKind Kind);
 
 struct Violation {
--- a/tests/process/checker_test.cpp
+++ b/tests/process/checker_test.cpp
@@ -84,6 +84,14 @@
   expectOnly(ViolationKind::Lost, {Job}, {goodLog()});
 }
 
+BOOST_AUTO_TEST_CASE(FindsLateOutcome) {
+  JobResult Job = finishedJob("a", TaskClass::Batch);
+  Job.Ended_ = MaxOutcomeTime + Millis{1};
+  expectOnly(ViolationKind::Late, {Job}, {goodLog()});
+  Job.Ended_ = MaxOutcomeTime;
+  BOOST_TEST(checkRun({Job}, {goodLog()}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(FindsAcceptedJobThatWasNotRun) {
   JobResult Job = finishedJob("a", TaskClass::Batch);
   Job.State_ = JobState::NotRun;
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -95,7 +95,7 @@
 }
 
 std::string Cluster::writeConfig(const NodeSlot &Node) {
-  const std::string Path = Folder_ + "/" + Node.Id_ + ".ini";
+  std::string Path = Folder_ + "/" + Node.Id_ + ".ini";
   std::ofstream File(Path);
   File << "[node]\nid = " << Node.Id_ << "\nzone = " << Node.Zone_
        << "\nregion = selangor\nlisten = " << Node.address()
--- a/tests/process/launcher.cpp
+++ b/tests/process/launcher.cpp
@@ -25,7 +25,8 @@
 constexpr int FirstPort = 12000;
 constexpr int LastPort = 31000;
 
-bool isFree(int Port) {
+/// A socket that is bound to the port, -1 if the port is in use.
+int bindTo(int Port) {
   const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int Yes = 1;
   setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
@@ -33,10 +34,18 @@
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   Address.sin_port = htons(static_cast<std::uint16_t>(Port));
-  const bool Free = bind(Socket, reinterpret_cast<const sockaddr *>(&Address),
-                         sizeof(Address)) == 0;
+  if (bind(Socket, reinterpret_cast<const sockaddr *>(&Address),
+           sizeof(Address)) == 0)
+    return Socket;
   close(Socket);
-  return Free;
+  return -1;
+}
+
+bool isFree(int Port) {
+  const int Socket = bindTo(Port);
+  if (Socket >= 0)
+    close(Socket);
+  return Socket >= 0;
 }
 
 [[noreturn]] void runChild(const std::string &Program,
@@ -126,23 +135,22 @@
 }
 
 int findFreePorts(int Count) {
-  // Test programs that run at the same time begin at different ports.
-  const int Spread = LastPort - FirstPort - Count;
-  int First =
-      FirstPort + static_cast<int>((std::int64_t{getpid()} * 211) % Spread);
-  int Found = 0;
-  for (int Tried = 0; Tried < LastPort - FirstPort; ++Tried) {
-    if (First + Found > LastPort) {
-      First = FirstPort;
-      Found = 0;
-    }
-    if (isFree(First + Found)) {
-      if (++Found == Count)
-        return First;
+  // Test programs that run at the same time take different blocks: each holds
+  // a listening socket on the first port of its block until it ends.
+  constexpr int BlockSize = 200;
+  constexpr int BlockCount = (LastPort - FirstPort) / BlockSize;
+  const int Offset = static_cast<int>(getpid() % BlockCount);
+  for (int Tried = 0; Tried < BlockCount && Count < BlockSize; ++Tried) {
+    const int Block = FirstPort + (Offset + Tried) % BlockCount * BlockSize;
+    const int Guard = bindTo(Block);
+    if (Guard < 0)
       continue;
-    }
-    First += Found + 1;
-    Found = 0;
+    bool Free = listen(Guard, 1) == 0;
+    for (int Index = 1; Index <= Count && Free; ++Index)
+      Free = isFree(Block + Index);
+    if (Free)
+      return Block + 1;
+    close(Guard);
   }
   std::fprintf(stderr, "no %d consecutive free ports\n", Count);
   std::abort();
--- a/tests/process/launcher.h
+++ b/tests/process/launcher.h
@@ -41,7 +41,8 @@
   int ExitCode_ = -1;
 };
 
-/// First of Count consecutive ports of 127.0.0.1 that are free now.
+/// First of Count consecutive ports of 127.0.0.1, below 200, that are free now
+/// and that no other test program gets while this one runs.
 int findFreePorts(int Count);
 
 /// A new directory below the system's temporary directory.
--- a/tests/process/scenario.cpp
+++ b/tests/process/scenario.cpp
@@ -18,7 +18,9 @@
 constexpr double ShortRate = 30.0;
 constexpr double LongRate = 60.0;
 
-const Patience Limits{Millis{5000}, Millis{10000}, Millis{45000}};
+// Outcomes are awaited beyond the limit of the checker, so that a late one can
+// be told from a lost one.
+const Patience Limits{Millis{5000}, Millis{10000}, Millis{90000}};
 
 } // namespace
 
