main: Print texts of several lines below their name

Cause: "config show" printed the first line of the configuration beside its name and the others at the margin. Change: such texts start on the line after their name. Measured: 9 test cases of tests/main pass; clang-tidy reports nothing for the changed source.

--- a/main/cli_output.cpp
+++ b/main/cli_output.cpp
@@ -30,6 +30,11 @@
                      [](const Json::Value &Row) { return Row.isObject(); });
 }
 
+// Texts of several lines, such as a configuration, stand below their name.
+bool isMultiLine(const Json::Value &Value) {
+  return Value.isString() && Value.asString().ends_with('\n');
+}
+
 // Columns of all rows by name, but the identifying ones first.
 std::vector<std::string> columnsOf(const Json::Value &Rows) {
   std::vector<std::string> Columns;
@@ -73,10 +78,16 @@
   std::size_t Width = 0;
   for (const std::string &Name : Value.getMemberNames())
     Width = std::max(Width, Name.size());
+  for (const std::string &Name : Value.getMemberNames()) {
+    if (isMultiLine(Value[Name]) ||
+        (isTable(Value[Name]) && !Value[Name].empty()))
+      continue;
+    Out << Name << std::string(Width + 2 - Name.size(), ' ')
+        << textOf(Value[Name]) << "\n";
+  }
   for (const std::string &Name : Value.getMemberNames())
-    if (!isTable(Value[Name]) || Value[Name].empty())
-      Out << Name << std::string(Width + 2 - Name.size(), ' ')
-          << textOf(Value[Name]) << "\n";
+    if (isMultiLine(Value[Name]))
+      Out << Name << ":\n" << textOf(Value[Name]);
   for (const std::string &Name : Value.getMemberNames())
     if (isTable(Value[Name]) && !Value[Name].empty()) {
       Out << Name << ":\n";
--- a/tests/main/cli_test.cpp
+++ b/tests/main/cli_test.cpp
@@ -251,6 +251,9 @@
   BOOST_TEST(run({"nodes", "--output", "json"}) == 0);
   BOOST_TEST((parseJson(Out_.str(), "test").value() ==
               parseJson(Body, "test").value()));
+  reply(200, R"({"version":2,"text":"[retry]\nbudget_percent = 5\n"})");
+  BOOST_TEST(run({"config", "show"}) == 0);
+  BOOST_TEST(Out_.str() == "version  2\ntext:\n[retry]\nbudget_percent = 5\n");
   reply(200, R"({"worker":"w1","action":"drain"})");
   BOOST_TEST(run({"drain", "w1"}) == 0);
   BOOST_TEST(Api_.Requests_.back() == "POST /v1/workers/w1/drain");
