tests: Count outcomes without an answer, avoid ports in TIME_WAIT

In one run of the set (two scenarios at a time) the nodes of a cluster found their ports in use and the scenario ended after 0.4 s; the check for free ports set SO_REUSEADDR, so it did not see connections in TIME_WAIT, the likely cause. The check no longer sets it. A run also prints how many requests of each class stayed without an answer, and why.

--- a/tests/process/launcher.cpp
+++ b/tests/process/launcher.cpp
@@ -25,11 +25,11 @@
 constexpr int FirstPort = 12000;
 constexpr int LastPort = 31000;
 
-/// A socket that is bound to the port, -1 if the port is in use.
+/// A socket that is bound to the port, -1 if the port is in use. Connections
+/// of an earlier test in TIME_WAIT count as use, since the daemon can't listen
+/// on their port either.
 int bindTo(int Port) {
   const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int Yes = 1;
-  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
--- a/tests/process/report.cpp
+++ b/tests/process/report.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <map>
 #include <sstream>
 
 namespace damaskglade::process_tests {
@@ -62,6 +63,26 @@
   return Out.str();
 }
 
+std::string describeFailures(const std::vector<JobResult> &Jobs) {
+  std::map<std::string, int> Counts;
+  for (const JobResult &Job : Jobs) {
+    if (Job.Spec_.Class_ == TaskClass::Service ||
+        (Job.Final_ && Job.State_ == JobState::Finished))
+      continue;
+    std::string Kind(taskClassName(Job.Spec_.Class_));
+    Kind += Job.Accepted_ ? " accepted " : " not accepted ";
+    Kind += jobStateName(Job.State_);
+    Kind += " ";
+    Kind += reasonName(Job.Reason_);
+    ++Counts[Kind];
+  }
+  std::ostringstream Out;
+  Out << "without an answer:";
+  for (const auto &[Kind, Count] : Counts)
+    Out << " " << Count << " " << Kind << ";";
+  return Out.str();
+}
+
 std::string traceOf(const Violation &Found, const std::vector<JobResult> &Jobs,
                     const std::vector<WorkerLog> &Logs) {
   const std::string Job = Found.Subject_.substr(0, Found.Subject_.find('.'));
--- a/tests/process/report.h
+++ b/tests/process/report.h
@@ -43,6 +43,9 @@
 std::string describe(const std::string &Scenario, std::uint64_t Seed,
                      const Summary &Figures);
 
+/// One line that counts the requests without an answer by outcome and reason.
+std::string describeFailures(const std::vector<JobResult> &Jobs);
+
 /// What the caller and all workers know of the subject of a violation.
 std::string traceOf(const Violation &Found, const std::vector<JobResult> &Jobs,
                     const std::vector<WorkerLog> &Logs);
--- a/tests/process/scenario.cpp
+++ b/tests/process/scenario.cpp
@@ -144,6 +144,7 @@
   const std::vector<Violation> Found = checkRun(Jobs_, Logs);
   Summary Figures = summarize(Jobs_, Found, Window_);
   std::printf("%s\n", describe(Name_, Seed_, Figures).c_str());
+  std::printf("%s\n", describeFailures(Jobs_).c_str());
   for (std::size_t Index = 0; Index < Found.size() && Index < MaxTraces;
        ++Index)
     std::printf("%s", traceOf(Found[Index], Jobs_, Logs).c_str());
