tests: Find two more faults in lease exchanges

Cause: of 15 trial faults put into node/owned_shard*.cpp on a scratch copy, two passed the tests: any reply made a worker listed, and a task confirmed while a listing was under way was compared with the time of the reply. Change: a late reply without a listing arrives after two misses, and the listing's reply arrives after the task was confirmed.

--- a/tests/node/owned_shard_test.cpp
+++ b/tests/node/owned_shard_test.cpp
@@ -133,6 +133,7 @@
   advance(RenewInterval);
   std::vector<RenewalPlan> Plans = due();
   BOOST_REQUIRE_EQUAL(Plans.size(), 1U);
+  const RenewalPlan First = Plans.front();
   Shard_.failRenewal(Plans.front(), now());
   BOOST_TEST(worker().Listed_);
   advance(RenewInterval);
@@ -148,6 +149,10 @@
   BOOST_REQUIRE_EQUAL(Plans.size(), 1U);
   BOOST_TEST((Plans.front().Request_.LeaseEnd_ == LeaseEnd));
   BOOST_TEST(Plans.front().Request_.List_);
+  // A late reply without a listing does not make the worker known again.
+  BOOST_REQUIRE(!First.Request_.List_);
+  Shard_.applyRenewal(First, replyOf(First), now());
+  BOOST_TEST(!worker().Listed_);
 }
 
 // Guards against a task that is placed again while the unreachable worker
@@ -196,6 +201,7 @@
   const RenewalPlan Plan = dueListing();
   advance(Millis{1});
   run("job");
+  advance(Millis{1});
   Shard_.applyRenewal(Plan, replyOf(Plan), now());
   BOOST_TEST(hasVerdict("job", OwnerVerdict::Running));
   const RenewalPlan Next = dueListing();
