tests: Fix lint findings in the policy tests and benchmarks

Cause: clang-tidy reported implicit widening and missing reserve() calls. Change: wider types and reserved vectors; no change of behaviour. Measured: clang-tidy reports nothing for the two files; test_policy passes.

--- a/tests/bench/workload.cpp
+++ b/tests/bench/workload.cpp
@@ -23,6 +23,7 @@
 
 std::vector<std::string> teamNames(int Count) {
   std::vector<std::string> Names;
+  Names.reserve(static_cast<std::size_t>(Count));
   for (int Number = 0; Number < Count; ++Number)
     Names.push_back("team-" + std::to_string(Number));
   return Names;
--- a/tests/policy/naive_queue_test.cpp
+++ b/tests/policy/naive_queue_test.cpp
@@ -15,9 +15,10 @@
 std::vector<Resources> anyFleet() {
   std::vector<Resources> Fleet;
   const int Count = *rc::gen::inRange(1, 7);
+  Fleet.reserve(static_cast<std::size_t>(Count));
   for (int Number = 0; Number < Count; ++Number)
-    Fleet.push_back(Resources{*rc::gen::inRange(1, 17) * 1000,
-                              *rc::gen::inRange(1, 65) * 1024,
+    Fleet.push_back(Resources{*rc::gen::inRange<std::int64_t>(1, 17) * 1000,
+                              *rc::gen::inRange<std::int64_t>(1, 65) * 1024,
                               *rc::gen::inRange(0, 3), 8, 64});
   return Fleet;
 }
@@ -29,9 +30,10 @@
   Job.Class_ = anyClass();
   Job.Urgency_ = static_cast<Urgency>(
       *rc::gen::inRange(0, static_cast<int>(UrgencyCount)));
-  Job.Size_ = Resources{
-      *rc::gen::inRange(1, 40) * 200, *rc::gen::inRange(1, 40) * 512,
-      *rc::gen::inRange(0, 6) == 0 ? 1 : 0, 1, *rc::gen::inRange(0, 9)};
+  Job.Size_ = Resources{*rc::gen::inRange<std::int64_t>(1, 40) * 200,
+                        *rc::gen::inRange<std::int64_t>(1, 40) * 512,
+                        *rc::gen::inRange(0, 6) == 0 ? 1 : 0, 1,
+                        *rc::gen::inRange(0, 9)};
   if (Job.Class_ == TaskClass::Gang)
     Job.Tasks_ = *rc::gen::inRange(1, 9);
   Job.Run_ = Millis{*rc::gen::inRange(1, 1000)};
@@ -142,7 +144,7 @@
     const int Steps = *rc::gen::inRange(1, 40);
     int Submitted = 0;
     for (int Step = 0; Step < Steps; ++Step) {
-      const Millis Now{Step * 10};
+      const Millis Now{std::int64_t{Step} * 10};
       for (int Count = *rc::gen::inRange(0, 5); Count > 0; --Count) {
         const QueuedJob Job = anyJob(Submitted++);
         RC_ASSERT(!!Ours.Queue_.push(Job));
