--- a/core/codec.cpp
+++ b/core/codec.cpp
@@ -292,7 +292,10 @@
   Out["ran"] = Failure.Effect_ == Effect::None ? "not_run" : "unknown";
   Out["step"] = Failure.Step_;
   Out["peer"] = Failure.Peer_;
-  if (Failure.Reason_ == Reason::InvalidField)
+  const bool NamesField = Failure.Reason_ == Reason::InvalidField ||
+                          Failure.Reason_ == Reason::NeverFits ||
+                          Failure.Reason_ == Reason::IdempotencyKeyReused;
+  if (NamesField)
     Out["field"] = Failure.Peer_;
   Out["retry_after_ms"] = int64Value(Failure.RetryAfter_.Value_);
   return Out;
--- a/drivers/http/client_pool.cpp
+++ b/drivers/http/client_pool.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t MaxIdlePerAddress = 16;
 // Below the server's keep-alive time, so that a pooled connection is not one
 // that the server is just closing.
-constexpr Millis MaxIdleTime{8000};
+constexpr Millis MaxIdleTime{4000};
 constexpr Millis MaxConnectTime{1000};
 constexpr std::int64_t MillisPerSecond = 1000;
 constexpr std::int64_t MicrosPerMilli = 1000;
--- a/drivers/http/http_server.cpp
+++ b/drivers/http/http_server.cpp
@@ -16,7 +16,8 @@
 // a refused SYN is repeated only after a second.
 constexpr int ListenBacklog = 1024;
 constexpr std::size_t MaxRequestsPerConnection = 1000000;
-constexpr time_t KeepAliveSeconds = 10;
+// An idle connection delays a planned stop for this long.
+constexpr time_t KeepAliveSeconds = 5;
 constexpr time_t ReadTimeoutSeconds = 10;
 
 class TaskQueueAdapter : public httplib::TaskQueue {
@@ -52,6 +53,11 @@
     Server_.new_task_queue = [MaxConnections] {
       return new TaskQueueAdapter(MaxConnections);
     };
+    // The library's default lets a second process listen on the same port.
+    Server_.set_socket_options([](socket_t Socket) {
+      const int Yes = 1;
+      setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+    });
     Server_.set_payload_max_length(MaxBodyBytes);
     Server_.set_keep_alive_max_count(MaxRequestsPerConnection);
     Server_.set_keep_alive_timeout(KeepAliveSeconds);
@@ -79,6 +85,12 @@
       const HttpReply Reply = Handler(convertRequest(Request));
       Response.status = Reply.Status_;
       Response.set_content(Reply.Body_, Reply.ContentType_);
+      constexpr std::int64_t MillisPerSecond = 1000;
+      if (Reply.RetryAfter_ > Millis{})
+        Response.set_header(
+            "Retry-After",
+            std::to_string((Reply.RetryAfter_.Value_ + MillisPerSecond - 1) /
+                           MillisPerSecond));
     };
     // The library waits for a body until its read timeout if a request has
     // neither header, although HTTP/1.1 says that it has no body then.
--- a/node/job_home.cpp
+++ b/node/job_home.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t MaxQueuedPlacements = 256;
+// A write that has not taken effect by then never will.
+constexpr Millis UnresolvedWriteTime{30000};
 
 policy::QueuedJob queuedJob(const JobRecord &Record, Millis Now) {
   const JobSpec &Spec = Record.Spec_;
@@ -102,11 +104,12 @@
   }
   if (!Written && Written.error().Reason_ == Reason::TableConflict)
     return resolveConflict(Spec, Record);
-  if (!Written)
+  if (!Written) {
+    if (Written.error().Effect_ == Effect::Unknown)
+      noteUnresolved(Record.Id_);
     return Written.error();
-  const JobEntry Entry = makeEntry(Written.value());
-  if (Jobs_.add(Entry))
-    enqueue(Entry);
+  }
+  adoptWritten(Written.value());
   return Accepted{Written.value(), true};
 }
 
@@ -120,9 +123,48 @@
   if (!(Present->Spec_ == Spec))
     return Error{Reason::IdempotencyKeyReused, Effect::None, "submit job",
                  "key", "the key was used before with other content"};
+  // The first submission may have been written without its node learning it.
+  if (isOwn(*Present) && !isFinal(Present->State_))
+    adoptWritten(*Present);
   return Accepted{*Present, false};
 }
 
+bool JobHome::isOwn(const JobRecord &Record) const {
+  return Record.Home_ == Self_.Id_ && Record.HomeIncarnation_ == Incarnation_();
+}
+
+void JobHome::adoptWritten(const JobRecord &Record) {
+  const JobEntry Entry = makeEntry(Record);
+  if (Jobs_.add(Entry) && !anyActive(Entry))
+    enqueue(Entry);
+}
+
+void JobHome::noteUnresolved(const std::string &Id) {
+  const MutexLock Lock(QueueMutex_);
+  Unresolved_[Id] = Ports_.Clock_.monotonic() + UnresolvedWriteTime;
+}
+
+// Reads the rows of submissions whose write had an unknown effect: a row that
+// is there has been accepted, although its caller may not know it yet.
+void JobHome::resolveWrites() {
+  std::map<std::string, Millis> Open;
+  {
+    const MutexLock Lock(QueueMutex_);
+    Open = Unresolved_;
+  }
+  for (const auto &[Id, End] : Open) {
+    const auto Row = Store_.read(Id, Settings_.StoreTimeout_);
+    if (!Row)
+      return;
+    if (Row.value() && isOwn(*Row.value()) && !isFinal(Row.value()->State_))
+      adoptWritten(*Row.value());
+    if (!Row.value() && Ports_.Clock_.monotonic() < End)
+      continue;
+    const MutexLock Lock(QueueMutex_);
+    Unresolved_.erase(Id);
+  }
+}
+
 // Refuses before anything is written, and sets a place in the queue aside for
 // the time of the write.
 Status JobHome::admit(const JobRecord &Record) {
@@ -226,8 +268,9 @@
                         const OwnerStatus &Status) {
   JobEntry &Entry = Job.entry();
   const bool Abandoned = Entry.CancelRequested_ || Entry.Restarting_;
-  if (Status.Verdict_ == OwnerVerdict::Finished && !Entry.Restarting_ &&
-      !(Entry.CancelRequested_ && !Status.Answer_.Ok_))
+  // A member that finished before its stop arrived must not run again.
+  if (Status.Verdict_ == OwnerVerdict::Finished &&
+      (Status.Answer_.Ok_ || !Abandoned))
     return recordAnswer(Job, Member, Status.Answer_);
   if (Status.Verdict_ == OwnerVerdict::Lost && !Abandoned &&
       !Entry.Record_.Spec_.Idempotent_) {
@@ -262,12 +305,21 @@
     Ports_.Metrics_.count("jobs_finished");
   } else if (Entry.CancelRequested_ && !anyActive(Entry)) {
     finishCancel(Job);
+  } else if (Entry.Restarting_ && !anyActive(Entry)) {
+    restartWaiting(Job);
   }
   Job.store();
   RoundDue_ = true;
   return true;
 }
 
+void JobHome::restartWaiting(JobTable::Guard &Job) {
+  Job.entry().Restarting_ = false;
+  setCharged(Job.entry(), false);
+  Job.store();
+  enqueue(Job.entry());
+}
+
 void JobHome::requeueMember(JobTable::Guard &Job, std::size_t Member) {
   JobEntry &Entry = Job.entry();
   Entry.Members_[Member].Phase_ = MemberState::Phase::Waiting;
--- a/node/job_home.h
+++ b/node/job_home.h
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -72,6 +73,11 @@
   Result<Accepted> resolveConflict(const JobSpec &Spec, const JobRecord &New);
   Status checkFits(const JobSpec &Spec) const;
   Status admit(const JobRecord &Record);
+  bool isOwn(const JobRecord &Record) const;
+  void adoptWritten(const JobRecord &Record);
+  void noteUnresolved(const std::string &Id);
+  void resolveWrites();
+  void restartWaiting(JobTable::Guard &Job);
   void enqueue(const JobEntry &Entry);
   Result<JobRecord> writeRecord(JobTable::Guard &Job, const JobRecord &Next);
   void finishCancel(JobTable::Guard &Job);
@@ -119,6 +125,7 @@
   policy::Shares Shares_;
   policy::JobQueue Queue_;
   policy::Admission Admission_;
+  std::map<std::string, Millis> Unresolved_; ///< End of the check, by job.
 
   WorkPool Placements_;
   std::atomic<bool> Stopping_{false};
--- a/node/job_json.cpp
+++ b/node/job_json.cpp
@@ -110,7 +110,9 @@
 HttpReply errorReply(const Error &Failure) {
   Json::Value Body;
   Body["error"] = encodeError(Failure);
-  return jsonReply(httpStatusOf(Failure), Body);
+  HttpReply Reply = jsonReply(httpStatusOf(Failure), Body);
+  Reply.RetryAfter_ = Failure.RetryAfter_;
+  return Reply;
 }
 
 } // namespace damaskglade::node
--- a/node/job_monitor.cpp
+++ b/node/job_monitor.cpp
@@ -20,6 +20,7 @@
         return;
       checkJob(Id);
     }
+    resolveWrites();
     Jobs_.dropEnded(Settings_.KeepEnded_);
     sleepFor(MonitorInterval);
   }
--- a/node/job_placement.cpp
+++ b/node/job_placement.cpp
@@ -282,6 +282,13 @@
     Ports_.Log_.write(failureEvent(Started.error(), Entry.Record_.Id_));
     if (Started.error().Effect_ == Effect::None)
       NotRun.push_back(Member);
+    // The rest of a gang is not started only to be stopped again.
+    if (Entry.Record_.Spec_.Class_ == TaskClass::Gang) {
+      for (auto Rest = Held.begin() + (&Try - Held.data()) + 1;
+           Rest != Held.end(); ++Rest)
+        NotRun.push_back(static_cast<std::size_t>(Rest->Member_));
+      break;
+    }
   }
   if (NotRun.empty())
     Ports_.Metrics_.observeWait(Entry.Record_.Spec_.Class_,
--- a/node/job_table.cpp
+++ b/node/job_table.cpp
@@ -59,7 +59,7 @@
 }
 
 JobTable::Guard::~Guard() {
-  if (!Entry_)
+  if (!Entry_ || Erased_)
     return;
   Shard &Home = Table_.shardOf(Id_);
   const MutexLock Lock(Home.Mutex_);
@@ -70,6 +70,8 @@
 }
 
 void JobTable::Guard::store() {
+  if (Erased_)
+    return;
   Shard &Home = Table_.shardOf(Id_);
   const MutexLock Lock(Home.Mutex_);
   const auto Found = Home.Slots_.find(Id_);
@@ -142,8 +144,11 @@
     if (Each.Ended_.size() <= Most)
       continue;
     const auto Last = Each.Ended_.end() - static_cast<std::ptrdiff_t>(Most);
-    for (auto Id = Each.Ended_.begin(); Id != Last; ++Id)
-      Each.Slots_.erase(*Id);
+    for (auto Id = Each.Ended_.begin(); Id != Last; ++Id) {
+      const auto Found = Each.Slots_.find(*Id);
+      if (Found != Each.Slots_.end() && !Found->second.Locked_)
+        Each.Slots_.erase(Found);
+    }
     Each.Ended_.erase(Each.Ended_.begin(), Last);
   }
 }
--- a/node/messages.cpp
+++ b/node/messages.cpp
@@ -2,6 +2,7 @@
 
 #include "core/codec.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace damaskglade::node {
@@ -22,24 +23,62 @@
   return Out;
 }
 
-std::vector<Attempt> decodeTries(const Json::Value &Value) {
-  std::vector<Attempt> Tries;
-  if (Value.isArray())
-    for (const Json::Value &Try : Value)
-      Tries.push_back(decodeAttempt(Try));
-  return Tries;
+enum class FieldType { String, Integer, Bool, Object, Array };
+
+struct Field {
+  const char *Name_;
+  FieldType Type_;
+};
+
+bool hasType(const Json::Value &Value, FieldType Type) {
+  switch (Type) {
+  case FieldType::String:
+    return Value.isString();
+  case FieldType::Integer:
+    return Value.isInt64();
+  case FieldType::Bool:
+    return Value.isBool();
+  case FieldType::Object:
+    return Value.isObject();
+  case FieldType::Array:
+    return Value.isArray();
+  }
+  return false;
 }
 
+// The JSON library throws on a value of another type, so types are checked
+// before anything is read.
 Status checkObject(const Json::Value &Value, const char *Step,
-                   std::initializer_list<const char *> Members) {
+                   std::initializer_list<Field> Fields) {
   if (!Value.isObject())
     return invalidField(Step, "message", "must be an object");
-  for (const char *Name : Members)
-    if (!Value.isMember(Name))
-      return invalidField(Step, Name, "is missing");
+  for (const Field &Each : Fields) {
+    if (!Value.isMember(Each.Name_))
+      return invalidField(Step, Each.Name_, "is missing");
+    if (!hasType(Value[Each.Name_], Each.Type_))
+      return invalidField(Step, Each.Name_, "has the wrong type");
+  }
   return success();
 }
 
+Result<Attempt> decodeTry(const Json::Value &Value, const char *Step,
+                          const char *Name) {
+  if (!Value.isObject() || !Value["member"].isInt64() ||
+      !Value["number"].isInt64())
+    return invalidField(Step, Name, "must hold attempts");
+  return decodeAttempt(Value);
+}
+
+Result<std::vector<Attempt>> decodeTries(const Json::Value &Value,
+                                         const char *Step, const char *Name) {
+  std::vector<Attempt> Tries;
+  for (const Json::Value &Each : Value) {
+    BOOST_OUTCOME_TRY(Try, decodeTry(Each, Step, Name));
+    Tries.push_back(Try);
+  }
+  return Tries;
+}
+
 bool parseNumber(std::string_view Text, std::int64_t &Out) {
   const auto [End, Code] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Out);
@@ -56,13 +95,13 @@
   return Out;
 }
 
-Resources unpackResources(const Json::Value &Value) {
+Result<Resources> unpackResources(const Json::Value &Value, const char *Name) {
   constexpr Json::ArrayIndex Amounts = 5;
-  if (!Value.isArray() || Value.size() != Amounts)
-    return {};
-  for (const Json::Value &Amount : Value)
-    if (!Amount.isInt64())
-      return {};
+  const bool IsList = Value.isArray() && Value.size() == Amounts;
+  const auto IsAmount = [](const Json::Value &Each) { return Each.isInt64(); };
+  if (!IsList || !std::all_of(Value.begin(), Value.end(), IsAmount))
+    return invalidField("decode heartbeat", Name,
+                        "must be a list of five amounts");
   return Resources{Value[0].asInt64(), Value[1].asInt64(), Value[2].asInt64(),
                    Value[3].asInt64(), Value[4].asInt64()};
 }
@@ -87,8 +126,18 @@
 
 Result<ReserveRequest> decodeReserveRequest(const Json::Value &Value) {
   const char *const Step = "decode reserve";
-  BOOST_OUTCOME_TRYV(checkObject(
-      Value, Step, {"job", "home", "team", "class", "urgency", "tries"}));
+  BOOST_OUTCOME_TRYV(checkObject(Value, Step,
+                                 {{"job", FieldType::String},
+                                  {"home", FieldType::String},
+                                  {"team", FieldType::String},
+                                  {"class", FieldType::String},
+                                  {"urgency", FieldType::String},
+                                  {"size", FieldType::Object},
+                                  {"run_ms", FieldType::Integer},
+                                  {"idempotent", FieldType::Bool},
+                                  {"preempt", FieldType::Bool},
+                                  {"block", FieldType::Bool},
+                                  {"tries", FieldType::Array}}));
   const auto Class = taskClassFromName(Value["class"].asString());
   if (!Class)
     return invalidField(Step, "class", "is not a task class");
@@ -107,7 +156,8 @@
   Out.Idempotent_ = Value["idempotent"].asBool();
   Out.MayPreempt_ = Value["preempt"].asBool();
   Out.MayBlock_ = Value["block"].asBool();
-  Out.Tries_ = decodeTries(Value["tries"]);
+  BOOST_OUTCOME_TRY(Tries, decodeTries(Value["tries"], Step, "tries"));
+  Out.Tries_ = Tries;
   return Out;
 }
 
@@ -118,8 +168,10 @@
 }
 
 Result<ReserveReply> decodeReserveReply(const Json::Value &Value) {
-  BOOST_OUTCOME_TRYV(checkObject(Value, "decode reserve reply", {"held"}));
-  return ReserveReply{decodeTries(Value["held"])};
+  const char *const Step = "decode reserve reply";
+  BOOST_OUTCOME_TRYV(checkObject(Value, Step, {{"held", FieldType::Array}}));
+  BOOST_OUTCOME_TRY(Held, decodeTries(Value["held"], Step, "held"));
+  return ReserveReply{Held};
 }
 
 Json::Value encode(const StartCommand &Value) {
@@ -132,9 +184,13 @@
 }
 
 Result<StartCommand> decodeStartCommand(const Json::Value &Value) {
-  BOOST_OUTCOME_TRYV(
-      checkObject(Value, "decode start", {"job", "try", "run_ms", "payload"}));
-  return StartCommand{Value["job"].asString(), decodeAttempt(Value["try"]),
+  BOOST_OUTCOME_TRYV(checkObject(Value, "decode start",
+                                 {{"job", FieldType::String},
+                                  {"try", FieldType::Object},
+                                  {"run_ms", FieldType::Integer},
+                                  {"payload", FieldType::String}}));
+  BOOST_OUTCOME_TRY(Try, decodeTry(Value["try"], "decode start", "try"));
+  return StartCommand{Value["job"].asString(), Try,
                       Millis{Value["run_ms"].asInt64()},
                       Value["payload"].asString()};
 }
@@ -147,8 +203,11 @@
 }
 
 Result<AttemptList> decodeAttemptList(const Json::Value &Value) {
-  BOOST_OUTCOME_TRYV(checkObject(Value, "decode attempts", {"job", "tries"}));
-  return AttemptList{Value["job"].asString(), decodeTries(Value["tries"])};
+  const char *const Step = "decode attempts";
+  BOOST_OUTCOME_TRYV(checkObject(
+      Value, Step, {{"job", FieldType::String}, {"tries", FieldType::Array}}));
+  BOOST_OUTCOME_TRY(Tries, decodeTries(Value["tries"], Step, "tries"));
+  return AttemptList{Value["job"].asString(), Tries};
 }
 
 Json::Value encode(const OwnerStatus &Value) {
@@ -161,7 +220,8 @@
 }
 
 Result<OwnerStatus> decodeOwnerStatus(const Json::Value &Value) {
-  BOOST_OUTCOME_TRYV(checkObject(Value, "decode status", {"verdict"}));
+  BOOST_OUTCOME_TRYV(
+      checkObject(Value, "decode status", {{"verdict", FieldType::String}}));
   const std::string Name = Value["verdict"].asString();
   for (std::size_t Index = 0; Index < VerdictNames.size(); ++Index) {
     if (VerdictNames.at(Index) != Name)
@@ -183,8 +243,9 @@
 }
 
 Result<FinishedNotice> decodeFinishedNotice(const Json::Value &Value) {
-  BOOST_OUTCOME_TRYV(
-      checkObject(Value, "decode finished", {"attempt", "status"}));
+  BOOST_OUTCOME_TRYV(checkObject(
+      Value, "decode finished",
+      {{"attempt", FieldType::String}, {"status", FieldType::Object}}));
   BOOST_OUTCOME_TRY(Status, decodeOwnerStatus(Value["status"]));
   return FinishedNotice{Value["attempt"].asString(), Status};
 }
@@ -200,7 +261,10 @@
 
 Result<ExecuteRequest> decodeExecuteRequest(const Json::Value &Value) {
   BOOST_OUTCOME_TRYV(checkObject(Value, "decode execute",
-                                 {"spec", "number", "entry", "timeout_ms"}));
+                                 {{"spec", FieldType::Object},
+                                  {"number", FieldType::Integer},
+                                  {"entry", FieldType::String},
+                                  {"timeout_ms", FieldType::Integer}}));
   BOOST_OUTCOME_TRY(Spec, decodeJobSpec(Value["spec"]));
   return ExecuteRequest{Spec, Value["number"].asInt64(),
                         Value["entry"].asString(),
@@ -222,13 +286,24 @@
 }
 
 Result<Heartbeat> decodeHeartbeat(const Json::Value &Value) {
-  BOOST_OUTCOME_TRYV(
-      checkObject(Value, "decode heartbeat", {"node", "free", "config"}));
+  BOOST_OUTCOME_TRYV(checkObject(Value, "decode heartbeat",
+                                 {{"node", FieldType::String},
+                                  {"free", FieldType::Array},
+                                  {"largest", FieldType::Array},
+                                  {"total", FieldType::Array},
+                                  {"largest_total", FieldType::Array},
+                                  {"config", FieldType::Integer},
+                                  {"hash", FieldType::String}}));
+  if (Value.isMember("leaving") && !Value["leaving"].isBool())
+    return invalidField("decode heartbeat", "leaving", "has the wrong type");
+  BOOST_OUTCOME_TRY(Free, unpackResources(Value["free"], "free"));
+  BOOST_OUTCOME_TRY(Largest, unpackResources(Value["largest"], "largest"));
+  BOOST_OUTCOME_TRY(Total, unpackResources(Value["total"], "total"));
+  BOOST_OUTCOME_TRY(LargestTotal,
+                    unpackResources(Value["largest_total"], "largest_total"));
   Heartbeat Out;
-  Out.Headroom_ = Headroom{
-      Value["node"].asString(), unpackResources(Value["free"]),
-      unpackResources(Value["largest"]), unpackResources(Value["total"]),
-      unpackResources(Value["largest_total"])};
+  Out.Headroom_ =
+      Headroom{Value["node"].asString(), Free, Largest, Total, LargestTotal};
   Out.ConfigVersion_ = Value["config"].asInt64();
   Out.ConfigHash_ = Value["hash"].asString();
   Out.Leaving_ = Value["leaving"].asBool();
@@ -240,12 +315,14 @@
   if (Last == std::string::npos || Last == 0)
     return false;
   const std::size_t First = Id.rfind('.', Last - 1);
-  if (First == std::string::npos)
+  if (First == std::string::npos || First == 0)
     return false;
   const std::string_view Text = Id;
   if (!parseNumber(Text.substr(First + 1, Last - First - 1), Try.Member_) ||
       !parseNumber(Text.substr(Last + 1), Try.Number_))
     return false;
+  if (Try.Member_ < 0 || Try.Number_ < 1)
+    return false;
   Job = Id.substr(0, First);
   return true;
 }
--- a/node/owned_shard.cpp
+++ b/node/owned_shard.cpp
@@ -42,7 +42,7 @@
   }
   for (auto Entry = Links_.begin(); Entry != Links_.end();) {
     const bool Gone = Present.count(Entry->first) == 0;
-    if (!Gone || !mayForget(Entry->second, Now)) {
+    if (!Gone || !hasLapsed(Entry->second, Now)) {
       ++Entry;
       continue;
     }
@@ -52,7 +52,7 @@
   }
 }
 
-bool OwnedShard::mayForget(const Link &Worker, Moment Now) const {
+bool OwnedShard::hasLapsed(const Link &Worker, Moment Now) const {
   return Now.Wall_ > Worker.LeaseEnd_ + Settings_.ClockError_;
 }
 
@@ -65,6 +65,8 @@
   Info.Leaving_ = Worker.Leaving_ || Worker.Drained_;
   Info.Listed_ = Worker.Listed_;
   Info.Quarantined_ = Worker.Quarantined_;
+  Info.CanCheckpoint_ = Worker.CanCheckpoint_;
+  Info.CanThrottle_ = Worker.CanThrottle_;
   // The only error is an invalid capacity, which the codec has refused.
   static_cast<void>(Ledger_.putWorker(Info));
 }
@@ -130,11 +132,19 @@
   const auto Found = Tasks_.find(Attempt);
   if (Found == Tasks_.end() || Found->second.Phase_ != Phase::Held)
     return false;
-  Ledger_.release(Attempt);
-  Tasks_.erase(Found);
+  forget(Found);
   return true;
 }
 
+// Ends what an attempt holds without a word to its home.
+void OwnedShard::forget(TaskMap::iterator Entry) {
+  const std::string Worker = Entry->second.Worker_;
+  ReducedTasks_ -= Entry->second.Reduced_ ? 1 : 0;
+  Ledger_.release(Entry->first);
+  Tasks_.erase(Entry);
+  reclaimRoom(Worker);
+}
+
 Result<HeldStart> OwnedShard::beginStart(const StartCommand &Command,
                                          Moment Now) {
   const MutexLock Lock(Mutex_);
@@ -146,15 +156,18 @@
   Task &Entry = Found->second;
   const auto Worker = Links_.find(Entry.Worker_);
   if (Now.Wall_ > Entry.StartBy_ || Worker == Links_.end()) {
-    Ledger_.release(Id);
-    Tasks_.erase(Found);
+    forget(Found);
     return Error{Reason::StartExpired, Effect::None, "start task",
                  Command.Try_.Worker_, "the right to start has expired"};
   }
   Link &Target = Worker->second;
+  if (!Target.Listed_) {
+    forget(Found);
+    return Error{Reason::NoCapacity, Effect::None, "start task",
+                 Command.Try_.Worker_, "the worker does not answer"};
+  }
   if (Target.Leaving_ || Target.Drained_) {
-    Ledger_.release(Id);
-    Tasks_.erase(Found);
+    forget(Found);
     return Error{Reason::WorkerLeaving, Effect::None, "start task",
                  Command.Try_.Worker_, "the worker is leaving"};
   }
@@ -205,8 +218,7 @@
   }
   if (Why == Reason::StartFailed)
     Outcomes_.push_back(StartOutcome{Found->second.Worker_, false, {}});
-  Ledger_.release(Attempt);
-  Tasks_.erase(Found);
+  forget(Found);
 }
 
 void OwnedShard::endWaited(const std::string &Attempt) {
@@ -217,23 +229,16 @@
   const auto Worker = Links_.find(Found->second.Worker_);
   if (Worker != Links_.end())
     Worker->second.Acked_.push_back(Attempt);
-  const std::string From = Found->second.Worker_;
-  Ledger_.release(Attempt);
-  Tasks_.erase(Found);
-  reclaimRoom(From);
+  forget(Found);
 }
 
 void OwnedShard::dropExpiredHolds(Moment Now) {
   const MutexLock Lock(Mutex_);
   for (auto Entry = Tasks_.begin(); Entry != Tasks_.end();) {
-    const bool Expired = Entry->second.Phase_ == Phase::Held &&
-                         Now.Monotonic_ > Entry->second.HoldEnd_;
-    if (!Expired) {
-      ++Entry;
-      continue;
-    }
-    Ledger_.release(Entry->first);
-    Entry = Tasks_.erase(Entry);
+    const auto Each = Entry++;
+    if (Each->second.Phase_ == Phase::Held &&
+        Now.Monotonic_ > Each->second.HoldEnd_)
+      forget(Each);
   }
 }
 
@@ -319,8 +324,7 @@
     switch (Found->second.Phase_) {
     case Phase::Held:
       // Giving the hold back makes sure that a late start is refused.
-      Ledger_.release(Id);
-      Tasks_.erase(Found);
+      forget(Found);
       return OwnerStatus{OwnerVerdict::NotRun, {}};
     case Phase::Starting:
     case Phase::Unresolved:
--- a/node/owned_shard.h
+++ b/node/owned_shard.h
@@ -117,6 +117,11 @@
   /// stopping less urgent tasks; nothing if that is not possible.
   std::optional<policy::PreemptionPlan>
   planPreemption(const ReserveRequest &Request, std::int64_t MaxTasks) const;
+  /// Marks a task before the worker is told to stop it, so that its end is not
+  /// taken for an answer.
+  void beginPreemption(const policy::PreemptionStep &Step);
+  /// The worker refused a step: other ways are planned from now on.
+  void refusePreemption(const policy::PreemptionStep &Step);
   /// Records a step that the worker confirmed. The home of a task that was
   /// ended places it again.
   void applyPreemption(const policy::PreemptionStep &Step);
@@ -213,6 +218,8 @@
     bool Leaving_ = false;
     bool Drained_ = false;
     bool Quarantined_ = false;
+    bool CanCheckpoint_ = true; ///< False once it refused the call.
+    bool CanThrottle_ = true;
     bool Trial_ = false;             ///< One task may be placed.
     std::vector<std::string> Acked_; ///< Ended attempts it may forget.
   };
@@ -223,6 +230,7 @@
   void endTrial(const std::string &Worker);
   void noteOutcome(const Task &Entry, const OwnerStatus &Status);
   void putWorker(const Link &Worker);
+  void forget(TaskMap::iterator Entry);
   void endTask(const std::string &Attempt, Task &Entry,
                const OwnerStatus &Status);
   void adoptLocked(const RunningTask &Running, const std::string &Worker,
@@ -233,7 +241,7 @@
   void loseTasks(const std::string &Worker);
   void reclaimRoom(const std::string &Worker);
   bool holdFullRoom(const std::string &Attempt, const Task &Entry);
-  bool mayForget(const Link &Worker, Moment Now) const;
+  bool hasLapsed(const Link &Worker, Moment Now) const;
 
   const std::string Id_;
   const std::int64_t Epoch_;
--- a/node/owned_shard_leases.cpp
+++ b/node/owned_shard_leases.cpp
@@ -27,8 +27,11 @@
     Plan.Request_.Epoch_ = Epoch_;
     // The lease of a worker that does not answer is left to run out, so that
     // its tasks are known to have stopped and can be placed elsewhere.
-    const bool Extends = Worker.Misses_ < MissesUntilUnlisted ||
-                         Now.Wall_ > Worker.LeaseEnd_ + Settings_.ClockError_;
+    const bool Unreachable = Worker.Misses_ >= MissesUntilUnlisted;
+    const bool Lapsed = hasLapsed(Worker, Now);
+    if (Unreachable && Lapsed)
+      loseTasks(Id);
+    const bool Extends = !Unreachable || Lapsed;
     Plan.Request_.LeaseEnd_ =
         Extends ? Now.Wall_ + Settings_.RunLease_ : Worker.LeaseEnd_;
     Plan.Request_.List_ =
@@ -69,6 +72,9 @@
 
 void OwnedShard::applyListing(const RenewalPlan &Plan, const LeaseReply &Reply,
                               Moment Now) {
+  // A listing that was made before start_by proves nothing about a start that
+  // was still on its way.
+  const Millis SentWall = Now.Wall_ - (Now.Monotonic_ - Plan.Sent_);
   std::set<std::string> Listed;
   for (const RunningTask &Each : Reply.Running_) {
     Listed.insert(Each.Attempt_);
@@ -85,9 +91,8 @@
     const bool Vanished =
         Entry.Phase_ == Phase::Running && Entry.Confirmed_ < Plan.Sent_;
     // A start that has not arrived can't take effect any more.
-    const bool NeverStarted =
-        Entry.Phase_ == Phase::Unresolved &&
-        Now.Wall_ > Entry.StartBy_ + Settings_.ClockError_;
+    const bool NeverStarted = Entry.Phase_ == Phase::Unresolved &&
+                              SentWall > Entry.StartBy_ + Settings_.ClockError_;
     if (Vanished || NeverStarted)
       endTask(Attempt, Entry, OwnerStatus{OwnerVerdict::Lost, {}});
   }
@@ -104,7 +109,7 @@
   Worker.Listed_ = false;
   if (Worker.Known_)
     putWorker(Worker);
-  if (Plan.Request_.LeaseEnd_ + Settings_.ClockError_ < Now.Wall_)
+  if (hasLapsed(Worker, Now))
     loseTasks(Plan.Worker_);
 }
 
--- a/node/owned_shard_policy.cpp
+++ b/node/owned_shard_policy.cpp
@@ -45,6 +45,28 @@
   return Plan;
 }
 
+void OwnedShard::beginPreemption(const policy::PreemptionStep &Step) {
+  const MutexLock Lock(Mutex_);
+  const auto Found = Tasks_.find(Step.Attempt_);
+  if (Found != Tasks_.end() && Step.Action_ == TaskControl::Stop)
+    Found->second.Preempted_ = true;
+}
+
+void OwnedShard::refusePreemption(const policy::PreemptionStep &Step) {
+  const MutexLock Lock(Mutex_);
+  const auto Task = Tasks_.find(Step.Attempt_);
+  if (Task != Tasks_.end())
+    Task->second.Preempted_ = false;
+  const auto Found = Links_.find(Step.Worker_);
+  if (Found == Links_.end())
+    return;
+  if (Step.Action_ == TaskControl::Checkpoint)
+    Found->second.CanCheckpoint_ = false;
+  if (Step.Action_ == TaskControl::Throttle)
+    Found->second.CanThrottle_ = false;
+  putWorker(Found->second);
+}
+
 void OwnedShard::applyPreemption(const policy::PreemptionStep &Step) {
   const MutexLock Lock(Mutex_);
   const auto Found = Tasks_.find(Step.Attempt_);
--- a/node/shard_owner.cpp
+++ b/node/shard_owner.cpp
@@ -261,6 +261,7 @@
   if (Known)
     return *Known;
   const std::string Attempt = attemptId(Job, Try);
+  const Moment Asked = momentOf(Ports_.Clock_);
   const auto Reply =
       Ports_.Workers_.state(Address, Attempt, settings().WorkerTimeout_);
   if (!Reply)
@@ -274,7 +275,7 @@
   case AttemptState::Unknown:
     break;
   }
-  return Target->unknownToWorker(Try, momentOf(Ports_.Clock_));
+  return Target->unknownToWorker(Try, Asked);
 }
 
 Status ShardOwner::control(const std::string &Attempt, TaskControl Action) {
@@ -307,6 +308,13 @@
   const ShardPointer Target = shardOfWorker(Worker);
   if (!Target || !Target->setQuarantined(Worker, Quarantined))
     return NotOwner;
+  const MutexLock Lock(Mutex_);
+  if (Quarantined) {
+    QuarantinedByOperator_.insert(Worker);
+    return success();
+  }
+  QuarantinedByOperator_.erase(Worker);
+  Quarantine_.lift(Worker);
   return success();
 }
 
--- a/node/shard_owner_policy.cpp
+++ b/node/shard_owner_policy.cpp
@@ -62,10 +62,14 @@
     const std::string Address = Shard.addressOf(Step.Attempt_);
     if (Address.empty())
       return false;
+    Shard.beginPreemption(Step);
     const Status Done = Ports_.Workers_.control(
         Address, Step.Attempt_, Step.Action_, settings().WorkerTimeout_);
     if (!Done) {
       Ports_.Log_.write(failureEvent(Done.error(), Step.Attempt_));
+      if (Done.error().Effect_ == Effect::None &&
+          Done.error().Reason_ != Reason::ConnectFailed)
+        Shard.refusePreemption(Step);
       return false;
     }
     Shard.applyPreemption(Step);
--- a/ports/http.h
+++ b/ports/http.h
@@ -22,6 +22,7 @@
   int Status_ = 200;
   std::string Body_;
   std::string ContentType_ = "application/json";
+  Millis RetryAfter_{}; ///< Sent as Retry-After if above zero.
 
   friend bool operator==(const HttpReply &, const HttpReply &) = default;
 };
