node: Fetch the VM list once for all parts of a node

Cause: the fleet view and the ownership agent each fetched the whole list every second. Change: Fleet is a VmList that shares an answer of up to one second's age.

--- a/misc/scripts/capacity.sh
+++ b/misc/scripts/capacity.sh
@@ -54,7 +54,7 @@
 PIDS=()
 trap stop_all EXIT
 for SIZE in "$@"; do
-  IFS=: read -r NODES WORKERS TASKS LOOKUPS <<<"$SIZE:0:0"
+  IFS=: read -r NODES WORKERS TASKS LOOKUPS _ <<<"$SIZE:0:0:0"
   rm -rf "$RUN" && mkdir -p "$RUN"
   "$BIN/tests/stand_ins/stand_in_platform" --table_port=$TABLE \
     --objects_port=$OBJECTS --vms_port=$VMLIST >"$RUN/platform.log" 2>&1 &
--- a/node/fleet.cpp
+++ b/node/fleet.cpp
@@ -5,12 +5,31 @@
 
 namespace damaskglade::node {
 
+namespace {
+
+constexpr Millis MaxAge{1000};
+
+} // namespace
+
+Result<std::vector<VmEntry>> Fleet::list(Millis Timeout) {
+  {
+    const MutexLock Lock(Mutex_);
+    if (Known_ && Time_.monotonic() - Fetched_ < MaxAge)
+      return Entries_;
+  }
+  BOOST_OUTCOME_TRYV(refresh(Timeout));
+  const MutexLock Lock(Mutex_);
+  return Entries_;
+}
+
 Status Fleet::refresh(Millis Timeout) {
+  const Millis Start = Time_.monotonic();
   auto Entries = Source_.list(Timeout);
   if (!Entries)
     return Entries.error();
   const MutexLock Lock(Mutex_);
   Entries_ = std::move(Entries).value();
+  Fetched_ = Start;
   Known_ = true;
   return success();
 }
--- a/node/fleet.h
+++ b/node/fleet.h
@@ -9,10 +9,14 @@
 
 namespace damaskglade::node {
 
-/// Last known answer of the VM list. Thread-safe.
-class Fleet {
+/// Last known answer of the VM list, shared by all parts of a node so that the
+/// list is fetched once. Thread-safe.
+class Fleet : public VmList {
 public:
-  explicit Fleet(VmList &Source) : Source_(Source) {}
+  Fleet(VmList &Source, const Clock &Time) : Source_(Source), Time_(Time) {}
+
+  /// The last answer if it is less than a second old, else a new one.
+  Result<std::vector<VmEntry>> list(Millis Timeout) override;
 
   /// Asks the VM list. On an error the last answer stays.
   Status refresh(Millis Timeout);
@@ -22,9 +26,11 @@
 
 private:
   VmList &Source_;
+  const Clock &Time_;
   mutable Mutex Mutex_;
   std::vector<VmEntry> Entries_;
   bool Known_ = false;
+  Millis Fetched_; ///< Monotonic start of the last successful fetch.
 };
 
 } // namespace damaskglade::node
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -37,7 +37,7 @@
 
 Node::Node(NodeOptions Options, Services &Ports, TableStore &Table,
            ObjectStore &Objects, VmList &Vms)
-    : Options_(std::move(Options)), Ports_(Ports), Fleet_(Vms),
+    : Options_(std::move(Options)), Ports_(Ports), Fleet_(Vms, Ports.Clock_),
       Routes_(Options_.Identity_.Id_,
               static_cast<std::uint64_t>(Ports.Clock_.wall().Value_)),
       Store_(Options_.Store_, Table, Ports.Clock_, Ports.Metrics_),
@@ -45,7 +45,7 @@
           ownership::AgentOptions{
               Options_.Identity_.Id_, Options_.Identity_.Zone_,
               Options_.Identity_.Address_, Options_.Protocol_},
-          Table, Vms, Ports.Clock_,
+          Table, Fleet_, Ports.Clock_,
           [&Ports](const std::string &Address,
                    const std::string &Message) -> Result<std::string> {
             BOOST_OUTCOME_TRY(Value, parseJson(Message, "ownership"));
@@ -116,7 +116,7 @@
 
 void Node::runFleetRefresh() {
   while (!Stopping_) {
-    const Status Done = Fleet_.refresh(PeerTimeout);
+    const auto Done = Fleet_.list(PeerTimeout);
     if (!Done)
       Ports_.Metrics_.countRetry(Done.error().Reason_);
     sleepFor(FleetInterval);
--- a/tests/node/shard_owner_test.cpp
+++ b/tests/node/shard_owner_test.cpp
@@ -136,7 +136,7 @@
   NoPeers Peers_;
   FixedVms VmSource_;
   fakes::FakeTable Table_;
-  Fleet Vms_{VmSource_};
+  Fleet Vms_{VmSource_, Time_};
   Services Ports_{Time_, Metrics_, Log_, Worker_, Peers_};
   ownership::Agent Agent_{
       ownership::AgentOptions{"node-a", "z1", "node-a", {}}, Table_, VmSource_,
