--- a/misc/scripts/capacity.sh
+++ b/misc/scripts/capacity.sh
@@ -74,7 +74,7 @@
   for ((N = 0; N < NODES; ++N)); do
     VMS+="{\"id\":\"n$N\",\"zone\":\"z$((N % ZONES))\",\"rack\":\"e\",\"address\":\"127.0.0.1:$((NODE_PORT + N))\",\"role\":\"node\",\"state\":\"live\"},"
   done
-  until curl -sf -o /dev/null -X POST 127.0.0.1:$VMLIST/_vms -d "[${VMS%,}]"; do sleep 0.1; done
+  until curl -sf -o /dev/null -X POST 127.0.0.1:$VMLIST/_vms -H 'Content-Type: application/json' -d "[${VMS%,}]"; do sleep 0.1; done
   NODE_PIDS=()
   for ((N = 0; N < NODES; ++N)); do
     printf '[node]\nid = n%d\nzone = z%d\nregion = r\nlisten = 127.0.0.1:%d\n[platform]\ntable_url = http://127.0.0.1:%d\nobjects_url = http://127.0.0.1:%d\nvm_list_url = http://127.0.0.1:%d\n' \
--- a/misc/scripts/test.sh
+++ b/misc/scripts/test.sh
@@ -15,7 +15,7 @@
 else
   EXCLUDE=()
 fi
-ctest --test-dir build --output-on-failure -j 4 "${EXCLUDE[@]}"
+ctest --test-dir build --output-on-failure -j 8 "${EXCLUDE[@]}"
 
 cmake -S . -B build-tsan -G Ninja -DDAMASKGLADE_TSAN=ON >/dev/null
 cmake --build build-tsan
--- a/tests/process/caller.cpp
+++ b/tests/process/caller.cpp
@@ -118,6 +118,11 @@
   return Job;
 }
 
+void Caller::await(JobResult &Job, const std::string &Zone) {
+  waitForOutcome(Job, Zone, Clock_.wall() + Limits_.Outcome_);
+  Job.Ended_ = Clock_.wall();
+}
+
 void Caller::waitForOutcome(JobResult &Job, const std::string &Zone,
                             Millis End) {
   const drivers::HttpCall Call{"GET",
--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -51,6 +51,8 @@
   /// Submits without waiting for the end; for services.
   JobResult submit(const JobSpec &Spec, const std::string &Zone,
                    Millis Arrival);
+  /// Waits until the outcome of a submitted job is known.
+  void await(JobResult &Job, const std::string &Zone);
   /// The job as a node describes it, nothing if none answers.
   std::optional<Json::Value> status(const std::string &Id,
                                     const std::string &Zone);
--- a/tests/process/scenario.cpp
+++ b/tests/process/scenario.cpp
@@ -1,5 +1,7 @@
 #include "tests/process/scenario.h"
 
+#include <array>
+
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
@@ -136,8 +138,35 @@
   return Clock_.monotonic() - Start;
 }
 
+void Scenario::submitThrough(const NodeSlot &Home, std::size_t Count,
+                             Millis RunTime) {
+  constexpr std::array<TaskClass, 3> Classes = {
+      TaskClass::Batch, TaskClass::Request, TaskClass::Gang};
+  constexpr std::int64_t GangTasks = 3;
+  EntryNodes Only;
+  Only.add(Home.Zone_, Home.address());
+  Caller Direct(Pool_, Only, Limits);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    JobSpec Spec;
+    Spec.Team_ = "homed";
+    Spec.Key_ = "homed-" + std::to_string(Seed_) + "-" + std::to_string(Index);
+    Spec.Class_ = Classes.at(Index % Classes.size());
+    Spec.Tasks_ = Spec.Class_ == TaskClass::Gang ? GangTasks : 1;
+    Spec.Idempotent_ = Spec.Class_ != TaskClass::Request;
+    Spec.Size_ = Resources{200, 64, 0, 1, 1};
+    Spec.Run_ = RunTime;
+    Homed_.push_back(Direct.submit(Spec, Home.Zone_, Clock_.wall()));
+    BOOST_CHECK_MESSAGE(Homed_.back().Accepted_,
+                        Spec.Key_ << " was refused: "
+                                  << reasonName(Homed_.back().Reason_));
+  }
+}
+
 Summary Scenario::finish() {
   Jobs_ = Load_->finish();
+  for (JobResult &Job : Homed_)
+    Caller_.await(Job, Cluster_.zones()[0]);
+  Jobs_.insert(Jobs_.end(), Homed_.begin(), Homed_.end());
   endServices();
   Jobs_.insert(Jobs_.end(), Services_.begin(), Services_.end());
   const std::vector<WorkerLog> Logs = Cluster_.workerLogs();
--- a/tests/process/scenario.h
+++ b/tests/process/scenario.h
@@ -31,6 +31,9 @@
 
   /// Starts the cluster, some services and the load, and lets it run.
   void begin();
+  /// Submits batch work, non-idempotent requests and gangs of three through
+  /// one node, which becomes their home. Their outcomes are judged at the end.
+  void submitThrough(const NodeSlot &Home, std::size_t Count, Millis RunTime);
   void markFaultStart() { Window_.Start_ = Clock_.wall(); }
   void markFaultEnd() { Window_.End_ = Clock_.wall(); }
   /// Ends the load, judges the run and prints its figures. A violation fails
@@ -57,6 +60,7 @@
   Caller Caller_;
   std::unique_ptr<Load> Load_;
   std::vector<JobResult> Services_;
+  std::vector<JobResult> Homed_; ///< From submitThrough().
   std::vector<JobResult> Jobs_;
   FaultWindow Window_;
   bool Passed_ = false;
--- a/tests/process/scenarios_test.cpp
+++ b/tests/process/scenarios_test.cpp
@@ -92,6 +92,21 @@
   Run.finish();
 }
 
+// Guards against accepted jobs that nobody drives after their home has died,
+// and against a second run of those that were running at that moment.
+BOOST_AUTO_TEST_CASE(KillHomeOfOpenJobs) {
+  Scenario Run("kill_home");
+  Run.begin();
+  const std::string Zone = Run.cluster().zones()[0];
+  NodeSlot &Victim = Run.ownerIn(Zone);
+  Run.submitThrough(Victim, 24, Millis{5000});
+  Run.markFaultStart();
+  killOwner(Run, Zone);
+  Run.markFaultEnd();
+  sleepFor(stretched(After));
+  Run.finish();
+}
+
 // Guards against a paused owner that grants after its lease has ended and
 // another node has taken its shards.
 BOOST_AUTO_TEST_CASE(PauseOwnerPastLease) {
