--- a/policy/queue.h
+++ b/policy/queue.h
@@ -19,8 +19,8 @@
 
 struct QueueSettings {
   /// Queued jobs of each class, over all teams, in order of TaskClass.
-  std::array<std::size_t, TaskClassCount> ClassBounds_{2000, 2000, 20000, 2000,
-                                                       2000};
+  std::array<std::size_t, TaskClassCount> ClassBounds_{20000, 20000, 20000,
+                                                       20000, 20000};
   /// Queued jobs of one team in one class.
   std::size_t TeamBound_ = 4000;
   /// Places of each team that other teams of a class cannot fill.
--- a/tests/policy/queue_test.cpp
+++ b/tests/policy/queue_test.cpp
@@ -56,7 +56,7 @@
 
 // Guards against a flood that takes the places of other teams and classes.
 BOOST_AUTO_TEST_CASE(FloodCannotFillTheQueueOfOthers) {
-  Home Node{QueueSettings{100, 80, 10, 8, 16, 16}};
+  Home Node{QueueSettings{{100, 100, 100, 100, 100}, 80, 10, 8, 16, 16}};
   std::size_t Accepted = 0;
   for (int Index = 0; Index < 1000; ++Index)
     for (const char *Team : {"a", "b"})
@@ -75,7 +75,7 @@
 
 // Guards against places that are set aside and never given back.
 BOOST_AUTO_TEST_CASE(ReservedPlacesCountUntilReleased) {
-  Home Node{QueueSettings{100, 2, 0, 8, 16, 16}};
+  Home Node{QueueSettings{{100, 100, 100, 100, 100}, 2, 0, 8, 16, 16}};
   BOOST_TEST(!!Node.Queue_.reserve(TaskClass::Batch, "a"));
   BOOST_TEST(!!Node.Queue_.push(Node.make(TaskClass::Batch, "a")));
   BOOST_TEST(!Node.Queue_.push(Node.make(TaskClass::Batch, "a")));
