--- /dev/null
+++ b/cell/context.h
@@ -0,0 +1,65 @@
+#ifndef DAMASKGLADE_CELL_CONTEXT_H
+#define DAMASKGLADE_CELL_CONTEXT_H
+
+#include "cell/rpc.h"
+#include "cell/settings.h"
+#include "ports/advisor.h"
+#include "ports/async_http.h"
+#include "ports/cell_sources.h"
+#include "ports/event_log.h"
+#include "ports/metrics_sink.h"
+#include "ports/row_store.h"
+#include "ports/task_worker.h"
+
+namespace damaskglade::cell {
+
+/// Ports of a node. All callbacks arrive on one event loop.
+struct CellPorts {
+  const Clock &Clock_;
+  TimerService &Timers_;
+  RowStore &Store_;
+  TaskWorkers &Workers_;
+  Advisor &Advisor_;
+  ConfigSource &Configs_;
+  WorkerRegistry &Registry_;
+  RpcClient &Peers_;
+  EventLog &Log_;
+  MetricsSink &Metrics_;
+};
+
+/// Part of the store in which all rows of a cell stand, so that one
+/// transaction can change any of them.
+inline constexpr const char *CellPart = "main";
+inline constexpr const char *LeaderTable = "cell";
+inline constexpr const char *LeaderKey = "leader";
+inline constexpr const char *JobsTable = "jobs";
+inline constexpr const char *ProgressTable = "progress";
+
+inline RowName leaderRow() { return RowName{LeaderTable, CellPart, LeaderKey}; }
+inline RowName jobRow(const std::string &Id) {
+  return RowName{JobsTable, CellPart, Id};
+}
+inline RowName progressRow(const std::string &Id) {
+  return RowName{ProgressTable, CellPart, Id};
+}
+
+/// Content of the leader row.
+struct LeaderView {
+  std::int64_t Epoch_ = 0; ///< Zero: there has been no leader.
+  std::string Node_;
+  std::string Address_;
+  std::int64_t Version_ = 0; ///< Of the row.
+
+  friend bool operator==(const LeaderView &, const LeaderView &) = default;
+};
+
+/// Logs one event of a subsystem.
+inline void note(const CellPorts &Ports, LogLevel Level,
+                 const std::string &Request, const std::string &Step,
+                 const std::string &Peer, const std::string &Message) {
+  Ports.Log_.write(LogEvent{Level, Message, Request, Step, Peer});
+}
+
+} // namespace damaskglade::cell
+
+#endif
--- /dev/null
+++ b/cell/gateway.cpp
@@ -0,0 +1,86 @@
+#include "cell/gateway.h"
+
+#include <algorithm>
+
+namespace damaskglade::cell {
+
+namespace {
+
+// Taken off the caller's timeout for the way of the answer.
+constexpr Millis AnswerMargin{150};
+constexpr Millis DefaultTimeout{3000};
+constexpr Millis RetryAfter{1000};
+
+const char *methodOf(CallerVerb Verb) {
+  switch (Verb) {
+  case CallerVerb::Submit:
+    return "job.submit";
+  case CallerVerb::State:
+    return "job.state";
+  case CallerVerb::Cancel:
+    return "job.cancel";
+  case CallerVerb::Pending:
+    return "queue.pending";
+  }
+  return "";
+}
+
+} // namespace
+
+const QueueRoute *Gateway::findRoute(const std::string &Host,
+                                     const std::string &Path) const {
+  const QueueRoute *Best = nullptr;
+  if (!Config_)
+    return nullptr;
+  for (const QueueRoute &Each : Config_->Routes_) {
+    if (Each.Host_ != Host ||
+        Path.compare(0, Each.PathPrefix_.size(), Each.PathPrefix_) != 0)
+      continue;
+    if (!Best || Each.PathPrefix_.size() > Best->PathPrefix_.size())
+      Best = &Each;
+  }
+  return Best;
+}
+
+void Gateway::handle(const CallerRequest &Request, const CallerReply &Reply) {
+  Json::Value Params;
+  if (Request.Verb_ == CallerVerb::Pending)
+    Params["queue"] = Request.Queue_;
+  else
+    Params["id"] = Request.Id_;
+  if (Request.Verb_ == CallerVerb::Submit) {
+    const Status Checked = dispatch::checkSpec(Request.Spec_);
+    if (!Checked) {
+      Ports_.Metrics_.countRefusal(Checked.error().Reason_);
+      return Reply(Checked.error());
+    }
+    Params["spec"] = dispatch::encodeSpec(Request.Spec_);
+  }
+  const Millis Timeout =
+      Request.Timeout_ > Millis{} ? Request.Timeout_ : DefaultTimeout;
+  const Millis Start = Ports_.Clock_.monotonic();
+  Node_->callLeader(
+      methodOf(Request.Verb_), Params, Start + Timeout - AnswerMargin,
+      [this, Request, Reply, Start](const Result<Json::Value> &Outcome) {
+        if (Outcome) {
+          CallerAnswer Answer;
+          Answer.State_ = static_cast<dispatch::JobState>(
+              Outcome.value().get("state", 0).asInt());
+          Answer.Pending_ = Outcome.value().get("pending", 0).asInt();
+          return Reply(Answer);
+        }
+        Error Failure = Outcome.error();
+        if (Failure.RetryAfter_ == Millis{} &&
+            Failure.Reason_ != Reason::NotFound &&
+            Failure.Reason_ != Reason::NeverFits)
+          Failure.RetryAfter_ = RetryAfter;
+        Ports_.Metrics_.countRefusal(Failure.Reason_);
+        note(Ports_, LogLevel::Warning, Request.Id_, methodOf(Request.Verb_),
+             Failure.Peer_,
+             describe(Failure) + " after_ms=" +
+                 std::to_string((Ports_.Clock_.monotonic() - Start).Value_));
+        Reply(Failure);
+      });
+}
+
+} // namespace damaskglade::cell
--- /dev/null
+++ b/cell/leader.cpp
@@ -0,0 +1,450 @@
+#include "cell/leader.h"
+
+#include "core/codec.h"
+
+#include <algorithm>
+
+namespace damaskglade::cell {
+
+namespace {
+
+// Lapses of leases are waited out after a takeover, so leases are no longer
+// than the cuts they have to outlast: the users' sites know cuts of up to 6.3
+// s.
+constexpr Millis LeaseLength{8000};
+// An unconfirmed leader gives orders for this long; it is added to the time
+// that a successor waits for workers it cannot reach.
+constexpr Millis LeaderGrace{2000};
+constexpr Millis TickPeriod{100};
+constexpr Millis RegistryPeriod{1000};
+constexpr Millis ConfirmPeriod{500};
+constexpr Millis HandOverAfter{1200};
+constexpr Millis WakeDelay{3};
+constexpr Millis LoadRetry{100};
+constexpr Millis LookRetry{150};
+// Ends that are not yet recorded are listed again by every look.
+constexpr Millis UnrecordedLook{80};
+constexpr Millis ForgetPeriod{5000};
+constexpr int FailuresBeforeSilent = 2;
+
+dispatch::DispatchLimits makeLimits(const CellSettings &Settings) {
+  dispatch::DispatchLimits Limits;
+  Limits.Lease_ = std::min(LeaseLength, Settings.MaxLease_);
+  Limits.LeaderGrace_ = LeaderGrace;
+  Limits.GangWait_ = Settings.GangWait_;
+  return Limits;
+}
+
+Error notReady(const std::string &Step) {
+  return Error{Reason::NotReady, Effect::None, Step, "",
+               "the leader is loading or has lost the lead"};
+}
+
+} // namespace
+
+Leader::Leader(const CellPorts &Ports, const CellSettings &Settings,
+               LeaderView View, std::function<void()> Lost)
+    : Ports_(Ports), Settings_(Settings), View_(std::move(View)),
+      Lost_(std::move(Lost)),
+      Dispatcher_(makeLimits(Settings), View_.Epoch_, Ports.Clock_.monotonic()),
+      Recorder_(Ports, Dispatcher_, View_, [this] { lose(); }),
+      Advice_(Ports, [this](const dispatch::AdviceQuestion &Question,
+                            const Result<std::vector<AdvisedWorker>> &Reply) {
+        Dispatcher_.noteAdvice(Question, Reply, now());
+        wake();
+      }) {}
+
+void Leader::start() {
+  note(Ports_, LogLevel::Info, "", "lead", "",
+       "epoch=" + std::to_string(View_.Epoch_) + " begins");
+  readRegistry();
+  load(JobsTable, "");
+}
+
+void Leader::stop() {
+  Stopped_ = true;
+  Recorder_.stop();
+  Advice_.stop();
+  for (const auto &[Id, Replies] : Submitting_)
+    for (const RpcReply &Each : Replies)
+      Each(Error{Reason::NotOwner, Effect::Unknown, "submit", "",
+                 "the lead has passed on"});
+  Submitting_.clear();
+}
+
+void Leader::lose() {
+  if (Stopped_)
+    return;
+  note(Ports_, LogLevel::Warning, "", "lead", "",
+       "epoch=" + std::to_string(View_.Epoch_) + " has been replaced");
+  stop();
+  Lost_();
+}
+
+void Leader::load(const std::string &Table, const std::string &From) {
+  Ports_.Store_.read(
+      RowRange{Table, CellPart, From},
+      [Self = shared_from_this(), Table, From](Result<RowPage> Page) {
+        if (Self->Stopped_)
+          return;
+        if (!Page) {
+          Self->Ports_.Log_.write(failureEvent(Page.error(), ""));
+          Self->Ports_.Timers_.after(
+              LoadRetry, [Self, Table, From] { Self->load(Table, From); });
+          return;
+        }
+        Self->loadRows(Table, Page.value());
+        if (Page.value().More_ && !Page.value().Rows_.empty())
+          return Self->load(Table,
+                            Page.value().Rows_.back().Name_.Key_ + '\x01');
+        if (Table == JobsTable)
+          return Self->load(ProgressTable, "");
+        Self->finishLoad();
+      });
+}
+
+void Leader::loadRows(const std::string &Table, const RowPage &Page) {
+  for (const StoredRow &Row : Page.Rows_) {
+    const std::string &Id = Row.Name_.Key_;
+    if (Table == JobsTable) {
+      auto Spec = dispatch::decodeSpec(Id, Row.Value_);
+      if (Spec)
+        LoadedSpecs_[Id] = std::move(Spec).value();
+      else
+        Ports_.Log_.write(failureEvent(Spec.error(), Id));
+      continue;
+    }
+    Recorder_.setVersion(Id, Row.Version_);
+    const auto Spec = LoadedSpecs_.find(Id);
+    if (Spec == LoadedSpecs_.end())
+      continue;
+    const auto Progress = dispatch::decodeProgress(Row.Value_);
+    if (!Progress) {
+      Ports_.Log_.write(failureEvent(Progress.error(), Id));
+      continue;
+    }
+    Dispatcher_.restoreJob(Spec->second, Progress.value(), now());
+    LoadedSpecs_.erase(Spec);
+  }
+}
+
+void Leader::finishLoad() {
+  for (const auto &[Id, Spec] : LoadedSpecs_)
+    Dispatcher_.restoreJob(Spec, dispatch::JobProgress{}, now());
+  LoadedSpecs_.clear();
+  Loaded_ = true;
+  note(Ports_, LogLevel::Info, "", "lead", "",
+       "epoch=" + std::to_string(View_.Epoch_) + " has loaded all rows");
+  watchWorkers();
+  tick();
+}
+
+void Leader::setConfig(const CellConfig &Config) {
+  Dispatcher_.setQueues(Config.Queues_);
+  wake();
+}
+
+bool Leader::confirmed() const {
+  return now() < Recorder_.confirmedAt() + LeaderGrace;
+}
+
+bool Leader::shouldHandOver() const {
+  return Recorder_.failingSince() > Millis{} &&
+         now() > Recorder_.failingSince() + HandOverAfter &&
+         now() > Recorder_.confirmedAt() + HandOverAfter;
+}
+
+void Leader::tick() {
+  if (Stopped_)
+    return;
+  if (now() > RegistryAskedAt_ + RegistryPeriod)
+    readRegistry();
+  if (now() > ConfirmSentAt_ + ConfirmPeriod &&
+      now() > Recorder_.confirmedAt() + ConfirmPeriod)
+    confirmLead();
+  if (now() > ForgotAt_ + ForgetPeriod) {
+    ForgotAt_ = now();
+    Recorder_.forget(Dispatcher_.forgetEnded(now() - Settings_.StatusKept_));
+  }
+  wake();
+  Ports_.Timers_.after(TickPeriod,
+                       [Self = shared_from_this()] { Self->tick(); });
+}
+
+void Leader::readRegistry() {
+  if (RegistryOpen_)
+    return;
+  RegistryOpen_ = true;
+  RegistryAskedAt_ = now();
+  Ports_.Registry_.list([Self = shared_from_this()](
+                            Result<std::vector<dispatch::WorkerInfo>> Workers) {
+    Self->RegistryOpen_ = false;
+    if (Self->Stopped_)
+      return;
+    if (!Workers) {
+      Self->Ports_.Log_.write(failureEvent(Workers.error(), ""));
+      return;
+    }
+    Self->Dispatcher_.setWorkers(Workers.value(), Self->now());
+    if (Self->Loaded_)
+      Self->watchWorkers();
+    else if (Self->Dispatcher_.workers().empty())
+      Self->RegistryAskedAt_ = Millis{};
+    Self->wake();
+  });
+}
+
+void Leader::confirmLead() {
+  if (ConfirmOpen_)
+    return;
+  ConfirmOpen_ = true;
+  ConfirmSentAt_ = now();
+  Ports_.Store_.read(RowRange{LeaderTable, CellPart, LeaderKey},
+                     [Self = shared_from_this(),
+                      SentAt = ConfirmSentAt_](Result<RowPage> Page) {
+                       Self->ConfirmOpen_ = false;
+                       if (Self->Stopped_ || !Page)
+                         return;
+                       const auto &Rows = Page.value().Rows_;
+                       if (!Rows.empty() &&
+                           Rows.front().Version_ != Self->View_.Version_)
+                         return Self->lose();
+                       Self->Recorder_.confirm(SentAt);
+                     });
+}
+
+void Leader::watchWorkers() {
+  for (const auto &[Id, Where] : Dispatcher_.workers()) {
+    Watch &State = Watches_[Id];
+    if (!State.Looking_ && !State.Waiting_)
+      look(Id, false);
+  }
+}
+
+void Leader::scheduleLook(const std::string &Id, Millis Delay) {
+  Watch &State = Watches_[Id];
+  if (State.Waiting_ || State.Looking_ || Stopped_)
+    return;
+  State.Waiting_ = true;
+  Ports_.Timers_.after(Delay, [Self = shared_from_this(), Id] {
+    Self->Watches_[Id].Waiting_ = false;
+    Self->look(Id, false);
+  });
+}
+
+void Leader::look(const std::string &Id, bool Probe) {
+  const dispatch::Worker *Where = Dispatcher_.findWorker(Id);
+  if (Stopped_ || !Where) {
+    Watches_.erase(Id);
+    return;
+  }
+  Watch &State = Watches_[Id];
+  bool &Open = Probe ? State.Probing_ : State.Looking_;
+  if (Open)
+    return;
+  Open = true;
+  LookOrder Order;
+  Order.LastRecorded_ = State.Recorded_;
+  const bool Known = Where->Contact_ == dispatch::Contact::Good;
+  if (confirmed())
+    Order.LeaseEnd_ = Dispatcher_.leaseEnd(*Where, now());
+  if (Known && !Probe && State.Seen_ == State.Recorded_)
+    Order.Wait_ = Dispatcher_.lookWait(Id);
+  const Millis SentAt = now();
+  Ports_.Workers_.look(
+      WorkerTarget{Id, Where->Info_.Address_, View_.Epoch_}, Order,
+      [Self = shared_from_this(), Id, Probe, SentAt](Result<LookReply> Reply) {
+        Self->looked(Id, Probe, SentAt, Reply);
+      });
+}
+
+void Leader::looked(const std::string &Id, bool Probe, Millis SentAt,
+                    const Result<LookReply> &Reply) {
+  if (Stopped_)
+    return;
+  Watch &State = Watches_[Id];
+  (Probe ? State.Probing_ : State.Looking_) = false;
+  if (!Reply) {
+    ++State.Failures_;
+    if (State.Failures_ >= FailuresBeforeSilent ||
+        Reply.error().Reason_ == Reason::ConnectFailed)
+      Dispatcher_.noteLookFailure(Id, Reply.error(), now());
+    if (!Probe)
+      scheduleLook(Id, LookRetry);
+    return wake();
+  }
+  State.Failures_ = 0;
+  if (State.Born_ != Reply.value().Born_) {
+    State.Born_ = Reply.value().Born_;
+    State.Seen_ = 0;
+    State.Recorded_ = 0;
+  }
+  Dispatcher_.noteLook(Id, Reply.value(), SentAt, now());
+  for (const EndedTask &Each : Reply.value().Ended_)
+    State.Seen_ = std::max(State.Seen_, Each.Number_);
+  if (Dispatcher_.fenced())
+    return lose();
+  Recorder_.touch();
+  if (State.Seen_ > State.Recorded_) {
+    const std::int64_t Seen = State.Seen_;
+    const std::int64_t Born = State.Born_;
+    Recorder_.whenRecorded([Self = shared_from_this(), Id, Seen, Born] {
+      Watch &Later = Self->Watches_[Id];
+      if (Later.Born_ != Born || Seen <= Later.Recorded_)
+        return;
+      Later.Recorded_ = Seen;
+      Self->look(Id, false);
+    });
+  }
+  decide();
+  if (Probe || State.Looking_)
+    return;
+  const bool Unrecorded = State.Seen_ > State.Recorded_;
+  if (Unrecorded)
+    scheduleLook(Id, UnrecordedLook);
+  else
+    look(Id, false);
+}
+
+void Leader::wake() {
+  if (WakeScheduled_ || Stopped_)
+    return;
+  WakeScheduled_ = true;
+  Ports_.Timers_.after(WakeDelay, [Self = shared_from_this()] {
+    Self->WakeScheduled_ = false;
+    Self->decide();
+  });
+}
+
+void Leader::decide() {
+  if (Stopped_ || !Loaded_)
+    return;
+  if (Dispatcher_.fenced())
+    return lose();
+  // Orders of a leader that may have been replaced could run work twice.
+  if (confirmed())
+    carryOut(Dispatcher_.decide(now()));
+  Recorder_.touch();
+  writeDecisions();
+}
+
+void Leader::carryOut(const dispatch::Actions &Todo) {
+  for (const dispatch::StartAction &Each : Todo.Starts_)
+    Ports_.Workers_.start(
+        Each.Target_, Each.Order_,
+        [Self = shared_from_this(), Each](const Result<OrderReply> &Reply) {
+          if (Self->Stopped_)
+            return;
+          Self->Dispatcher_.noteStart(Each, Reply, Self->now());
+          const bool Clear =
+              Reply && Reply.value().Outcome_ == OrderOutcome::Done;
+          if (!Reply && Reply.error().Effect_ != Effect::None)
+            Self->look(Each.Target_.Worker_, true);
+          if (!Clear)
+            Self->wake();
+        });
+  for (const dispatch::StopAction &Each : Todo.Stops_)
+    Ports_.Workers_.stop(
+        Each.Target_, Each.Task_, Each.Attempt_,
+        [Self = shared_from_this(), Each](const Result<OrderReply> &Reply) {
+          if (Self->Stopped_)
+            return;
+          Self->Dispatcher_.noteStop(Each, Reply, Self->now());
+          if (Reply)
+            Self->look(Each.Target_.Worker_, true);
+        });
+  for (const dispatch::PaceAction &Each : Todo.Paces_)
+    Ports_.Workers_.pace(
+        Each.Target_, Each.Task_, Each.Attempt_, Each.Percent_,
+        [Self = shared_from_this(), Each](const Result<OrderReply> &Reply) {
+          if (!Self->Stopped_)
+            Self->Dispatcher_.notePace(Each, Reply.has_value());
+        });
+  for (const dispatch::AdviceQuestion &Each : Todo.Questions_)
+    Advice_.ask(Each);
+}
+
+void Leader::writeDecisions() {
+  for (const dispatch::Decision &Each : Dispatcher_.takeDecisions())
+    note(Ports_, LogLevel::Info, Each.Request_, Each.Step_, Each.Peer_,
+         Each.Text_);
+}
+
+void Leader::submit(const dispatch::JobSpec &Spec, const RpcReply &Reply) {
+  if (!active())
+    return Reply(notReady("submit"));
+  const auto Open = Submitting_.find(Spec.Id_);
+  if (Open != Submitting_.end()) {
+    Open->second.push_back(Reply);
+    return;
+  }
+  if (Dispatcher_.findJob(Spec.Id_)) {
+    if (Dispatcher_.isConfirmed(Spec.Id_))
+      return Reply(Json::Value(Json::objectValue));
+    return Reply(Error{Reason::AnswerLost, Effect::Unknown, "submit", "",
+                       "an earlier write of the job got no answer"});
+  }
+  const Status Fits = Dispatcher_.checkFits(Spec);
+  if (!Fits)
+    return Reply(Fits.error());
+  Dispatcher_.addJob(Spec, now());
+  Submitting_[Spec.Id_].push_back(Reply);
+  Recorder_.recordJob(
+      Spec.Id_, [Self = shared_from_this(), Id = Spec.Id_](Status Outcome) {
+        const auto Found = Self->Submitting_.find(Id);
+        if (Found == Self->Submitting_.end())
+          return;
+        const std::vector<RpcReply> Replies = std::move(Found->second);
+        Self->Submitting_.erase(Found);
+        note(Self->Ports_, LogLevel::Info, Id, "accept job", "",
+             Outcome ? "recorded" : describe(Outcome.error()));
+        for (const RpcReply &Each : Replies) {
+          if (Outcome)
+            Each(Json::Value(Json::objectValue));
+          else
+            Each(Outcome.error());
+        }
+        Self->wake();
+      });
+}
+
+void Leader::state(const std::string &Id, const RpcReply &Reply) const {
+  if (!active())
+    return Reply(notReady("state"));
+  const dispatch::JobRun *Job = Dispatcher_.findJob(Id);
+  if (!Job)
+    return Reply(
+        Error{Reason::NotFound, Effect::None, "state", "", "no such job"});
+  dispatch::JobState Shown = Job->State_;
+  // An end that is not recorded could be forgotten with this leader.
+  if (dispatch::isTerminal(Shown) && Job->RecordedState_ != Shown)
+    Shown = dispatch::JobState::Active;
+  Json::Value Out;
+  Out["state"] = static_cast<int>(Shown);
+  Reply(std::move(Out));
+}
+
+void Leader::cancel(const std::string &Id, const RpcReply &Reply) {
+  if (!active())
+    return Reply(notReady("cancel"));
+  const dispatch::JobRun *Job = Dispatcher_.findJob(Id);
+  if (Job && !Dispatcher_.isConfirmed(Id))
+    return Reply(notReady("cancel"));
+  if (!Job)
+    return Reply(
+        Error{Reason::NotFound, Effect::None, "cancel", "", "no such job"});
+  if (Dispatcher_.cancelJob(Id, now()))
+    decide();
+  Recorder_.touch();
+  Recorder_.whenRecorded([Reply] { Reply(Json::Value(Json::objectValue)); });
+}
+
+void Leader::pending(const std::string &Queue, const RpcReply &Reply) const {
+  if (!active())
+    return Reply(notReady("pending"));
+  Json::Value Out;
+  Out["pending"] = Dispatcher_.pendingJobs(Queue);
+  Reply(std::move(Out));
+}
+
+} // namespace damaskglade::cell
--- /dev/null
+++ b/cell/member.cpp
@@ -0,0 +1,410 @@
+#include "cell/member.h"
+
+#include "core/codec.h"
+
+#include <algorithm>
+
+namespace damaskglade::cell {
+
+namespace {
+
+constexpr Millis PingPeriod{400};
+constexpr Millis PingTimeout{700};
+// Two pings in a row have failed by then.
+constexpr Millis SilenceLimit{1300};
+constexpr Millis NodeLifetime{1500};
+constexpr Millis HearsTimeout{300};
+constexpr Millis ElectionGap{400};
+constexpr Millis CallRetry{100};
+constexpr Millis CallTimeout{1500};
+constexpr Millis HandOverGap{500};
+constexpr Millis ResignTimeout{800};
+constexpr int MaxJitterMillis = 120;
+
+std::string encodeView(const CellSettings &Settings, std::int64_t Epoch) {
+  Json::Value Out;
+  Out["epoch"] = Json::Int64(Epoch);
+  Out["node"] = Settings.Node_;
+  Out["address"] = Settings.PeerListen_;
+  return writeJson(Out);
+}
+
+Result<LeaderView> decodeView(const StoredRow &Row) {
+  BOOST_OUTCOME_TRY(Value, parseJson(Row.Value_, "decode leader row"));
+  LeaderView View;
+  View.Epoch_ = Value["epoch"].asInt64();
+  View.Node_ = Value["node"].asString();
+  View.Address_ = Value["address"].asString();
+  View.Version_ = Row.Version_;
+  return View;
+}
+
+} // namespace
+
+bool shouldTakeOver(const ElectionInput &Input) {
+  if (Input.OtherNodeHearsIt_)
+    return false;
+  return Input.Refused_ || Input.SaysItDoesNotLead_ ||
+         Input.SilentFor_ > SilenceLimit;
+}
+
+Member::Member(const CellPorts &Ports, CellSettings Settings)
+    : Ports_(Ports), Settings_(std::move(Settings)),
+      Random_(static_cast<unsigned>(
+          std::hash<std::string>()(Settings_.PeerListen_))) {}
+
+void Member::start() {
+  Started_ = true;
+  HeardAt_ = now();
+  tick();
+}
+
+void Member::setConfig(const CellConfig &Config) {
+  Config_ = Config;
+  if (Leader_)
+    Leader_->setConfig(Config);
+}
+
+bool Member::ready() const {
+  if (Resigned_ || !Config_)
+    return false;
+  if (leads())
+    return Leader_->active();
+  return View_.Epoch_ > 0 && now() < HeardAt_ + SilenceLimit;
+}
+
+void Member::scheduleTick(Millis Delay) {
+  Ports_.Timers_.after(Delay, [Self = shared_from_this()] { Self->tick(); });
+}
+
+void Member::tick() {
+  scheduleTick(PingPeriod);
+  if (leads()) {
+    Leader_->setNodes(liveNodes());
+    if (Leader_->shouldHandOver() && now() > HandOverAt_ + HandOverGap)
+      handOver();
+    return;
+  }
+  if (View_.Epoch_ == 0)
+    return readLeader();
+  ping();
+}
+
+std::vector<std::string> Member::liveNodes() const {
+  std::vector<std::string> Out;
+  for (const auto &[Address, HeardAt] : Nodes_)
+    if (now() < HeardAt + NodeLifetime)
+      Out.push_back(Address);
+  return Out;
+}
+
+void Member::ping() {
+  Json::Value Params;
+  Params["address"] = Settings_.PeerListen_;
+  Params["epoch"] = Json::Int64(View_.Epoch_);
+  const std::string Address = View_.Address_;
+  Ports_.Peers_.call(
+      Address, "node.ping", Params, PingTimeout,
+      [Self = shared_from_this(), Address](const Result<Json::Value> &Reply) {
+        Self->pinged(Reply, Address);
+      });
+}
+
+void Member::pinged(const Result<Json::Value> &Reply,
+                    const std::string &Address) {
+  if (leads() || Address != View_.Address_)
+    return;
+  Input_ = ElectionInput{};
+  if (Reply && Reply.value()["leads"].asBool()) {
+    HeardAt_ = now();
+    Members_.clear();
+    for (const Json::Value &Each : Reply.value()["nodes"])
+      Members_.insert(Each.asString());
+    return;
+  }
+  Input_.SaysItDoesNotLead_ = Reply.has_value();
+  Input_.Refused_ = !Reply && Reply.error().Reason_ == Reason::ConnectFailed;
+  Input_.SilentFor_ = now() - HeardAt_;
+  if (shouldTakeOver(Input_))
+    readLeader();
+}
+
+void Member::readLeader() {
+  if (Reading_ || leads())
+    return;
+  Reading_ = true;
+  Ports_.Store_.read(
+      RowRange{LeaderTable, CellPart, LeaderKey},
+      [Self = shared_from_this()](const Result<RowPage> &Page) {
+        Self->Reading_ = false;
+        if (Self->leads() || Self->Resigned_)
+          return;
+        if (!Page) {
+          Self->Ports_.Log_.write(failureEvent(Page.error(), ""));
+          return;
+        }
+        const auto &Rows = Page.value().Rows_;
+        if (Rows.empty())
+          return Self->takeOver();
+        const auto View = decodeView(Rows.front());
+        if (!View) {
+          Self->Ports_.Log_.write(failureEvent(View.error(), ""));
+          return;
+        }
+        if (View.value().Version_ != Self->View_.Version_)
+          return Self->follow(View.value());
+        Self->judge();
+      });
+}
+
+// The row still names the leader that was lost.
+void Member::judge() {
+  if (View_.Address_ == Settings_.PeerListen_)
+    return takeOver();
+  if (Input_.Refused_ || Input_.SaysItDoesNotLead_) {
+    const Millis Jitter{static_cast<std::int64_t>(Random_() % MaxJitterMillis)};
+    Ports_.Timers_.after(Jitter,
+                         [Self = shared_from_this()] { Self->takeOver(); });
+    return;
+  }
+  askOthers();
+}
+
+void Member::askOthers() {
+  if (now() < ElectionAt_ + ElectionGap)
+    return;
+  ElectionAt_ = now();
+  struct Poll {
+    std::size_t Open_ = 1;
+    bool Heard_ = false;
+  };
+  const auto Answers = std::make_shared<Poll>();
+  const auto Finish = [Self = shared_from_this(), Answers] {
+    if (--Answers->Open_ > 0 || Self->leads())
+      return;
+    Self->Input_.OtherNodeHearsIt_ = Answers->Heard_;
+    Self->Input_.SilentFor_ = Self->now() - Self->HeardAt_;
+    if (shouldTakeOver(Self->Input_))
+      Self->takeOver();
+    else
+      note(Self->Ports_, LogLevel::Warning, "", "watch leader",
+           Self->View_.Address_, "silent here, but heard by another node");
+  };
+  Json::Value Params;
+  Params["epoch"] = Json::Int64(View_.Epoch_);
+  for (const std::string &Each : Members_) {
+    if (Each == Settings_.PeerListen_ || Each == View_.Address_)
+      continue;
+    ++Answers->Open_;
+    Ports_.Peers_.call(Each, "node.hears", Params, HearsTimeout,
+                       [Answers, Finish](const Result<Json::Value> &Reply) {
+                         if (Reply && Reply.value()["hears"].asBool())
+                           Answers->Heard_ = true;
+                         Finish();
+                       });
+  }
+  Finish();
+}
+
+void Member::takeOver() {
+  if (Electing_ || leads() || Resigned_)
+    return;
+  Electing_ = true;
+  const std::int64_t Epoch = View_.Epoch_ + 1;
+  RowTransaction Change;
+  Change.Conditions_.push_back(RowCondition{leaderRow(), View_.Version_});
+  Change.Puts_.push_back(RowPut{leaderRow(), encodeView(Settings_, Epoch)});
+  note(Ports_, LogLevel::Info, "", "elect", View_.Address_,
+       "taking over with epoch=" + std::to_string(Epoch) +
+           " refused=" + std::to_string(Input_.Refused_) +
+           " not_leading=" + std::to_string(Input_.SaysItDoesNotLead_) +
+           " silent_ms=" + std::to_string(Input_.SilentFor_.Value_));
+  Ports_.Store_.transact(
+      Change, [Self = shared_from_this(),
+               Epoch](const Result<TransactionOutcome> &Outcome) {
+        Self->Electing_ = false;
+        if (Self->leads() || Self->Resigned_)
+          return;
+        if (!Outcome) {
+          Self->Ports_.Log_.write(failureEvent(Outcome.error(), ""));
+          // The write may have been done: the row tells.
+          Self->Ports_.Timers_.after(CallRetry, [Self] { Self->readLeader(); });
+          return;
+        }
+        if (!Outcome.value().Applied_)
+          return Self->readLeader();
+        Self->lead(LeaderView{Epoch, Self->Settings_.Node_,
+                              Self->Settings_.PeerListen_,
+                              Outcome.value().Version_});
+      });
+}
+
+void Member::lead(const LeaderView &View) {
+  View_ = View;
+  Leader_ = std::make_shared<Leader>(
+      Ports_, Settings_, View, [Self = shared_from_this()] {
+        // Later, since the leader is in the middle of a callback.
+        Self->Ports_.Timers_.after(Millis{}, [Self] {
+          Self->Leader_.reset();
+          Self->HeardAt_ = Self->now();
+          Self->readLeader();
+        });
+      });
+  Leader_->setNodes(liveNodes());
+  if (Config_)
+    Leader_->setConfig(*Config_);
+  Leader_->start();
+}
+
+void Member::follow(const LeaderView &View) {
+  View_ = View;
+  HeardAt_ = now();
+  Input_ = ElectionInput{};
+  note(Ports_, LogLevel::Info, "", "follow", View.Address_,
+       "epoch=" + std::to_string(View.Epoch_));
+  ping();
+}
+
+void Member::handOver() {
+  HandOverAt_ = now();
+  Json::Value Params;
+  Params["epoch"] = Json::Int64(View_.Epoch_);
+  for (const std::string &Each : liveNodes())
+    Ports_.Peers_.call(Each, "node.take_lead", Params, ResignTimeout,
+                       [](const Result<Json::Value> &) {
+                         // The new leader shows by its row or its fence.
+                       });
+}
+
+void Member::resign(std::function<void()> Done) {
+  Resigned_ = true;
+  if (!leads())
+    return Done();
+  Leader_->stop();
+  const std::vector<std::string> Nodes = liveNodes();
+  Leader_.reset();
+  HeardAt_ = now();
+  if (Nodes.empty())
+    return Done();
+  Json::Value Params;
+  Params["epoch"] = Json::Int64(View_.Epoch_);
+  const std::size_t Chosen = Random_() % Nodes.size();
+  Ports_.Peers_.call(
+      Nodes[Chosen], "node.take_lead", Params, ResignTimeout,
+      [Self = shared_from_this(), Done](const Result<Json::Value> &Reply) {
+        note(Self->Ports_, LogLevel::Info, "", "resign", "",
+             Reply ? "passed the lead on" : describe(Reply.error()));
+        Done();
+      });
+}
+
+void Member::answerPing(const Json::Value &Params, const RpcReply &Reply) {
+  Nodes_[Params["address"].asString()] = now();
+  Json::Value Out;
+  Out["leads"] = leads() && !Resigned_;
+  Out["epoch"] = Json::Int64(View_.Epoch_);
+  Out["nodes"] = Json::arrayValue;
+  for (const std::string &Each : liveNodes())
+    Out["nodes"].append(Each);
+  Reply(std::move(Out));
+}
+
+void Member::answerHears(const Json::Value &Params,
+                         const RpcReply &Reply) const {
+  Json::Value Out;
+  Out["hears"] = View_.Epoch_ >= Params["epoch"].asInt64() &&
+                 (leads() || now() < HeardAt_ + SilenceLimit / 2);
+  Reply(std::move(Out));
+}
+
+void Member::addMethods(RpcServer &Server) {
+  const auto Self = shared_from_this();
+  Server.add("node.ping", [Self](const Json::Value &Params, RpcReply Reply) {
+    Self->answerPing(Params, Reply);
+  });
+  Server.add("node.hears", [Self](const Json::Value &Params, RpcReply Reply) {
+    Self->answerHears(Params, Reply);
+  });
+  Server.add("node.take_lead",
+             [Self](const Json::Value &Params, RpcReply Reply) {
+               if (Params["epoch"].asInt64() >= Self->View_.Epoch_)
+                 Self->takeOver();
+               Reply(Json::Value(Json::objectValue));
+             });
+  Server.add("advice.ask", [Self](const Json::Value &Params, RpcReply Reply) {
+    serveAdvice(Self->Ports_, Params, Reply);
+  });
+  for (const char *Method :
+       {"job.submit", "job.state", "job.cancel", "queue.pending"})
+    Server.add(Method,
+               [Self, Method](const Json::Value &Params, RpcReply Reply) {
+                 Self->serveLocal(Method, Params, Reply);
+               });
+}
+
+void Member::serveLocal(const std::string &Method, const Json::Value &Params,
+                        const RpcReply &Reply) {
+  if (!leads())
+    return Reply(Error{Reason::NotOwner, Effect::None, Method, "",
+                       "this node does not lead"});
+  const std::string Id = Params["id"].asString();
+  if (Method == "job.state")
+    return Leader_->state(Id, Reply);
+  if (Method == "job.cancel")
+    return Leader_->cancel(Id, Reply);
+  if (Method == "queue.pending")
+    return Leader_->pending(Params["queue"].asString(), Reply);
+  auto Spec = dispatch::decodeSpec(Id, Params["spec"].asString());
+  if (!Spec)
+    return Reply(Spec.error());
+  Leader_->submit(Spec.value(), Reply);
+}
+
+void Member::callLeader(const std::string &Method, const Json::Value &Params,
+                        Millis Deadline, RpcReply Reply) {
+  tryCall(std::make_shared<OpenCall>(
+      OpenCall{Method, Params, Deadline, std::move(Reply), false}));
+}
+
+void Member::tryCall(const std::shared_ptr<OpenCall> &Call) {
+  const auto Answer = [Self = shared_from_this(),
+                       Call](Result<Json::Value> Reply) {
+    if (Reply)
+      return Call->Reply_(std::move(Reply));
+    const Error &Failure = Reply.error();
+    const bool Final = Failure.Reason_ == Reason::NotFound ||
+                       Failure.Reason_ == Reason::NeverFits ||
+                       Failure.Reason_ == Reason::InvalidField ||
+                       Failure.Reason_ == Reason::QueueFull ||
+                       Failure.Reason_ == Reason::DeadlineUnreachable ||
+                       Failure.Reason_ == Reason::TableUnavailable;
+    if (Final && !Call->Unclear_)
+      return Call->Reply_(Failure);
+    Call->Unclear_ = Call->Unclear_ || Failure.Effect_ != Effect::None;
+    Self->retryCall(Call, Failure);
+  };
+  if (leads())
+    return serveLocal(Call->Method_, Call->Params_, Answer);
+  if (View_.Epoch_ == 0 || View_.Address_ == Settings_.PeerListen_)
+    return Answer(Error{Reason::NotReady, Effect::None, Call->Method_, "",
+                        "no leader is known"});
+  const Millis Left = Call->Deadline_ - now();
+  Ports_.Peers_.call(View_.Address_, Call->Method_, Call->Params_,
+                     std::min(CallTimeout, std::max(Left, Millis{1})), Answer);
+}
+
+void Member::retryCall(const std::shared_ptr<OpenCall> &Call,
+                       const Error &Failure) {
+  Ports_.Metrics_.countRetry(Failure.Reason_);
+  if (now() + CallRetry + CallRetry > Call->Deadline_) {
+    Error Last = Failure;
+    Last.Effect_ = Call->Unclear_ ? Effect::Unknown : Effect::None;
+    return Call->Reply_(Last);
+  }
+  if (!leads() && Failure.Reason_ != Reason::NotReady)
+    ping();
+  Ports_.Timers_.after(
+      CallRetry, [Self = shared_from_this(), Call] { Self->tryCall(Call); });
+}
+
+} // namespace damaskglade::cell
--- /dev/null
+++ b/cell/rpc.cpp
@@ -0,0 +1,86 @@
+#include "cell/rpc.h"
+
+#include "core/codec.h"
+
+namespace damaskglade::cell {
+
+namespace {
+
+constexpr int Ok = 200;
+
+Result<Json::Value> decodeReply(const WebReply &Reply,
+                                const std::string &Method,
+                                const std::string &Address) {
+  auto Parsed = parseJson(Reply.Body_, Method);
+  if (!Parsed || Reply.Status_ != Ok)
+    return Error{Reason::AnswerTruncated, Effect::Unknown, Method, Address,
+                 "peer answered status " + std::to_string(Reply.Status_)};
+  const Json::Value &Body = Parsed.value();
+  if (!Body.isMember("error"))
+    return Body["result"];
+  Error Failure = decodeError(Body["error"]["data"]);
+  if (Failure.Peer_.empty())
+    Failure.Peer_ = Address;
+  return Failure;
+}
+
+} // namespace
+
+void RpcClient::call(const std::string &Address, const std::string &Method,
+                     const Json::Value &Params, Millis Timeout, RpcReply Done) {
+  Json::Value Body;
+  Body["jsonrpc"] = "2.0";
+  Body["id"] = 1;
+  Body["method"] = Method;
+  Body["params"] = Params;
+  WebCall Call;
+  Call.Address_ = Address;
+  Call.Method_ = "POST";
+  Call.Target_ = "/rpc";
+  Call.Body_ = writeJson(Body);
+  Call.Timeout_ = Timeout;
+  Http_.call(Call,
+             [Method, Address, Done = std::move(Done)](Result<WebReply> Reply) {
+               if (!Reply)
+                 return Done(Reply.error());
+               Done(decodeReply(Reply.value(), Method, Address));
+             });
+}
+
+void RpcServer::add(const std::string &Name, RpcMethod Method) {
+  Methods_[Name] = std::move(Method);
+}
+
+void RpcServer::handle(const WebRequest &Request,
+                       const WebReplier &Reply) const {
+  const auto Send = [Reply](Result<Json::Value> Outcome) {
+    Json::Value Body;
+    Body["jsonrpc"] = "2.0";
+    Body["id"] = 1;
+    if (Outcome) {
+      Body["result"] = std::move(Outcome).value();
+    } else {
+      constexpr int ServerError = -32000;
+      Body["error"]["code"] = ServerError;
+      Body["error"]["message"] = Outcome.error().Message_;
+      Body["error"]["data"] = encodeError(Outcome.error());
+    }
+    Reply(WebReply{Ok, writeJson(Body)});
+  };
+  const auto Parsed = parseJson(Request.Body_, "decode peer call");
+  if (!Parsed)
+    return Send(Parsed.error());
+  const Json::Value &Body = Parsed.value();
+  const auto Found = Methods_.find(Body["method"].asString());
+  if (Found == Methods_.end())
+    return Send(Error{Reason::NotFound, Effect::None, "peer call", "",
+                      "no such method"});
+  try {
+    Found->second(Body["params"], Send);
+  } catch (const Json::Exception &Failure) {
+    Send(Error{Reason::InvalidField, Effect::None, Found->first, "",
+               Failure.what()});
+  }
+}
+
+} // namespace damaskglade::cell
--- /dev/null
+++ b/cell/rpc.h
@@ -0,0 +1,41 @@
+#ifndef DAMASKGLADE_CELL_RPC_H
+#define DAMASKGLADE_CELL_RPC_H
+
+#include "ports/async_http.h"
+
+#include <functional>
+#include <json/value.h>
+#include <map>
+#include <string>
+
+namespace damaskglade::cell {
+
+using RpcReply = std::function<void(Result<Json::Value>)>;
+/// Handles one call; replies at once or later.
+using RpcMethod = std::function<void(const Json::Value &Params, RpcReply)>;
+
+/// JSON-RPC 2.0 calls to other nodes. Errors carry the peer's own error, or
+/// that of the connection.
+class RpcClient {
+public:
+  explicit RpcClient(WebClient &Http) : Http_(Http) {}
+  void call(const std::string &Address, const std::string &Method,
+            const Json::Value &Params, Millis Timeout, RpcReply Done);
+
+private:
+  WebClient &Http_;
+};
+
+/// Answers JSON-RPC 2.0 calls of other nodes.
+class RpcServer {
+public:
+  void add(const std::string &Name, RpcMethod Method);
+  void handle(const WebRequest &Request, const WebReplier &Reply) const;
+
+private:
+  std::map<std::string, RpcMethod> Methods_;
+};
+
+} // namespace damaskglade::cell
+
+#endif
--- /dev/null
+++ b/dispatch/dispatcher.h
@@ -0,0 +1,251 @@
+#ifndef DAMASKGLADE_DISPATCH_DISPATCHER_H
+#define DAMASKGLADE_DISPATCH_DISPATCHER_H
+
+#include "dispatch/fleet.h"
+#include "dispatch/job_run.h"
+#include "dispatch/placement.h"
+#include "dispatch/ranking.h"
+#include "ports/advisor.h"
+#include "ports/task_worker.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskglade::dispatch {
+
+/// Limits that come from the deployment.
+struct DispatchLimits {
+  Millis Lease_{8000};       ///< Length of the leases given to workers.
+  Millis LeaderGrace_{2000}; ///< Time an unconfirmed leader may give leases.
+  Millis GangWait_{3000};    ///< Workers end gang members that wait longer.
+  /// Share of the fleet's processors that batch work leaves free.
+  double UrgentReserve_ = 0.06;
+
+  friend bool operator==(const DispatchLimits &,
+                         const DispatchLimits &) = default;
+};
+
+struct StartAction {
+  WorkerTarget Target_;
+  TaskRef Task_;
+  StartOrder Order_;
+  bool Gang_ = false;
+
+  friend bool operator==(const StartAction &, const StartAction &) = default;
+};
+
+struct StopAction {
+  WorkerTarget Target_;
+  std::string Task_;
+  std::int64_t Attempt_ = 0;
+  std::string Why_;
+
+  friend bool operator==(const StopAction &, const StopAction &) = default;
+};
+
+struct PaceAction {
+  WorkerTarget Target_;
+  std::string Task_;
+  std::int64_t Attempt_ = 0;
+  int Percent_ = 100;
+
+  friend bool operator==(const PaceAction &, const PaceAction &) = default;
+};
+
+/// A question to the advice service.
+struct AdviceQuestion {
+  std::string Job_;
+  int Step_ = 0;
+  std::vector<std::string> Workers_;
+  Millis Expected_{}; ///< Time that the service takes.
+  int Priority_ = 0;
+
+  friend bool operator==(const AdviceQuestion &,
+                         const AdviceQuestion &) = default;
+};
+
+struct Actions {
+  std::vector<StartAction> Starts_;
+  std::vector<StopAction> Stops_;
+  std::vector<PaceAction> Paces_;
+  std::vector<AdviceQuestion> Questions_;
+
+  bool empty() const {
+    return Starts_.empty() && Stops_.empty() && Paces_.empty() &&
+           Questions_.empty();
+  }
+};
+
+/// One decision, for the log.
+struct Decision {
+  std::string Request_;
+  std::string Step_;
+  std::string Peer_;
+  std::string Text_;
+
+  friend bool operator==(const Decision &, const Decision &) = default;
+};
+
+/// Decides which task runs where, from events alone: no I/O and no clock of
+/// its own. All of it belongs to the one leader of a cell, whose epoch fences
+/// its orders.
+class Dispatcher {
+public:
+  Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
+
+  void setQueues(std::map<std::string, QueuePolicy> Queues);
+
+  // Jobs.
+
+  /// Adds a job that a caller handed in. Nothing of it starts before
+  /// confirmJob(). False if the job is already there.
+  bool addJob(const JobSpec &Spec, Millis Now);
+  /// The job's row has been written.
+  void confirmJob(const std::string &Id);
+  void dropJob(const std::string &Id);
+  /// Whether the job's row is known to be written.
+  bool isConfirmed(const std::string &Id) const {
+    return Unconfirmed_.count(Id) == 0;
+  }
+  /// Adds a job that an earlier leader recorded.
+  void restoreJob(const JobSpec &Spec, const JobProgress &Progress, Millis Now);
+  /// Refuses what can never run. Errors: never_fits.
+  Status checkFits(const JobSpec &Spec) const;
+  /// False if there is no such job or it has ended.
+  bool cancelJob(const std::string &Id, Millis Now);
+  /// The state of a job as far as it is recorded; null if there is none.
+  const JobRun *findJob(const std::string &Id) const;
+  /// Jobs of the queue of which no task has started.
+  int pendingJobs(const std::string &Queue) const;
+  JobProgress progressOf(const std::string &Id) const;
+  /// Jobs whose progress changed since the last call.
+  std::vector<std::string> takeChangedJobs();
+  void noteRecorded(const std::string &Id, JobState State);
+  /// Forgets jobs that ended before the time; returns their ids.
+  std::vector<std::string> forgetEnded(Millis Before);
+
+  // Workers.
+
+  /// The registry's list of a moment; workers that are missing take no more.
+  void setWorkers(const std::vector<WorkerInfo> &Workers, Millis Now);
+  void noteLook(const std::string &Worker, const LookReply &Reply,
+                Millis SentAt, Millis Now);
+  void noteLookFailure(const std::string &Worker, const Error &Failure,
+                       Millis Now);
+  /// Gives up what runs on workers whose leases have lapsed.
+  void expireSilent(Millis Now);
+  const Worker *findWorker(const std::string &Id) const;
+  const std::map<std::string, Worker> &workers() const { return Workers_; }
+  /// Lease end on the worker's clock for an order sent now; zero if the
+  /// worker's clock is not known.
+  Millis leaseEnd(const Worker &Where, Millis Now) const;
+
+  // Replies to orders.
+
+  void noteStart(const StartAction &Order, const Result<OrderReply> &Reply,
+                 Millis Now);
+  void noteStop(const StopAction &Order, const Result<OrderReply> &Reply,
+                Millis Now);
+  void notePace(const PaceAction &Order, bool Taken);
+  void noteAdvice(const AdviceQuestion &Question,
+                  const Result<std::vector<AdvisedWorker>> &Reply, Millis Now);
+
+  /// Decides what to do next.
+  Actions decide(Millis Now);
+  /// How long the next look at a worker may wait for an end.
+  Millis lookWait(const std::string &Worker) const;
+  std::vector<Decision> takeDecisions();
+  bool fenced() const { return Fenced_; }
+  std::int64_t epoch() const { return Epoch_; }
+
+  /// Differences between the books and a recount; empty if they agree.
+  std::string verify() const;
+
+private:
+  struct StepKey {
+    JobRun *Job_ = nullptr;
+    int Step_ = 0;
+    const QueuePolicy *Policy_ = nullptr;
+    Rank Rank_;
+  };
+
+  JobRun *job(const std::string &Id);
+  TaskState *task(const TaskRef &Ref);
+  const QueuePolicy &policyOf(const JobRun &Job) const;
+  WorkerTarget target(const Worker &Where) const;
+  void changed(const std::string &Id) { Changed_.insert(Id); }
+  void log(const std::string &Request, const std::string &Step,
+           const std::string &Peer, const std::string &Text);
+  void initialize(JobRun &Job, Millis Now) const;
+  void finishJob(JobRun &Job, JobState State, Millis Now);
+  void readySteps(JobRun &Job, Millis Now);
+  bool awaitsEarlierLeader(const JobRun &Job) const;
+
+  void bookRun(TaskState &Task, const TaskRef &Ref, const StepSpec &Step,
+               Run Attempt);
+  void releaseRun(TaskState &Task, const TaskRef &Ref, const StepSpec &Step);
+  void loseRuns(Worker &Where, bool KeepStarting, Millis Now);
+  void orderStop(const TaskRef &Ref, TaskState &Task, const std::string &Why,
+                 Millis Now);
+  void stopStepRuns(JobRun &Job, int Step, const std::string &Why, Millis Now);
+  void noteClock(Worker &Where, Millis Clock, Millis SentAt, Millis Now);
+  void noteEnd(Worker &Where, const EndedTask &End, Millis Now);
+  void applyEnd(JobRun &Job, const TaskRef &Ref, const EndedTask &End,
+                Worker &Where, Millis Now);
+  void noteRunning(Worker &Where, const RunningEntry &Entry, Millis SentAt,
+                   Millis Now);
+  void dropMissing(Worker &Where, const LookReply &Reply, Millis SentAt,
+                   Millis Now);
+  void stopForeign(Worker &Where, const RunningEntry &Entry, Millis Now);
+  void markDone(JobRun &Job, const TaskRef &Ref, Millis Now);
+  void markFailed(JobRun &Job, const TaskRef &Ref, std::int64_t Attempt,
+                  Millis Now);
+
+  std::vector<StepKey> rankedSteps(Millis Now);
+  void measureFleet(Millis Now);
+  std::vector<Candidate> candidates(const StepKey &Key, Millis Now);
+  void placeStep(const StepKey &Key, Millis Now);
+  bool placeGang(const StepKey &Key, std::vector<Candidate> Places, Millis Now);
+  void startTask(const StepKey &Key, int Index, Candidate &Place,
+                 std::int64_t Attempt, Millis Now);
+  bool keepsReserve(const StepKey &Key, const StepSpec &Step) const;
+  void preemptFor(const StepKey &Key, int Missing,
+                  const std::vector<Candidate> &Places, Millis Now);
+  std::vector<TaskRef> victimsOn(const Worker &Where, const Size &Need,
+                                 const StepKey &Key, double &Cost) const;
+  void adviseStep(const StepKey &Key, bool Soon, Millis Now);
+  std::vector<std::string> workersToAsk(const StepKey &Key, Millis Now) const;
+  Millis untilReady(const JobRun &Job, int Step, Millis Now) const;
+  void repeatStops(Millis Now);
+  void stopStalled(Millis Now);
+  void evacuate(Millis Now);
+  void paceFillers(Millis Now);
+  Candidate candidateAt(Worker &Where, const JobRun &Job, int Step) const;
+
+  const DispatchLimits Limits_;
+  const std::int64_t Epoch_;
+  const Millis StartedAt_;
+  std::map<std::string, QueuePolicy> Queues_;
+  std::unordered_map<std::string, std::unique_ptr<JobRun>> Jobs_;
+  std::set<std::string> Active_; ///< Jobs that have not ended.
+  std::set<std::string> Unconfirmed_;
+  std::map<std::string, Worker> Workers_;
+  std::set<std::string> Changed_;
+  Actions Pending_;
+  std::deque<Decision> Decisions_;
+  std::size_t UnresolvedWorkers_ = 0; ///< That may run restored work.
+  std::set<std::string> HeldForGang_; ///< Workers kept free in this pass.
+  Size FleetRoom_;
+  Size FleetSize_;
+  bool ListSeen_ = false;
+  bool Fenced_ = false;
+};
+
+} // namespace damaskglade::dispatch
+
+#endif
--- /dev/null
+++ b/dispatch/dispatcher_jobs.cpp
@@ -0,0 +1,294 @@
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+
+namespace damaskglade::dispatch {
+
+namespace {
+
+// A reader that stalls must not let the list of decisions grow.
+constexpr std::size_t MaxDecisions = 2000;
+
+} // namespace
+
+Dispatcher::Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch,
+                       Millis Now)
+    : Limits_(Limits), Epoch_(Epoch), StartedAt_(Now) {}
+
+void Dispatcher::setQueues(std::map<std::string, QueuePolicy> Queues) {
+  // Jobs of a queue that was removed keep its last policy.
+  for (auto &[Name, Policy] : Queues)
+    Queues_[Name] = Policy;
+}
+
+JobRun *Dispatcher::job(const std::string &Id) {
+  const auto Found = Jobs_.find(Id);
+  return Found == Jobs_.end() ? nullptr : Found->second.get();
+}
+
+const JobRun *Dispatcher::findJob(const std::string &Id) const {
+  const auto Found = Jobs_.find(Id);
+  return Found == Jobs_.end() ? nullptr : Found->second.get();
+}
+
+TaskState *Dispatcher::task(const TaskRef &Ref) {
+  JobRun *Job = job(Ref.Job_);
+  if (!Job || Ref.Step_ >= static_cast<int>(Job->Steps_.size()))
+    return nullptr;
+  auto &Tasks = Job->Steps_[static_cast<std::size_t>(Ref.Step_)].Tasks_;
+  if (Ref.Index_ >= static_cast<int>(Tasks.size()))
+    return nullptr;
+  return &Tasks[static_cast<std::size_t>(Ref.Index_)];
+}
+
+const QueuePolicy &Dispatcher::policyOf(const JobRun &Job) const {
+  static const QueuePolicy Default;
+  const auto Found = Queues_.find(Job.Spec_.Queue_);
+  return Found == Queues_.end() ? Default : Found->second;
+}
+
+void Dispatcher::log(const std::string &Request, const std::string &Step,
+                     const std::string &Peer, const std::string &Text) {
+  if (Decisions_.size() < MaxDecisions)
+    Decisions_.push_back(Decision{Request, Step, Peer, Text});
+}
+
+std::vector<Decision> Dispatcher::takeDecisions() {
+  std::vector<Decision> Out(Decisions_.begin(), Decisions_.end());
+  Decisions_.clear();
+  return Out;
+}
+
+void Dispatcher::initialize(JobRun &Job, Millis Now) const {
+  for (const StepSpec &Step : Job.Spec_.Steps_)
+    Job.Steps_.emplace_back().Tasks_.resize(
+        static_cast<std::size_t>(Step.Count_));
+  Job.ArrivedAt_ = Now;
+  Job.Chain_ = chainEstimate(Job.Spec_);
+  Job.Work_ = declaredWork(Job.Spec_);
+}
+
+bool Dispatcher::addJob(const JobSpec &Spec, Millis Now) {
+  if (Jobs_.count(Spec.Id_) > 0)
+    return false;
+  auto Job = std::make_unique<JobRun>();
+  Job->Spec_ = Spec;
+  initialize(*Job, Now);
+  Jobs_[Spec.Id_] = std::move(Job);
+  Unconfirmed_.insert(Spec.Id_);
+  return true;
+}
+
+void Dispatcher::confirmJob(const std::string &Id) {
+  JobRun *Job = job(Id);
+  if (!Job || Unconfirmed_.erase(Id) == 0)
+    return;
+  Active_.insert(Id);
+  readySteps(*Job, Job->ArrivedAt_);
+}
+
+void Dispatcher::dropJob(const std::string &Id) {
+  if (Unconfirmed_.erase(Id) > 0)
+    Jobs_.erase(Id);
+}
+
+void Dispatcher::restoreJob(const JobSpec &Spec, const JobProgress &Progress,
+                            Millis Now) {
+  auto Owned = std::make_unique<JobRun>();
+  JobRun &Job = *Owned;
+  Job.Spec_ = Spec;
+  Job.Restored_ = true;
+  Job.State_ = Progress.State_;
+  Job.RecordedState_ = Progress.State_;
+  Job.Started_ = Progress.State_ != JobState::Queued;
+  initialize(Job, Now);
+  Jobs_[Spec.Id_] = std::move(Owned);
+  if (isTerminal(Progress.State_)) {
+    Job.Steps_.clear();
+    Job.EndedAt_ = Now;
+    return;
+  }
+  for (std::size_t Step = 0;
+       Step < std::min(Progress.Done_.size(), Job.Steps_.size()); ++Step) {
+    StepRun &State = Job.Steps_[Step];
+    for (const int Index : Progress.Done_[Step]) {
+      if (Index < 0 || Index >= static_cast<int>(State.Tasks_.size()))
+        continue;
+      State.Tasks_[static_cast<std::size_t>(Index)].Done_ = true;
+      ++State.DoneCount_;
+    }
+  }
+  for (const auto &[Where, Attempts] : Progress.FailedAttempts_) {
+    if (TaskState *Task = task(TaskRef{Spec.Id_, Where.first, Where.second}))
+      Task->FailedAttempts_ = Attempts;
+  }
+  Active_.insert(Spec.Id_);
+  readySteps(Job, Now);
+}
+
+Status Dispatcher::checkFits(const JobSpec &Spec) const {
+  if (!ListSeen_)
+    return success();
+  for (const StepSpec &Step : Spec.Steps_) {
+    const bool Fits =
+        std::any_of(Workers_.begin(), Workers_.end(), [&](const auto &Each) {
+          return mayRunOn(Step, Each.second.Info_);
+        });
+    if (!Fits)
+      return Error{Reason::NeverFits, Effect::None, "check size", "",
+                   "no worker has that much, or none has the label"};
+  }
+  return success();
+}
+
+bool Dispatcher::cancelJob(const std::string &Id, Millis Now) {
+  JobRun *Job = job(Id);
+  if (!Job || isTerminal(Job->State_))
+    return false;
+  finishJob(*Job, JobState::Canceled, Now);
+  return true;
+}
+
+void Dispatcher::finishJob(JobRun &Job, JobState State, Millis Now) {
+  Job.State_ = State;
+  Job.EndedAt_ = Now;
+  changed(Job.Spec_.Id_);
+  log(Job.Spec_.Id_, "end job", "",
+      "state=" + std::string(jobStateName(State)) +
+          " age_ms=" + std::to_string((Now - Job.ArrivedAt_).Value_));
+  for (std::size_t Step = 0; Step < Job.Steps_.size(); ++Step)
+    stopStepRuns(Job, static_cast<int>(Step), "job has ended", Now);
+}
+
+int Dispatcher::pendingJobs(const std::string &Queue) const {
+  int Count = 0;
+  for (const std::string &Id : Active_) {
+    const JobRun *Job = findJob(Id);
+    if (Job && Job->Spec_.Queue_ == Queue && !Job->Started_ &&
+        !isTerminal(Job->State_))
+      ++Count;
+  }
+  return Count;
+}
+
+JobProgress Dispatcher::progressOf(const std::string &Id) const {
+  JobProgress Out;
+  const JobRun *Job = findJob(Id);
+  if (!Job)
+    return Out;
+  Out.State_ = Job->State_;
+  for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step) {
+    auto &Done = Out.Done_.emplace_back();
+    const auto &Tasks = Job->Steps_[Step].Tasks_;
+    for (std::size_t Index = 0; Index < Tasks.size(); ++Index) {
+      if (Tasks[Index].Done_)
+        Done.push_back(static_cast<int>(Index));
+      if (!Tasks[Index].FailedAttempts_.empty())
+        Out.FailedAttempts_[{static_cast<int>(Step), static_cast<int>(Index)}] =
+            Tasks[Index].FailedAttempts_;
+    }
+  }
+  return Out;
+}
+
+std::vector<std::string> Dispatcher::takeChangedJobs() {
+  std::vector<std::string> Out(Changed_.begin(), Changed_.end());
+  Changed_.clear();
+  return Out;
+}
+
+void Dispatcher::noteRecorded(const std::string &Id, JobState State) {
+  JobRun *Job = job(Id);
+  if (!Job)
+    return;
+  Job->RecordedState_ = State;
+  if (!isTerminal(State))
+    return;
+  // Runs that are still being stopped stay on the books of their workers.
+  const bool Holds =
+      std::any_of(Job->Steps_.begin(), Job->Steps_.end(),
+                  [](const StepRun &Step) { return Step.RunCount_ > 0; });
+  if (!Holds)
+    Active_.erase(Id);
+}
+
+std::vector<std::string> Dispatcher::forgetEnded(Millis Before) {
+  std::vector<std::string> Out;
+  for (const auto &[Id, Job] : Jobs_)
+    if (isTerminal(Job->RecordedState_) && Active_.count(Id) == 0 &&
+        Job->EndedAt_ < Before)
+      Out.push_back(Id);
+  for (const std::string &Id : Out)
+    Jobs_.erase(Id);
+  return Out;
+}
+
+void Dispatcher::readySteps(JobRun &Job, Millis Now) {
+  if (isTerminal(Job.State_))
+    return;
+  for (std::size_t Step = 0; Step < Job.Steps_.size(); ++Step) {
+    StepRun &State = Job.Steps_[Step];
+    if (State.Ready_)
+      continue;
+    const auto &After = Job.Spec_.Steps_[Step].After_;
+    const bool Ready = std::all_of(After.begin(), After.end(), [&](int Each) {
+      return Job.Steps_[static_cast<std::size_t>(Each)].ended();
+    });
+    if (!Ready)
+      continue;
+    State.Ready_ = true;
+    State.ReadyAt_ = Now;
+  }
+}
+
+bool Dispatcher::awaitsEarlierLeader(const JobRun &Job) const {
+  return Job.Restored_ && (UnresolvedWorkers_ > 0 || !ListSeen_);
+}
+
+void Dispatcher::markDone(JobRun &Job, const TaskRef &Ref, Millis Now) {
+  StepRun &Step = Job.Steps_[static_cast<std::size_t>(Ref.Step_)];
+  const StepSpec &Spec = Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+  const auto Mark = [&](TaskState &Task) {
+    if (Task.Done_)
+      return;
+    Task.Done_ = true;
+    ++Step.DoneCount_;
+  };
+  if (Spec.Gang_) {
+    // One end stands for all members.
+    for (TaskState &Each : Step.Tasks_)
+      Mark(Each);
+  } else {
+    Mark(Step.Tasks_[static_cast<std::size_t>(Ref.Index_)]);
+  }
+  changed(Ref.Job_);
+  if (!Step.ended())
+    return;
+  const bool Complete =
+      std::all_of(Job.Steps_.begin(), Job.Steps_.end(),
+                  [](const StepRun &Each) { return Each.ended(); });
+  if (Complete)
+    finishJob(Job, JobState::Complete, Now);
+  else
+    readySteps(Job, Now);
+}
+
+void Dispatcher::markFailed(JobRun &Job, const TaskRef &Ref,
+                            std::int64_t Attempt, Millis Now) {
+  const StepSpec &Spec = Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+  if (Spec.LongRunning_)
+    return;
+  StepRun &Step = Job.Steps_[static_cast<std::size_t>(Ref.Step_)];
+  // The failures of a gang are those of its attempts, whichever member failed.
+  TaskState &Task =
+      Step.Tasks_[Spec.Gang_ ? 0 : static_cast<std::size_t>(Ref.Index_)];
+  auto &Failed = Task.FailedAttempts_;
+  if (std::find(Failed.begin(), Failed.end(), Attempt) != Failed.end())
+    return;
+  Failed.push_back(Attempt);
+  changed(Ref.Job_);
+  if (static_cast<int>(Failed.size()) >= policyOf(Job).MaxAttempts_)
+    finishJob(Job, JobState::Failed, Now);
+}
+
+} // namespace damaskglade::dispatch
--- /dev/null
+++ b/dispatch/dispatcher_orders.cpp
@@ -0,0 +1,163 @@
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+
+namespace damaskglade::dispatch {
+
+namespace {
+
+constexpr Millis StopRepeat{400};
+// A stop takes less than a second on the users' workers.
+constexpr Millis StopPatience{1500};
+constexpr Millis RoomRetry{60};
+constexpr Millis AdviceRetry{150};
+// Taken off a ticket's validity for the way of the reply and of the order.
+constexpr Millis TicketMargin{150};
+
+} // namespace
+
+void Dispatcher::noteStart(const StartAction &Order,
+                           const Result<OrderReply> &Reply, Millis Now) {
+  const std::string &Id = Order.Target_.Worker_;
+  const auto At = Workers_.find(Id);
+  if (At != Workers_.end() && Reply)
+    noteClock(At->second, Reply.value().Clock_, Now, Now);
+  TaskState *Task = task(Order.Task_);
+  if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Order_.Attempt_ ||
+      Task->Run_->Worker_ != Id)
+    return;
+  JobRun &Job = *job(Order.Task_.Job_);
+  Run &Attempt = *Task->Run_;
+  const StepSpec &Step =
+      Job.Spec_.Steps_[static_cast<std::size_t>(Order.Task_.Step_)];
+  if (Reply && Reply.value().Outcome_ == OrderOutcome::Done) {
+    Attempt.StartedAt_ = Now;
+    Attempt.ProgressAt_ = Now;
+    if (Attempt.State_ == RunState::Starting ||
+        Attempt.State_ == RunState::Uncertain)
+      Attempt.State_ = RunState::Running;
+    return;
+  }
+  if (!Reply && Reply.error().Effect_ != Effect::None) {
+    log(Job.Spec_.Id_, Order.Order_.Task_, Id,
+        "start unanswered: " + Reply.error().Message_);
+    if (Attempt.State_ == RunState::Starting)
+      Attempt.State_ = RunState::Uncertain;
+    return;
+  }
+  if (Reply && Reply.value().Outcome_ == OrderOutcome::Fenced) {
+    Fenced_ = true;
+    return;
+  }
+  log(Job.Spec_.Id_, Order.Order_.Task_, Id,
+      Reply ? "start refused, outcome=" +
+                  std::to_string(static_cast<int>(Reply.value().Outcome_))
+            : "start not sent: " + Reply.error().Message_);
+  if (Reply && Reply.value().Outcome_ == OrderOutcome::BadTicket)
+    Job.Steps_[static_cast<std::size_t>(Order.Task_.Step_)]
+        .Advice_.Allowed_[Id] = Ticket{};
+  if (Reply && Reply.value().Outcome_ == OrderOutcome::Unhealthy &&
+      At != Workers_.end())
+    noteFailure(At->second.Health_, Job.Spec_.Id_, Now);
+  releaseRun(*Task, Order.Task_, Step);
+  Task->RetryAt_ = Now + RoomRetry;
+  if (!Reply && Reply.error().Reason_ == Reason::ConnectFailed)
+    noteLookFailure(Id, Reply.error(), Now);
+  if (Step.Gang_)
+    stopStepRuns(Job, Order.Task_.Step_, "gang member was not started", Now);
+}
+
+void Dispatcher::noteStop(const StopAction &Order,
+                          const Result<OrderReply> &Reply, Millis Now) {
+  if (!Reply)
+    return;
+  if (Reply.value().Outcome_ == OrderOutcome::Fenced) {
+    Fenced_ = true;
+    return;
+  }
+  const auto Ref = parseTaskName(Order.Task_);
+  TaskState *Task = Ref ? task(Ref.value()) : nullptr;
+  if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Attempt_ ||
+      Task->Run_->Worker_ != Order.Target_.Worker_)
+    return;
+  if (Reply.value().Outcome_ == OrderOutcome::Done)
+    Task->Run_->StopConfirmedAt_ = Now;
+}
+
+void Dispatcher::notePace(const PaceAction &Order, bool Taken) {
+  const auto Ref = parseTaskName(Order.Task_);
+  TaskState *Task = Ref ? task(Ref.value()) : nullptr;
+  constexpr int Unknown = -1;
+  if (!Taken && Task && Task->Run_ && Task->Run_->Attempt_ == Order.Attempt_)
+    Task->Run_->Pace_ = Unknown;
+}
+
+void Dispatcher::noteAdvice(const AdviceQuestion &Question,
+                            const Result<std::vector<AdvisedWorker>> &Reply,
+                            Millis Now) {
+  JobRun *Job = job(Question.Job_);
+  if (!Job || isTerminal(Job->State_))
+    return;
+  StepAdvice &Advice =
+      Job->Steps_[static_cast<std::size_t>(Question.Step_)].Advice_;
+  Advice.Pending_ = false;
+  if (!Reply) {
+    Advice.RetryAt_ = Now + AdviceRetry;
+    log(Question.Job_, stepName(Question.Job_, Question.Step_), "advice",
+        "no advice: " + Reply.error().Message_);
+    return;
+  }
+  Advice.Asked_.insert(Question.Workers_.begin(), Question.Workers_.end());
+  const Millis Until = Now + policyOf(*Job).TicketValid_ - TicketMargin;
+  for (const AdvisedWorker &Each : Reply.value())
+    Advice.Allowed_[Each.Worker_] = Ticket{Each.Ticket_, Until};
+}
+
+void Dispatcher::orderStop(const TaskRef &Ref, TaskState &Task,
+                           const std::string &Why, Millis Now) {
+  Run &Attempt = *Task.Run_;
+  if (Attempt.State_ == RunState::Stopping)
+    return;
+  Attempt.State_ = RunState::Stopping;
+  Attempt.StopSentAt_ = Now;
+  const Worker &Where = Workers_[Attempt.Worker_];
+  Pending_.Stops_.push_back(
+      StopAction{target(Where), taskName(Ref), Attempt.Attempt_, Why});
+  log(Ref.Job_, taskName(Ref), Attempt.Worker_,
+      "stop attempt=" + std::to_string(Attempt.Attempt_) + " why=" + Why);
+}
+
+void Dispatcher::stopStepRuns(JobRun &Job, int Step, const std::string &Why,
+                              Millis Now) {
+  StepRun &State = Job.Steps_[static_cast<std::size_t>(Step)];
+  if (State.RunCount_ == 0)
+    return;
+  // Members of a gang that ended well end by themselves.
+  const bool EndsAlone =
+      Job.Spec_.Steps_[static_cast<std::size_t>(Step)].Gang_ && State.ended();
+  for (std::size_t Index = 0; Index < State.Tasks_.size(); ++Index) {
+    TaskState &Task = State.Tasks_[Index];
+    if (Task.Run_ && !EndsAlone)
+      orderStop(TaskRef{Job.Spec_.Id_, Step, static_cast<int>(Index)}, Task,
+                Why, Now);
+  }
+}
+
+void Dispatcher::repeatStops(Millis Now) {
+  for (auto &[Id, Where] : Workers_) {
+    for (const TaskRef &Ref : Where.Tasks_) {
+      TaskState *Task = task(Ref);
+      if (!Task || !Task->Run_ || Task->Run_->State_ != RunState::Stopping)
+        continue;
+      Run &Attempt = *Task->Run_;
+      const bool Confirmed = Attempt.StopConfirmedAt_ > Millis{};
+      if (Now < Attempt.StopSentAt_ + (Confirmed ? StopPatience : StopRepeat))
+        continue;
+      Attempt.StopSentAt_ = Now;
+      Pending_.Stops_.push_back(
+          StopAction{target(Where), taskName(Ref), Attempt.Attempt_, "again"});
+    }
+  }
+}
+
+} // namespace damaskglade::dispatch
--- /dev/null
+++ b/dispatch/dispatcher_preempt.cpp
@@ -0,0 +1,204 @@
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+
+namespace damaskglade::dispatch {
+
+namespace {
+
+constexpr Millis PreemptionGap{250};
+constexpr int MaxPreemptionsPerPass = 8;
+// A task without progress for so long stands still. Percentages arrive at
+// least every 2 s.
+constexpr Millis StallTime{4500};
+constexpr Millis StartupTime{3000};
+// Fillers are slowed before a task reaches its target and let go well below.
+constexpr double PaceDownShare = 0.8;
+constexpr double PaceUpShare = 0.5;
+constexpr Millis PaceUpGap{2000};
+constexpr int FullPace = 100;
+constexpr int PaceStep = 25;
+constexpr Millis LongLook{2000};
+constexpr Millis SharedLook{400};
+
+} // namespace
+
+// Runs of less urgent work on a worker that make room for a task, cheapest
+// first. Empty if there are not enough.
+std::vector<TaskRef> Dispatcher::victimsOn(const Worker &Where,
+                                           const Size &Need, const StepKey &Key,
+                                           double &Cost) const {
+  struct Victim {
+    TaskRef Ref_;
+    Size Size_;
+    double Cost_ = 0;
+  };
+  std::vector<Victim> Victims;
+  Size Room = freeRoom(Where);
+  for (const TaskRef &Ref : Where.Tasks_) {
+    const JobRun *Job = findJob(Ref.Job_);
+    const StepSpec &Spec =
+        Job->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+    const Run &Attempt = *Job->Steps_[static_cast<std::size_t>(Ref.Step_)]
+                              .Tasks_[static_cast<std::size_t>(Ref.Index_)]
+                              .Run_;
+    if (Attempt.State_ == RunState::Stopping) {
+      Room = Room + bookedSize(Spec);
+      continue;
+    }
+    if (policyOf(*Job).Priority_ <= Key.Policy_->Priority_ ||
+        Spec.LongRunning_ || Spec.Gang_ || Spec.Filler_ ||
+        Attempt.State_ != RunState::Running)
+      continue;
+    const double Elapsed =
+        static_cast<double>((Key.Job_->ArrivedAt_ - Attempt.StartedAt_).Value_);
+    // Work without checkpoints is lost, and its caller waits again.
+    constexpr double CheckpointCost = 300.0;
+    const double Lost = Spec.Checkpointing_
+                            ? CheckpointCost
+                            : std::max(Elapsed, CheckpointCost) * 3;
+    Victims.push_back({Ref, bookedSize(Spec),
+                       Lost * static_cast<double>(Spec.Size_.MilliCpus_)});
+  }
+  std::sort(Victims.begin(), Victims.end(),
+            [](const Victim &A, const Victim &B) { return A.Cost_ < B.Cost_; });
+  std::vector<TaskRef> Out;
+  Cost = 0;
+  for (const Victim &Each : Victims) {
+    if (fits(Need, Room))
+      break;
+    Room = Room + Each.Size_;
+    Cost += Each.Cost_;
+    Out.push_back(Each.Ref_);
+  }
+  if (!fits(Need, Room))
+    Cost = -1;
+  return Out;
+}
+
+void Dispatcher::preemptFor(const StepKey &Key, int Missing,
+                            const std::vector<Candidate> &Places, Millis Now) {
+  StepRun &State = Key.Job_->Steps_[static_cast<std::size_t>(Key.Step_)];
+  const StepSpec &Spec =
+      Key.Job_->Spec_.Steps_[static_cast<std::size_t>(Key.Step_)];
+  const bool Urgent = Key.Policy_->Priority_ == 0 || Spec.LongRunning_;
+  if (!Urgent || Now < State.LastPreemption_ + PreemptionGap)
+    return;
+  State.LastPreemption_ = Now;
+  std::set<std::string> Taken;
+  for (int Each = 0; Each < std::min(Missing, MaxPreemptionsPerPass); ++Each) {
+    const Worker *Best = nullptr;
+    std::vector<TaskRef> Victims;
+    double BestCost = 0;
+    for (const Candidate &Place : Places) {
+      const Worker &Where = *Place.Where_;
+      if (Taken.count(Where.Info_.Id_) > 0 ||
+          (Spec.MaxPerWorker_ > 0 && Place.TasksOfStep_ >= Spec.MaxPerWorker_))
+        continue;
+      double Cost = 0;
+      auto Found = victimsOn(Where, bookedSize(Spec), Key, Cost);
+      if (Cost < 0 || (Best && Cost >= BestCost))
+        continue;
+      Best = &Where;
+      BestCost = Cost;
+      Victims = std::move(Found);
+    }
+    if (!Best)
+      return;
+    Taken.insert(Best->Info_.Id_);
+    for (const TaskRef &Ref : Victims)
+      orderStop(Ref, *task(Ref), "preempted for " + Key.Job_->Spec_.Id_, Now);
+  }
+}
+
+void Dispatcher::stopStalled(Millis Now) {
+  for (auto &[Id, Where] : Workers_) {
+    if (Where.Contact_ != Contact::Good)
+      continue;
+    const std::vector<TaskRef> Tasks(Where.Tasks_.begin(), Where.Tasks_.end());
+    for (const TaskRef &Ref : Tasks) {
+      TaskState &Task = *task(Ref);
+      const Run &Attempt = *Task.Run_;
+      const StepSpec &Spec =
+          job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+      const bool AtWork = Spec.LongRunning_ && Attempt.Percent_ == FullPace;
+      if (Attempt.State_ != RunState::Running || !Attempt.Seen_ ||
+          Spec.Filler_ || Spec.Gang_ || AtWork ||
+          Now < Attempt.ProgressAt_ + StallTime ||
+          Now < Attempt.StartedAt_ + StartupTime)
+        continue;
+      noteFailure(Where.Health_, Ref.Job_, Now);
+      orderStop(Ref, Task, "stands still", Now);
+    }
+  }
+}
+
+// Work that cannot end before the worker leaves is stopped with a checkpoint
+// and goes on elsewhere; tasks that last move at once.
+void Dispatcher::evacuate(Millis Now) {
+  for (auto &[Id, Where] : Workers_) {
+    if (!Where.Info_.Draining_ || Where.Contact_ != Contact::Good)
+      continue;
+    const std::vector<TaskRef> Tasks(Where.Tasks_.begin(), Where.Tasks_.end());
+    for (const TaskRef &Ref : Tasks) {
+      TaskState &Task = *task(Ref);
+      const JobRun &Job = *job(Ref.Job_);
+      const StepSpec &Spec =
+          Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+      if (Task.Run_->State_ != RunState::Running)
+        continue;
+      if (Spec.LongRunning_ || (Spec.Checkpointing_ && !Spec.Gang_))
+        orderStop(Ref, Task, "worker is leaving", Now);
+    }
+  }
+}
+
+void Dispatcher::paceFillers(Millis Now) {
+  for (auto &[Id, Where] : Workers_) {
+    if (Where.Fillers_ == 0 || Where.Contact_ != Contact::Good)
+      continue;
+    double Worst = 0; // Latency as a share of its target.
+    for (const TaskRef &Ref : Where.Tasks_) {
+      const StepSpec &Spec =
+          job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+      const Run &Attempt = *task(Ref)->Run_;
+      if (Spec.TargetLatency_ > Millis{} && Attempt.Percent_ == FullPace)
+        Worst = std::max(Worst,
+                         static_cast<double>(Attempt.Gauge_) /
+                             static_cast<double>(Spec.TargetLatency_.Value_));
+    }
+    if (Worst > PaceDownShare && Where.FillerPercent_ > 0) {
+      Where.FillerPercent_ = 0;
+      Where.PaceChangedAt_ = Now;
+      log("", "pace fillers", Id,
+          "percent=0 latency_share=" + std::to_string(Worst));
+    } else if (Worst < PaceUpShare && Where.FillerPercent_ < FullPace &&
+               Now > Where.PaceChangedAt_ + PaceUpGap) {
+      Where.FillerPercent_ =
+          Worst == 0 ? FullPace
+                     : std::min(FullPace, Where.FillerPercent_ + PaceStep);
+      Where.PaceChangedAt_ = Now;
+    }
+    for (const TaskRef &Ref : Where.Tasks_) {
+      Run &Attempt = *task(Ref)->Run_;
+      const StepSpec &Spec =
+          job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+      if (!Spec.Filler_ || Attempt.State_ != RunState::Running ||
+          Attempt.Pace_ == Where.FillerPercent_)
+        continue;
+      Attempt.Pace_ = Where.FillerPercent_;
+      Pending_.Paces_.push_back(PaceAction{target(Where), taskName(Ref),
+                                           Attempt.Attempt_,
+                                           Where.FillerPercent_});
+    }
+  }
+}
+
+Millis Dispatcher::lookWait(const std::string &Id) const {
+  const Worker *Where = findWorker(Id);
+  if (!Where || (Where->Fillers_ > 0 && Where->ServingRuns_ > 0))
+    return SharedLook;
+  return LongLook;
+}
+
+} // namespace damaskglade::dispatch
--- /dev/null
+++ b/dispatch/dispatcher_verify.cpp
@@ -0,0 +1,35 @@
+#include "dispatch/dispatcher.h"
+
+namespace damaskglade::dispatch {
+
+std::string Dispatcher::verify() const {
+  std::map<std::string, Size> Used;
+  for (const auto &[Id, Job] : Jobs_) {
+    for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step) {
+      int Runs = 0;
+      int Done = 0;
+      for (const TaskState &Task : Job->Steps_[Step].Tasks_) {
+        Done += Task.Done_ ? 1 : 0;
+        if (!Task.Run_)
+          continue;
+        ++Runs;
+        Size &Sum = Used[Task.Run_->Worker_];
+        Sum = Sum + bookedSize(Job->Spec_.Steps_[Step]);
+      }
+      if (Runs != Job->Steps_[Step].RunCount_ ||
+          Done != Job->Steps_[Step].DoneCount_)
+        return "step " + stepName(Id, static_cast<int>(Step)) +
+               " has wrong counts";
+    }
+  }
+  for (const auto &[Id, Where] : Workers_) {
+    Size Sum = Used[Id];
+    for (const ForeignRun &Each : Where.Foreign_)
+      Sum = Sum + Each.Booked_;
+    if (!(Sum == Where.Used_))
+      return "worker " + Id + " has wrong used room";
+  }
+  return "";
+}
+
+} // namespace damaskglade::dispatch
--- /dev/null
+++ b/dispatch/fleet.h
@@ -0,0 +1,91 @@
+#ifndef DAMASKGLADE_DISPATCH_FLEET_H
+#define DAMASKGLADE_DISPATCH_FLEET_H
+
+#include "dispatch/job.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace damaskglade::dispatch {
+
+/// A worker as the registry lists it.
+struct WorkerInfo {
+  std::string Id_;
+  std::string Address_;
+  std::string Service_;
+  std::string Zone_;
+  std::vector<std::string> Labels_;
+  Size Capacity_;
+  bool Draining_ = false;
+  Millis Remaining_{}; ///< While draining, the least time that is left.
+
+  friend bool operator==(const WorkerInfo &, const WorkerInfo &) = default;
+};
+
+/// Whether orders may go to a worker.
+enum class Contact {
+  Unseen, ///< Not looked at by this leader; it may run anything.
+  Good,
+  Silent, ///< Calls fail; what runs there is kept until its lease has lapsed.
+  Gone,   ///< Certain to run nothing that this leader knows of.
+};
+
+/// Recent ends on a worker, by which a failing one is told.
+struct WorkerHealth {
+  int FailuresInRow_ = 0;
+  std::string LastFailedJob_;
+  int FailedJobs_ = 0; ///< Different jobs among the failures in a row.
+  Millis QuarantinedUntil_{};
+  Millis QuarantineLength_{}; ///< Grows while trials fail.
+
+  friend bool operator==(const WorkerHealth &, const WorkerHealth &) = default;
+};
+
+/// A run that should not be on a worker and is being stopped.
+struct ForeignRun {
+  std::string Task_;
+  std::int64_t Attempt_ = 0;
+  Size Booked_;
+  Millis StopSentAt_{};
+
+  friend bool operator==(const ForeignRun &, const ForeignRun &) = default;
+};
+
+/// The leader's book of one worker.
+struct Worker {
+  WorkerInfo Info_;
+  bool Listed_ = true; ///< In the registry.
+  Contact Contact_ = Contact::Unseen;
+  std::int64_t Born_ = 0;
+  Size Used_;
+  /// All leases on the worker have lapsed by then, on the leader's clock.
+  Millis LeaseLapse_{};
+  /// Worker clock and leader clock at the same reply.
+  Millis WorkerClock_{};
+  Millis ClockReadAt_{};
+  std::int64_t LastEnd_ = 0; ///< Highest end number that was processed.
+  std::set<TaskRef> Tasks_;  ///< Tasks with a run here.
+  std::vector<ForeignRun> Foreign_;
+  int Fillers_ = 0;     ///< Runs of fillers.
+  int ServingRuns_ = 0; ///< Runs of tasks with a latency target.
+  Millis SilentSince_{};
+  WorkerHealth Health_;
+  int FillerPercent_ = 100; ///< Pace of fillers here.
+  Millis PaceChangedAt_{};
+};
+
+/// Room for more tasks. A filler needs no free processors.
+Size freeRoom(const Worker &Where);
+
+/// Whether new tasks may be placed on the worker.
+bool acceptsWork(const Worker &Where, Millis Now);
+
+/// Notes an end; quarantines the worker after failures of different jobs in a
+/// row, for twice as long each time a trial fails.
+void noteSuccess(WorkerHealth &Health);
+void noteFailure(WorkerHealth &Health, const std::string &Job, Millis Now);
+
+} // namespace damaskglade::dispatch
+
+#endif
--- /dev/null
+++ b/dispatch/placement.cpp
@@ -0,0 +1,70 @@
+#include "dispatch/placement.h"
+
+#include <algorithm>
+
+namespace damaskglade::dispatch {
+
+Size bookedSize(const StepSpec &Step) {
+  Size Booked = Step.Size_;
+  if (Step.Filler_)
+    Booked.MilliCpus_ = 0;
+  return Booked;
+}
+
+bool mayRunOn(const StepSpec &Step, const WorkerInfo &Info) {
+  const auto HasLabel = [&](const std::string &Label) {
+    return std::find(Info.Labels_.begin(), Info.Labels_.end(), Label) !=
+           Info.Labels_.end();
+  };
+  if (!Step.Label_.empty() && !HasLabel(Step.Label_))
+    return false;
+  return fits(bookedSize(Step), Info.Capacity_);
+}
+
+bool fitsNow(const StepSpec &Step, const Candidate &At) {
+  if (Step.MaxPerWorker_ > 0 && At.TasksOfStep_ >= Step.MaxPerWorker_)
+    return false;
+  return fits(bookedSize(Step), freeRoom(*At.Where_));
+}
+
+double placementCost(const StepSpec &Step, const Candidate &At) {
+  constexpr double MilliCpusPerCpu = 1000.0;
+  // In units of a processor that stays free.
+  constexpr double OtherRack = 40.0;
+  constexpr double FillerBesideUsers = 60.0;
+  constexpr double FillerBesideFiller = 8.0;
+  const WorkerInfo &Info = At.Where_->Info_;
+  const double FreeCpus =
+      static_cast<double>(freeRoom(*At.Where_).MilliCpus_) / MilliCpusPerCpu;
+  double Cost = FreeCpus;
+  if (!Step.Rack_.empty() && std::find(Info.Labels_.begin(), Info.Labels_.end(),
+                                       Step.Rack_) == Info.Labels_.end())
+    Cost += OtherRack;
+  if (Step.Filler_) {
+    // A filler lives on processors that are left unused.
+    Cost = FillerBesideFiller * At.Fillers_ - FreeCpus;
+    if (At.ServesUsers_)
+      Cost += FillerBesideUsers;
+  }
+  // A task with users does better where no filler disturbs it.
+  if (Step.TargetLatency_ > Millis{})
+    Cost += FillerBesideUsers * At.Fillers_;
+  return Cost;
+}
+
+int bestCandidate(const StepSpec &Step, const std::vector<Candidate> &At) {
+  int Best = -1;
+  double BestCost = 0;
+  for (std::size_t Each = 0; Each < At.size(); ++Each) {
+    if (!fitsNow(Step, At[Each]))
+      continue;
+    const double Cost = placementCost(Step, At[Each]);
+    if (Best >= 0 && Cost >= BestCost)
+      continue;
+    Best = static_cast<int>(Each);
+    BestCost = Cost;
+  }
+  return Best;
+}
+
+} // namespace damaskglade::dispatch
--- /dev/null
+++ b/dispatch/placement.h
@@ -0,0 +1,41 @@
+#ifndef DAMASKGLADE_DISPATCH_PLACEMENT_H
+#define DAMASKGLADE_DISPATCH_PLACEMENT_H
+
+#include "dispatch/fleet.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace damaskglade::dispatch {
+
+/// What placement has to know about a worker for one task.
+struct Candidate {
+  Worker *Where_ = nullptr;
+  int TasksOfStep_ = 0;      ///< Tasks of the same step that run there.
+  bool ServesUsers_ = false; ///< Runs a task with a latency target.
+  int Fillers_ = 0;
+
+  friend bool operator==(const Candidate &, const Candidate &) = default;
+};
+
+/// Size that a task takes from a worker's room.
+Size bookedSize(const StepSpec &Step);
+
+/// Whether the step may run on the worker at all, whatever runs there.
+bool mayRunOn(const StepSpec &Step, const WorkerInfo &Info);
+
+/// Whether one more task of the step fits now.
+bool fitsNow(const StepSpec &Step, const Candidate &At);
+
+/// Lower is better. Packs tasks tightly; keeps fillers away from tasks with a
+/// latency target; prefers the rack of the data.
+double placementCost(const StepSpec &Step, const Candidate &At);
+
+/// Index of the best candidate, or -1 if the task fits nowhere.
+int bestCandidate(const StepSpec &Step, const std::vector<Candidate> &At);
+
+} // namespace damaskglade::dispatch
+
+#endif
--- /dev/null
+++ b/drivers/beast/event_loop.cpp
@@ -0,0 +1,119 @@
+#include "drivers/beast/event_loop.h"
+
+#include "drivers/beast/http_session.h"
+#include "drivers/beast/web_client.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <list>
+
+namespace damaskglade::drivers {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+struct EventLoop::State {
+  asio::io_context Loop_{1};
+  std::shared_ptr<SessionRegistry> Registry_ =
+      std::make_shared<SessionRegistry>();
+  std::list<tcp::acceptor> Acceptors_;
+  asio::signal_set Signals_{Loop_};
+
+  void accept(tcp::acceptor &Acceptor, const ListenerLimits &Limits,
+              const WebHandler &Handler) {
+    Acceptor.async_accept(
+        [this, &Acceptor, Limits, Handler](boost::system::error_code Failure,
+                                           tcp::socket Socket) {
+          if (!Acceptor.is_open())
+            return;
+          if (!Failure)
+            serveConnection(std::move(Socket), Limits, Handler, Registry_);
+          accept(Acceptor, Limits, Handler);
+        });
+  }
+
+  void waitForSignal(const std::function<void(int)> &Handler) {
+    Signals_.async_wait(
+        [this, Handler](boost::system::error_code Failure, int Number) {
+          if (Failure)
+            return;
+          Handler(Number);
+          waitForSignal(Handler);
+        });
+  }
+};
+
+EventLoop::EventLoop() : State_(std::make_unique<State>()) {}
+
+EventLoop::~EventLoop() = default;
+
+Status EventLoop::listen(const std::string &Address,
+                         const ListenerLimits &Limits, WebHandler Handler) {
+  const auto Colon = Address.rfind(':');
+  boost::system::error_code Failure;
+  const auto Ip = asio::ip::make_address(
+      Colon == std::string::npos ? "" : Address.substr(0, Colon), Failure);
+  tcp::acceptor Acceptor(State_->Loop_);
+  if (!Failure) {
+    const auto Port =
+        static_cast<unsigned short>(std::atoi(Address.c_str() + Colon + 1));
+    const tcp::endpoint Endpoint(Ip, Port);
+    Acceptor.open(Endpoint.protocol(), Failure);
+    if (!Failure)
+      Acceptor.set_option(tcp::acceptor::reuse_address(true), Failure);
+    if (!Failure)
+      Acceptor.bind(Endpoint, Failure);
+    if (!Failure)
+      Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+  }
+  if (Failure)
+    return Error{Reason::ConnectFailed, Effect::None, "listen", Address,
+                 Failure.message()};
+  State_->Acceptors_.push_back(std::move(Acceptor));
+  State_->accept(State_->Acceptors_.back(), Limits, Handler);
+  return success();
+}
+
+std::unique_ptr<WebClient> EventLoop::makeClient() {
+  return makeWebClient(State_->Loop_);
+}
+
+void EventLoop::after(Millis Delay, std::function<void()> Task) {
+  if (Delay <= Millis{}) {
+    asio::post(State_->Loop_, std::move(Task));
+    return;
+  }
+  auto Timer = std::make_shared<asio::steady_timer>(
+      State_->Loop_, std::chrono::milliseconds(Delay.Value_));
+  Timer->async_wait(
+      [Timer, Task = std::move(Task)](boost::system::error_code Failure) {
+        if (!Failure)
+          Task();
+      });
+}
+
+void EventLoop::onSignal(std::function<void(int)> Handler) {
+  for (const int Number : {SIGTERM, SIGINT, SIGHUP})
+    State_->Signals_.add(Number);
+  State_->waitForSignal(Handler);
+}
+
+void EventLoop::drain() {
+  State_->Registry_->Draining_ = true;
+  for (tcp::acceptor &Each : State_->Acceptors_) {
+    boost::system::error_code Ignored;
+    Each.close(Ignored);
+  }
+  closeIdleSessions(*State_->Registry_);
+}
+
+std::size_t EventLoop::openRequests() const {
+  return State_->Registry_->OpenRequests_;
+}
+
+void EventLoop::run() { State_->Loop_.run(); }
+
+void EventLoop::stop() { State_->Loop_.stop(); }
+
+} // namespace damaskglade::drivers
--- /dev/null
+++ b/drivers/beast/event_loop.h
@@ -0,0 +1,48 @@
+#ifndef DAMASKGLADE_DRIVERS_BEAST_EVENT_LOOP_H
+#define DAMASKGLADE_DRIVERS_BEAST_EVENT_LOOP_H
+
+#include "ports/async_http.h"
+
+#include <memory>
+#include <string>
+
+namespace damaskglade::drivers {
+
+/// Limits of a listener.
+struct ListenerLimits {
+  std::size_t HeaderBytes_ = 16384;
+  std::size_t BodyBytes_ = 262144;
+  Millis Idle_{60000}; ///< A connection without a request is closed after it.
+};
+
+/// Boost.Asio event loop with HTTP listeners, a client and timers. All
+/// callbacks run on the thread that calls run().
+class EventLoop : public TimerService {
+public:
+  EventLoop();
+  ~EventLoop() override;
+
+  /// Accepts connections on "ip:port". Errors: connect_failed.
+  Status listen(const std::string &Address, const ListenerLimits &Limits,
+                WebHandler Handler);
+  std::unique_ptr<WebClient> makeClient();
+
+  void after(Millis Delay, std::function<void()> Task) override;
+  /// Calls the handler for SIGTERM, SIGINT and SIGHUP.
+  void onSignal(std::function<void(int)> Handler);
+  /// Takes no new connections and closes idle ones; requests in progress
+  /// are answered with "Connection: close".
+  void drain();
+  /// Number of requests that are not yet answered.
+  std::size_t openRequests() const;
+  void run();
+  void stop();
+
+private:
+  struct State;
+  std::unique_ptr<State> State_;
+};
+
+} // namespace damaskglade::drivers
+
+#endif
--- /dev/null
+++ b/main/cell_node.cpp
@@ -0,0 +1,197 @@
+#include "main/cell_node.h"
+
+#include "cell/gateway.h"
+#include "cell/member.h"
+#include "drivers/beast/event_loop.h"
+#include "drivers/log/bounded_log.h"
+#include "drivers/log/log.h"
+#include "drivers/metrics/metrics.h"
+#include "platform/callers.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "platform/workers.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <malloc.h>
+
+namespace damaskglade {
+
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2;
+constexpr int Ok = 200;
+constexpr int Unavailable = 503;
+constexpr Millis ConfigRetry{200};
+// The balancer needs two failed checks, a second apart, to turn away.
+constexpr Millis LeaveRotation{2300};
+constexpr Millis DrainPoll{50};
+constexpr Millis StopMargin{700};
+
+class CellNode {
+public:
+  explicit CellNode(cell::CellSettings Settings)
+      : Settings_(std::move(Settings)),
+        Metrics_(Settings_.Node_, Settings_.Zone_),
+        Log_(drivers::makeBoundedLog(drivers::makeEventLog(Settings_.Node_,
+                                                           Settings_.Zone_,
+                                                           Settings_.LogLevel_),
+                                     Clock_, drivers::LogBudget{})),
+        Http_(Loop_.makeClient()),
+        Store_(platform::makeRowStore(*Http_, Settings_.StoreAddress_)),
+        Configs_(platform::makeConfigSource(*Store_)),
+        Registry_(platform::makeWorkerRegistry(*Store_)),
+        Workers_(platform::makeTaskWorkers(*Http_)),
+        Advisor_(platform::makeAdvisor(*Http_, Settings_.AdviceAddress_)),
+        Peers_(*Http_), Ports_{Clock_,    Loop_,     *Store_,    *Workers_,
+                               *Advisor_, *Configs_, *Registry_, Peers_,
+                               *Log_,     Metrics_},
+        Member_(std::make_shared<cell::Member>(Ports_, Settings_)),
+        Gateway_(Ports_, Member_) {}
+
+  int run() {
+    Member_->addMethods(Rpc_);
+    const Status Listening = listen();
+    if (!Listening) {
+      Log_->write(failureEvent(Listening.error(), ""));
+      return ExitFailed;
+    }
+    Loop_.onSignal([this](int Number) { handleSignal(Number); });
+    cell::note(Ports_, LogLevel::Info, "", "start", Settings_.CallerListen_,
+               "listening");
+    followConfig();
+    Member_->start();
+    Loop_.run();
+    cell::note(Ports_, LogLevel::Info, "", "stop", "", "stopped");
+    return ExitOk;
+  }
+
+private:
+  Status listen() {
+    drivers::ListenerLimits Callers;
+    BOOST_OUTCOME_TRYV(Loop_.listen(
+        Settings_.CallerListen_, Callers,
+        [this](const WebRequest &Request, const WebReplier &Reply) {
+          platform::handleCaller(Gateway_, Request, Reply);
+        }));
+    BOOST_OUTCOME_TRYV(
+        Loop_.listen(Settings_.ReadinessListen_, Callers,
+                     [this](const WebRequest &, const WebReplier &Reply) {
+                       const bool Ready = !Stopping_ && Member_->ready();
+                       Reply(WebReply{Ready ? Ok : Unavailable, ""});
+                     }));
+    drivers::ListenerLimits Nodes;
+    constexpr std::size_t MaxPeerBody = std::size_t{1024} * 1024;
+    Nodes.BodyBytes_ = MaxPeerBody;
+    BOOST_OUTCOME_TRYV(Loop_.listen(
+        Settings_.PeerListen_, Nodes,
+        [this](const WebRequest &Request, const WebReplier &Reply) {
+          Rpc_.handle(Request, Reply);
+        }));
+    if (Settings_.MetricsListen_.empty())
+      return success();
+    return Loop_.listen(
+        Settings_.MetricsListen_, Callers,
+        [this](const WebRequest &, const WebReplier &Reply) {
+          Reply(WebReply{Ok, Metrics_.render(), "text/plain; version=0.0.4"});
+        });
+  }
+
+  void followConfig() {
+    Configs_->next([this](const Result<std::optional<CellConfig>> &Next) {
+      if (!Next) {
+        if (!ConfigLost_)
+          Log_->write(failureEvent(Next.error(), ""));
+        ConfigLost_ = true;
+        Loop_.after(ConfigRetry, [this] { followConfig(); });
+        return;
+      }
+      ConfigLost_ = false;
+      if (Next.value())
+        apply(*Next.value());
+      Loop_.after(Millis{}, [this] { followConfig(); });
+    });
+  }
+
+  void apply(const CellConfig &Config) {
+    // A read after lost history may return what is already in force.
+    if (Gateway_.config() && Config.Version_ <= Gateway_.config()->Version_)
+      return;
+    cell::note(Ports_, LogLevel::Info, "", "configuration", "",
+               "in force, version=" + std::to_string(Config.Version_));
+    Gateway_.setConfig(Config);
+    Member_->setConfig(Config);
+  }
+
+  void handleSignal(int Number) {
+    if (Number == SIGHUP) {
+      cell::note(Ports_, LogLevel::Info, "", "reload", "",
+                 "settings are read at the start only");
+      return;
+    }
+    if (Stopping_)
+      return;
+    Stopping_ = true;
+    StopBy_ = Clock_.monotonic() + Settings_.StopGrace_ - StopMargin;
+    cell::note(Ports_, LogLevel::Info, "", "stop", "", "leaving the rotation");
+    Member_->resign([this] {
+      Loop_.after(LeaveRotation, [this] {
+        Loop_.drain();
+        waitForRequests();
+      });
+    });
+  }
+
+  void waitForRequests() {
+    if (Loop_.openRequests() == 0 || Clock_.monotonic() > StopBy_) {
+      Loop_.stop();
+      return;
+    }
+    Loop_.after(DrainPoll, [this] { waitForRequests(); });
+  }
+
+  const cell::CellSettings Settings_;
+  const SystemClock Clock_;
+  drivers::EventLoop Loop_;
+  drivers::PrometheusMetrics Metrics_;
+  const std::unique_ptr<EventLog> Log_;
+  const std::unique_ptr<WebClient> Http_;
+  const std::unique_ptr<RowStore> Store_;
+  const std::unique_ptr<ConfigSource> Configs_;
+  const std::unique_ptr<WorkerRegistry> Registry_;
+  const std::unique_ptr<TaskWorkers> Workers_;
+  const std::unique_ptr<Advisor> Advisor_;
+  cell::RpcClient Peers_;
+  const cell::CellPorts Ports_;
+  const std::shared_ptr<cell::Member> Member_;
+  cell::Gateway Gateway_;
+  cell::RpcServer Rpc_;
+  Millis StopBy_{};
+  bool ConfigLost_ = false;
+  bool Stopping_ = false;
+};
+
+} // namespace
+
+int runCellNode() {
+  std::signal(SIGPIPE, SIG_IGN);
+  const char *Path = std::getenv(platform::SettingsVariable);
+  if (!Path) {
+    std::fprintf(stderr, "damaskgladed: %s is not set\n",
+                 platform::SettingsVariable);
+    return ExitUsage;
+  }
+  const auto Settings = platform::loadSettings(Path);
+  if (!Settings) {
+    std::fprintf(stderr, "damaskgladed: %s\n",
+                 describe(Settings.error()).c_str());
+    return ExitUsage;
+  }
+  CellNode Node(Settings.value());
+  return Node.run();
+}
+
+} // namespace damaskglade
--- a/main/damaskgladed.cpp
+++ b/main/damaskgladed.cpp
@@ -8,6 +8,7 @@
 #include "drivers/platform/table_client.h"
 #include "drivers/platform/vm_list_client.h"
 #include "drivers/platform/worker_client.h"
+#include "main/cell_node.h"
 #include "node/node.h"
 
 #include <csignal>
@@ -17,6 +18,8 @@
 #include <pthread.h>
 
 DEFINE_string(config, "", "INI file with the settings of this node");
+DEFINE_bool(cell, false,
+            "run a node on the users' platform, which names its settings file");
 
 namespace {
 
@@ -125,6 +128,8 @@
 int main(int Argc, char **Argv) {
   gflags::SetUsageMessage("damaskgladed --config=FILE.ini");
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  if (FLAGS_cell)
+    return damaskglade::runCellNode();
   if (FLAGS_config.empty()) {
     std::fputs("damaskgladed: --config is missing\n", stderr);
     return ExitUsage;
--- /dev/null
+++ b/ports/async_http.h
@@ -0,0 +1,74 @@
+#ifndef DAMASKGLADE_PORTS_ASYNC_HTTP_H
+#define DAMASKGLADE_PORTS_ASYNC_HTTP_H
+
+#include "core/error.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace damaskglade {
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// A request as received. Header names are in lower case.
+struct WebRequest {
+  std::string Method_;
+  std::string Target_; ///< Path and query as sent.
+  std::map<std::string, std::string> Headers_;
+  std::string Body_;
+
+  friend bool operator==(const WebRequest &, const WebRequest &) = default;
+};
+
+struct WebReply {
+  int Status_ = 200;
+  std::string Body_;
+  std::string ContentType_ = "application/json";
+  Millis RetryAfter_{}; ///< Sent as Retry-After if above zero.
+
+  friend bool operator==(const WebReply &, const WebReply &) = default;
+};
+
+/// Sends the reply to one request; called once, from any callback.
+using WebReplier = std::function<void(WebReply)>;
+using WebHandler = std::function<void(WebRequest, WebReplier)>;
+
+/// A request to another process.
+struct WebCall {
+  std::string Address_; ///< "ip:port"
+  std::string Method_;
+  std::string Target_;
+  HttpHeaders Headers_;
+  std::string Body_;
+  Millis Timeout_{1000}; ///< From the call to the whole reply.
+  /// Calls with different lanes never share a connection, so that a long poll
+  /// does not hold up a short call.
+  std::string Lane_;
+
+  friend bool operator==(const WebCall &, const WebCall &) = default;
+};
+
+using WebReplyHandler = std::function<void(Result<WebReply>)>;
+
+/// HTTP client over kept-alive connections. Callbacks run on the event loop.
+class WebClient {
+public:
+  virtual ~WebClient() = default;
+  /// Errors: connect_failed with no effect; timeout and answer_lost with
+  /// unknown effect.
+  virtual void call(const WebCall &Call, WebReplyHandler Done) = 0;
+};
+
+/// Runs callbacks later on the event loop.
+class TimerService {
+public:
+  virtual ~TimerService() = default;
+  virtual void after(Millis Delay, std::function<void()> Task) = 0;
+};
+
+} // namespace damaskglade
+
+#endif
