cell: Keep elections, unreachable workers and lost answers apart

Cause: (1) delayed candidates raised the epoch over a leader elected meanwhile, and a leader that did not know yet that it was elected was replaced; (2) a partition that refuses connections was taken for a crash, so tasks ran twice; (3) workers that left the registry behind a partition were unknown to the next leader; (4) a reused connection that failed twice reported no effect, so a recorded job was refused. Change: candidates name the epoch they replace and ask the other nodes, which ping the leader themselves; refused connections count as silence; workers are recorded before their first order; the second failure keeps the unknown effect.

--- a/cell/context.h
+++ b/cell/context.h
@@ -34,11 +34,15 @@
 inline constexpr const char *LeaderKey = "leader";
 inline constexpr const char *JobsTable = "jobs";
 inline constexpr const char *ProgressTable = "progress";
+inline constexpr const char *WorkersTable = "workers";
 
 inline RowName leaderRow() { return RowName{LeaderTable, CellPart, LeaderKey}; }
 inline RowName jobRow(const std::string &Id) {
   return RowName{JobsTable, CellPart, Id};
 }
+inline RowName workerRow(const std::string &Id) {
+  return RowName{WorkersTable, CellPart, Id};
+}
 inline RowName progressRow(const std::string &Id) {
   return RowName{ProgressTable, CellPart, Id};
 }
@@ -49,6 +53,10 @@
   std::string Node_;
   std::string Address_;
   std::int64_t Version_ = 0; ///< Of the row.
+  std::string Boot_;         ///< Process that wrote the row.
+  /// Elected without a majority of the known nodes, which may have gone on
+  /// confirming the leader before.
+  bool Minority_ = false;
 
   friend bool operator==(const LeaderView &, const LeaderView &) = default;
 };
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -15,6 +15,10 @@
 // An unconfirmed leader gives orders for this long; it is added to the time
 // that a successor waits for workers it cannot reach.
 constexpr Millis LeaderGrace{2000};
+// While the store is away, a leader that a majority of nodes hears goes on for
+// this long: no majority can have elected another one.
+constexpr Millis MajorityGrace{12000};
+constexpr Millis MajorityContact{1000};
 constexpr Millis TickPeriod{100};
 constexpr Millis RegistryPeriod{1000};
 constexpr Millis ConfirmPeriod{500};
@@ -27,10 +31,11 @@
 constexpr Millis ForgetPeriod{5000};
 constexpr int FailuresBeforeSilent = 2;
 
-dispatch::DispatchLimits makeLimits(const CellSettings &Settings) {
+dispatch::DispatchLimits makeLimits(const CellSettings &Settings,
+                                    const LeaderView &View) {
   dispatch::DispatchLimits Limits;
   Limits.Lease_ = std::min(LeaseLength, Settings.MaxLease_);
-  Limits.LeaderGrace_ = LeaderGrace;
+  Limits.LeaderGrace_ = View.Minority_ ? MajorityGrace : LeaderGrace;
   Limits.GangWait_ = Settings.GangWait_;
   return Limits;
 }
@@ -46,7 +51,8 @@
                LeaderView View, std::function<void()> Lost)
     : Ports_(Ports), Settings_(Settings), View_(std::move(View)),
       Lost_(std::move(Lost)),
-      Dispatcher_(makeLimits(Settings), View_.Epoch_, Ports.Clock_.monotonic()),
+      Dispatcher_(makeLimits(Settings, View_), View_.Epoch_,
+                  Ports.Clock_.monotonic()),
       Recorder_(Ports, Dispatcher_, View_, [this] { lose(); }),
       Advice_(Ports, [this](const dispatch::AdviceQuestion &Question,
                             const Result<std::vector<AdvisedWorker>> &Reply) {
@@ -99,6 +105,8 @@
                             Page.value().Rows_.back().Name_.Key_ + '\x01');
         if (Table == JobsTable)
           return Self->load(ProgressTable, "");
+        if (Table == ProgressTable)
+          return Self->load(WorkersTable, "");
         Self->finishLoad();
       });
 }
@@ -114,6 +122,14 @@
         Ports_.Log_.write(failureEvent(Spec.error(), Id));
       continue;
     }
+    if (Table == WorkersTable) {
+      const auto Info = decodeWorkerRow(Row);
+      if (Info)
+        Dispatcher_.restoreWorker(Info.value());
+      else
+        Ports_.Log_.write(failureEvent(Info.error(), ""));
+      continue;
+    }
     Recorder_.setVersion(Id, Row.Version_);
     const auto Spec = LoadedSpecs_.find(Id);
     if (Spec == LoadedSpecs_.end())
@@ -133,9 +149,9 @@
     Dispatcher_.restoreJob(Spec, dispatch::JobProgress{}, now());
   LoadedSpecs_.clear();
   Loaded_ = true;
+  takeWorkers();
   note(Ports_, LogLevel::Info, "", "lead", "",
        "epoch=" + std::to_string(View_.Epoch_) + " has loaded all rows");
-  watchWorkers();
   tick();
 }
 
@@ -145,7 +161,9 @@
 }
 
 bool Leader::confirmed() const {
-  return now() < Recorder_.confirmedAt() + LeaderGrace;
+  const Millis Unconfirmed = now() - Recorder_.confirmedAt();
+  return Unconfirmed < LeaderGrace ||
+         (Unconfirmed < MajorityGrace && now() < MajorityAt_ + MajorityContact);
 }
 
 bool Leader::shouldHandOver() const {
@@ -213,6 +231,12 @@
                      });
 }
 
+void Leader::takeWorkers() {
+  Recorder_.recordWorkers(Dispatcher_.takeUnrecordedWorkers());
+  Recorder_.forgetWorkers(Dispatcher_.takeForgottenWorkers());
+  watchWorkers();
+}
+
 void Leader::watchWorkers() {
   for (const auto &[Id, Where] : Dispatcher_.workers()) {
     Watch &State = Watches_[Id];
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -25,8 +25,11 @@
   bool active() const { return Loaded_ && !Stopped_; }
   const LeaderView &view() const { return View_; }
   void setConfig(const CellConfig &Config);
-  void setNodes(const std::vector<std::string> &Addresses) {
+  /// Nodes that were heard of lately, and whether they are a majority.
+  void setNodes(const std::vector<std::string> &Addresses, bool Majority) {
     Advice_.setNodes(Addresses);
+    if (Majority)
+      MajorityAt_ = now();
   }
   /// Whether another node should lead, because this one cannot write.
   bool shouldHandOver() const;
@@ -57,6 +60,7 @@
   void tick();
   void readRegistry();
   void confirmLead();
+  void takeWorkers();
   void watchWorkers();
   void look(const std::string &Worker, bool Probe);
   void looked(const std::string &Worker, bool Probe, Millis SentAt,
@@ -78,6 +82,7 @@
   std::map<std::string, Watch> Watches_;
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
   std::map<std::string, std::vector<RpcReply>> Submitting_;
+  Millis MajorityAt_{};
   Millis ConfirmSentAt_{};
   Millis RegistryAskedAt_{};
   Millis ForgotAt_{};
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -12,8 +12,11 @@
 constexpr Millis PingTimeout{700};
 // Two pings in a row have failed by then.
 constexpr Millis SilenceLimit{1300};
+// Without a majority the old leader may be well, so it gets more time.
+constexpr Millis MinoritySilence{6000};
 constexpr Millis NodeLifetime{1500};
-constexpr Millis HearsTimeout{300};
+constexpr Millis HearsTimeout{450};
+constexpr Millis CheckTimeout{250};
 constexpr Millis ElectionGap{400};
 constexpr Millis CallRetry{100};
 constexpr Millis CallTimeout{1500};
@@ -21,8 +24,10 @@
 constexpr Millis ResignTimeout{800};
 constexpr int MaxJitterMillis = 120;
 
-std::string encodeView(const CellSettings &Settings, std::int64_t Epoch) {
+std::string encodeView(const CellSettings &Settings, std::int64_t Epoch,
+                       const std::string &Boot) {
   Json::Value Out;
+  Out["boot"] = Boot;
   Out["epoch"] = Json::Int64(Epoch);
   Out["node"] = Settings.Node_;
   Out["address"] = Settings.PeerListen_;
@@ -35,6 +40,7 @@
   View.Epoch_ = Value["epoch"].asInt64();
   View.Node_ = Value["node"].asString();
   View.Address_ = Value["address"].asString();
+  View.Boot_ = Value["boot"].asString();
   View.Version_ = Row.Version_;
   return View;
 }
@@ -44,12 +50,17 @@
 bool shouldTakeOver(const ElectionInput &Input) {
   if (Input.OtherNodeHearsIt_)
     return false;
-  return Input.Refused_ || Input.SaysItDoesNotLead_ ||
-         Input.SilentFor_ > SilenceLimit;
+  if (Input.SaysItDoesNotLead_)
+    return true;
+  if (!Input.Majority_)
+    return Input.SilentFor_ > MinoritySilence;
+  return Input.Refused_ || Input.SilentFor_ > SilenceLimit;
 }
 
 Member::Member(const CellPorts &Ports, CellSettings Settings)
     : Ports_(Ports), Settings_(std::move(Settings)),
+      Boot_(Settings_.PeerListen_ + '/' +
+            std::to_string(Ports.Clock_.wall().Value_)),
       Random_(static_cast<unsigned>(
           std::hash<std::string>()(Settings_.PeerListen_))) {}
 
@@ -80,7 +91,7 @@
 void Member::tick() {
   scheduleTick(PingPeriod);
   if (leads()) {
-    Leader_->setNodes(liveNodes());
+    Leader_->setNodes(liveNodes(), hearsMajority());
     if (Leader_->shouldHandOver() && now() > HandOverAt_ + HandOverGap)
       handOver();
     return;
@@ -98,6 +109,16 @@
   return Out;
 }
 
+// Nodes that were heard of at all count; those that are gone for good leave
+// the count after a while.
+bool Member::hearsMajority() const {
+  constexpr Millis Remembered{15000};
+  std::size_t Known = 1;
+  for (const auto &[Address, HeardAt] : Nodes_)
+    Known += now() < HeardAt + Remembered ? 1 : 0;
+  return (liveNodes().size() + 1) * 2 > Known;
+}
+
 void Member::ping() {
   Json::Value Params;
   Params["address"] = Settings_.PeerListen_;
@@ -122,9 +143,12 @@
       Members_.insert(Each.asString());
     return;
   }
-  Input_.SaysItDoesNotLead_ = Reply.has_value();
+  // A node that has just been elected may not know it yet.
+  Input_.SaysItDoesNotLead_ =
+      Reply.has_value() && !Reply.value()["electing"].asBool();
   Input_.Refused_ = !Reply && Reply.error().Reason_ == Reason::ConnectFailed;
   Input_.SilentFor_ = now() - HeardAt_;
+  Input_.Majority_ = true; // Found out when the row has been read.
   if (shouldTakeOver(Input_))
     readLeader();
 }
@@ -145,12 +169,15 @@
         }
         const auto &Rows = Page.value().Rows_;
         if (Rows.empty())
-          return Self->takeOver();
+          return Self->takeOver(0);
         const auto View = decodeView(Rows.front());
         if (!View) {
           Self->Ports_.Log_.write(failureEvent(View.error(), ""));
           return;
         }
+        // The answer to the write that elected this process was lost.
+        if (View.value().Boot_ == Self->Boot_)
+          return Self->lead(View.value());
         if (View.value().Version_ != Self->View_.Version_)
           return Self->follow(View.value());
         Self->judge();
@@ -160,14 +187,14 @@
 // The row still names the leader that was lost.
 void Member::judge() {
   if (View_.Address_ == Settings_.PeerListen_)
-    return takeOver();
-  if (Input_.Refused_ || Input_.SaysItDoesNotLead_) {
-    const Millis Jitter{static_cast<std::int64_t>(Random_() % MaxJitterMillis)};
-    Ports_.Timers_.after(Jitter,
-                         [Self = shared_from_this()] { Self->takeOver(); });
-    return;
-  }
-  askOthers();
+    return takeOver(View_.Epoch_);
+  if (!Input_.SaysItDoesNotLead_)
+    return askOthers();
+  const Millis Jitter{static_cast<std::int64_t>(Random_() % MaxJitterMillis)};
+  Ports_.Timers_.after(Jitter,
+                       [Self = shared_from_this(), Epoch = View_.Epoch_] {
+                         Self->takeOver(Epoch);
+                       });
 }
 
 void Member::askOthers() {
@@ -176,19 +203,27 @@
   ElectionAt_ = now();
   struct Poll {
     std::size_t Open_ = 1;
+    std::size_t Known_ = 1;
+    std::size_t Reached_ = 1; ///< This node counts.
     bool Heard_ = false;
   };
   const auto Answers = std::make_shared<Poll>();
-  const auto Finish = [Self = shared_from_this(), Answers] {
+  const auto Finish = [Self = shared_from_this(), Answers,
+                       Epoch = View_.Epoch_] {
     if (--Answers->Open_ > 0 || Self->leads())
       return;
+    Self->Input_.Majority_ = Answers->Reached_ * 2 > Answers->Known_;
     Self->Input_.OtherNodeHearsIt_ = Answers->Heard_;
     Self->Input_.SilentFor_ = Self->now() - Self->HeardAt_;
     if (shouldTakeOver(Self->Input_))
-      Self->takeOver();
+      Self->takeOver(Epoch);
     else
-      note(Self->Ports_, LogLevel::Warning, "", "watch leader",
-           Self->View_.Address_, "silent here, but heard by another node");
+      note(
+          Self->Ports_, LogLevel::Warning, "", "watch leader",
+          Self->View_.Address_,
+          "not taking over, heard_by_other=" + std::to_string(Answers->Heard_) +
+              " nodes_reached=" + std::to_string(Answers->Reached_) + "/" +
+              std::to_string(Answers->Known_));
   };
   Json::Value Params;
   Params["epoch"] = Json::Int64(View_.Epoch_);
@@ -196,8 +231,10 @@
     if (Each == Settings_.PeerListen_ || Each == View_.Address_)
       continue;
     ++Answers->Open_;
+    ++Answers->Known_;
     Ports_.Peers_.call(Each, "node.hears", Params, HearsTimeout,
                        [Answers, Finish](const Result<Json::Value> &Reply) {
+                         Answers->Reached_ += Reply ? 1 : 0;
                          if (Reply && Reply.value()["hears"].asBool())
                            Answers->Heard_ = true;
                          Finish();
@@ -206,22 +243,23 @@
   Finish();
 }
 
-void Member::takeOver() {
-  if (Electing_ || leads() || Resigned_)
+void Member::takeOver(std::int64_t From) {
+  if (Electing_ || leads() || Resigned_ || From != View_.Epoch_)
     return;
   Electing_ = true;
   const std::int64_t Epoch = View_.Epoch_ + 1;
   RowTransaction Change;
   Change.Conditions_.push_back(RowCondition{leaderRow(), View_.Version_});
-  Change.Puts_.push_back(RowPut{leaderRow(), encodeView(Settings_, Epoch)});
+  Change.Puts_.push_back(
+      RowPut{leaderRow(), encodeView(Settings_, Epoch, Boot_)});
   note(Ports_, LogLevel::Info, "", "elect", View_.Address_,
        "taking over with epoch=" + std::to_string(Epoch) +
            " refused=" + std::to_string(Input_.Refused_) +
            " not_leading=" + std::to_string(Input_.SaysItDoesNotLead_) +
            " silent_ms=" + std::to_string(Input_.SilentFor_.Value_));
   Ports_.Store_.transact(
-      Change, [Self = shared_from_this(),
-               Epoch](const Result<TransactionOutcome> &Outcome) {
+      Change, [Self = shared_from_this(), Epoch, Minority = !Input_.Majority_](
+                  const Result<TransactionOutcome> &Outcome) {
         Self->Electing_ = false;
         if (Self->leads() || Self->Resigned_)
           return;
@@ -235,7 +273,7 @@
           return Self->readLeader();
         Self->lead(LeaderView{Epoch, Self->Settings_.Node_,
                               Self->Settings_.PeerListen_,
-                              Outcome.value().Version_});
+                              Outcome.value().Version_, Self->Boot_, Minority});
       });
 }
 
@@ -250,7 +288,7 @@
           Self->readLeader();
         });
       });
-  Leader_->setNodes(liveNodes());
+  Leader_->setNodes(liveNodes(), hearsMajority());
   if (Config_)
     Leader_->setConfig(*Config_);
   Leader_->start();
@@ -302,6 +340,7 @@
   Nodes_[Params["address"].asString()] = now();
   Json::Value Out;
   Out["leads"] = leads() && !Resigned_;
+  Out["electing"] = Electing_ || Reading_;
   Out["epoch"] = Json::Int64(View_.Epoch_);
   Out["nodes"] = Json::arrayValue;
   for (const std::string &Each : liveNodes())
@@ -309,12 +348,24 @@
   Reply(std::move(Out));
 }
 
-void Member::answerHears(const Json::Value &Params,
-                         const RpcReply &Reply) const {
-  Json::Value Out;
-  Out["hears"] = View_.Epoch_ >= Params["epoch"].asInt64() &&
-                 (leads() || now() < HeardAt_ + SilenceLimit / 2);
-  Reply(std::move(Out));
+// Asks the leader itself: what was heard before tells nothing of a leader that
+// was killed since.
+void Member::answerHears(const Json::Value &Params, const RpcReply &Reply) {
+  const auto Answer = [Reply](bool Hears) {
+    Json::Value Out;
+    Out["hears"] = Hears;
+    Reply(std::move(Out));
+  };
+  if (leads() || View_.Epoch_ > Params["epoch"].asInt64())
+    return Answer(true);
+  if (View_.Epoch_ < Params["epoch"].asInt64())
+    return Answer(false);
+  Json::Value Ping;
+  Ping["address"] = Settings_.PeerListen_;
+  Ports_.Peers_.call(View_.Address_, "node.ping", Ping, CheckTimeout,
+                     [Answer](const Result<Json::Value> &Pong) {
+                       Answer(Pong && Pong.value()["leads"].asBool());
+                     });
 }
 
 void Member::addMethods(RpcServer &Server) {
@@ -327,8 +378,8 @@
   });
   Server.add("node.take_lead",
              [Self](const Json::Value &Params, RpcReply Reply) {
-               if (Params["epoch"].asInt64() >= Self->View_.Epoch_)
-                 Self->takeOver();
+               Self->Input_ = ElectionInput{};
+               Self->takeOver(Params["epoch"].asInt64());
                Reply(Json::Value(Json::objectValue));
              });
   Server.add("advice.ask", [Self](const Json::Value &Params, RpcReply Reply) {
--- a/cell/member.h
+++ b/cell/member.h
@@ -18,6 +18,7 @@
   bool Refused_ = false; ///< No process listens at the leader's address.
   bool SaysItDoesNotLead_ = false;
   bool OtherNodeHearsIt_ = false;
+  bool Majority_ = true; ///< Most of the known nodes could be asked.
 
   friend bool operator==(const ElectionInput &,
                          const ElectionInput &) = default;
@@ -47,10 +48,6 @@
                   Millis Deadline, RpcReply Reply);
 
 private:
-  struct Pinged {
-    bool Leads_ = false;
-    std::int64_t Epoch_ = 0;
-  };
   struct OpenCall {
     std::string Method_;
     Json::Value Params_;
@@ -68,7 +65,9 @@
   void readLeader();
   void judge();
   void askOthers();
-  void takeOver();
+  /// Raises the epoch, unless it has been raised since.
+  void takeOver(std::int64_t From);
+  bool hearsMajority() const;
   void lead(const LeaderView &View);
   void follow(const LeaderView &View);
   void handOver();
@@ -77,11 +76,12 @@
   void serveLocal(const std::string &Method, const Json::Value &Params,
                   const RpcReply &Reply);
   void answerPing(const Json::Value &Params, const RpcReply &Reply);
-  void answerHears(const Json::Value &Params, const RpcReply &Reply) const;
+  void answerHears(const Json::Value &Params, const RpcReply &Reply);
   std::vector<std::string> liveNodes() const;
 
   const CellPorts Ports_;
   const CellSettings Settings_;
+  const std::string Boot_;
   LeaderView View_;
   std::shared_ptr<Leader> Leader_;
   std::optional<CellConfig> Config_;
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -1,5 +1,7 @@
 #include "cell/recorder.h"
 
+#include "core/codec.h"
+
 #include <algorithm>
 
 namespace damaskglade::cell {
@@ -13,8 +15,24 @@
 constexpr Millis GroupDelay{4};
 constexpr Millis RetryDelay{120};
 
+std::string encodeWorkerRow(const dispatch::WorkerInfo &Info) {
+  Json::Value Out;
+  Out["a"] = Info.Address_;
+  Out["s"] = Info.Service_;
+  return writeJson(Out);
+}
+
 } // namespace
 
+Result<dispatch::WorkerInfo> decodeWorkerRow(const StoredRow &Row) {
+  BOOST_OUTCOME_TRY(Value, parseJson(Row.Value_, "decode worker row"));
+  dispatch::WorkerInfo Info;
+  Info.Id_ = Row.Name_.Key_;
+  Info.Address_ = Value["a"].asString();
+  Info.Service_ = Value["s"].asString();
+  return Info;
+}
+
 Recorder::Recorder(const CellPorts &Ports, dispatch::Dispatcher &Jobs,
                    LeaderView Leader, std::function<void()> LostLead)
     : Ports_(Ports), Jobs_(Jobs), Leader_(std::move(Leader)),
@@ -26,13 +44,6 @@
   schedule(GroupDelay);
 }
 
-void Recorder::awaitProgress(const std::string &Id,
-                             std::function<void()> Done) {
-  (void)Id;
-  touch();
-  whenRecorded(std::move(Done));
-}
-
 void Recorder::touch() {
   const std::vector<std::string> Changed = Jobs_.takeChangedJobs();
   if (Changed.empty())
@@ -54,6 +65,29 @@
     schedule(GroupDelay);
 }
 
+void Recorder::recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers) {
+  for (const dispatch::WorkerInfo &Each : Workers)
+    NewWorkers_[Each.Id_] = Each;
+  if (!Workers.empty())
+    schedule(GroupDelay);
+}
+
+void Recorder::forgetWorkers(const std::vector<std::string> &Ids) {
+  OldWorkers_.insert(Ids.begin(), Ids.end());
+  if (!Ids.empty())
+    schedule(GroupDelay);
+}
+
+bool Recorder::idle() const {
+  return NewJobs_.empty() && Dirty_.empty() && Removing_.empty() &&
+         NewWorkers_.empty() && OldWorkers_.empty();
+}
+
+std::size_t Recorder::sentRows() const {
+  return SentJobs_.size() + SentProgress_.size() + SentRemovals_.size() +
+         SentWorkers_.size() + SentOldWorkers_.size();
+}
+
 void Recorder::schedule(Millis Delay) {
   if (Scheduled_ || InFlight_ || Stopped_)
     return;
@@ -67,7 +101,18 @@
 RowTransaction Recorder::build() {
   RowTransaction Out;
   Out.Conditions_.push_back(RowCondition{leaderRow(), Leader_.Version_});
-  while (!NewJobs_.empty() && SentJobs_.size() < MaxRows) {
+  while (!NewWorkers_.empty() && sentRows() < MaxRows) {
+    const auto First = NewWorkers_.begin();
+    Out.Puts_.push_back(
+        RowPut{workerRow(First->first), encodeWorkerRow(First->second)});
+    SentWorkers_.insert(NewWorkers_.extract(First));
+  }
+  while (!OldWorkers_.empty() && sentRows() < MaxRows) {
+    const auto First = OldWorkers_.begin();
+    Out.Removes_.push_back(workerRow(*First));
+    SentOldWorkers_.insert(OldWorkers_.extract(First));
+  }
+  while (!NewJobs_.empty() && sentRows() < MaxRows) {
     NewJob Next = std::move(NewJobs_.front());
     NewJobs_.pop_front();
     const dispatch::JobRun *Job = Jobs_.findJob(Next.Id_);
@@ -76,7 +121,7 @@
         RowPut{jobRow(Next.Id_), dispatch::encodeSpec(Job->Spec_)});
     SentJobs_.push_back(std::move(Next));
   }
-  while (!Dirty_.empty() && SentJobs_.size() + SentProgress_.size() < MaxRows) {
+  while (!Dirty_.empty() && sentRows() < MaxRows) {
     const std::string Id = *Dirty_.begin();
     Dirty_.erase(Dirty_.begin());
     const dispatch::JobProgress Progress = Jobs_.progressOf(Id);
@@ -87,9 +132,7 @@
         RowPut{progressRow(Id), dispatch::encodeProgress(Progress)});
     SentProgress_[Id] = Progress.State_;
   }
-  while (!Removing_.empty() &&
-         SentJobs_.size() + SentProgress_.size() + SentRemovals_.size() <
-             MaxRows) {
+  while (!Removing_.empty() && sentRows() < MaxRows) {
     const std::string Id = *Removing_.begin();
     Removing_.erase(Removing_.begin());
     Out.Removes_.push_back(jobRow(Id));
@@ -103,7 +146,7 @@
   if (InFlight_ || Stopped_)
     return;
   touch();
-  if (NewJobs_.empty() && Dirty_.empty() && Removing_.empty())
+  if (idle())
     return;
   InFlight_ = true;
   SentLatest_ = Latest_;
@@ -137,6 +180,10 @@
   }
   for (const std::string &Id : SentRemovals_)
     Versions_.erase(Id);
+  for (const auto &[Id, Info] : SentWorkers_)
+    Jobs_.noteWorkerRecorded(Id);
+  SentWorkers_.clear();
+  SentOldWorkers_.clear();
   if (SentAll_)
     Recorded_ = SentLatest_;
   const std::vector<NewJob> Done = std::move(SentJobs_);
@@ -149,7 +196,7 @@
       Each.Done_(success());
   }
   callWaiters();
-  if (!NewJobs_.empty() || !Dirty_.empty() || !Removing_.empty())
+  if (!idle())
     schedule(GroupDelay);
 }
 
@@ -167,6 +214,20 @@
     Each();
 }
 
+// Puts what a transaction did not write back into the queues.
+void Recorder::keepUnsent() {
+  for (const auto &[Id, State] : SentProgress_)
+    Dirty_.insert(Id);
+  Removing_.insert(SentRemovals_.begin(), SentRemovals_.end());
+  SentJobs_.clear();
+  SentProgress_.clear();
+  SentRemovals_.clear();
+  NewWorkers_.merge(SentWorkers_);
+  OldWorkers_.merge(SentOldWorkers_);
+  SentWorkers_.clear();
+  SentOldWorkers_.clear();
+}
+
 // Another transaction of this leader was applied late, or there is a new
 // leader. The rows of the conditions say which.
 void Recorder::conflicted(const std::vector<StoredRow> &Current) {
@@ -190,12 +251,7 @@
     else
       NewJobs_.push_back(std::move(Each));
   }
-  for (const auto &[Id, State] : SentProgress_)
-    Dirty_.insert(Id);
-  Removing_.insert(SentRemovals_.begin(), SentRemovals_.end());
-  SentJobs_.clear();
-  SentProgress_.clear();
-  SentRemovals_.clear();
+  keepUnsent();
   for (const NewJob &Each : Recorded) {
     Jobs_.confirmJob(Each.Id_);
     if (Each.Done_)
@@ -226,12 +282,7 @@
       Refused.push_back(std::move(Each));
     }
   }
-  for (const auto &[Id, State] : SentProgress_)
-    Dirty_.insert(Id);
-  Removing_.insert(SentRemovals_.begin(), SentRemovals_.end());
-  SentJobs_.clear();
-  SentProgress_.clear();
-  SentRemovals_.clear();
+  keepUnsent();
   for (const NewJob &Each : Refused) {
     Jobs_.dropJob(Each.Id_);
     Error Answer = Failure;
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -11,6 +11,9 @@
 
 namespace damaskglade::cell {
 
+/// Row of a worker that leaders give orders to. Errors: invalid_field.
+Result<dispatch::WorkerInfo> decodeWorkerRow(const StoredRow &Row);
+
 /// Writes the rows of a leader by group commit: one transaction at a time with
 /// all that waits. Each transaction depends on the leader row, so it fails once
 /// there is a later leader.
@@ -22,8 +25,6 @@
   /// Records a new job; the callback gets the outcome. An error with no effect
   /// says that the job is not recorded and never will be.
   void recordJob(const std::string &Id, std::function<void(Status)> Done);
-  /// Calls back once the state that the job has now is recorded.
-  void awaitProgress(const std::string &Id, std::function<void()> Done);
   /// Collects changes and writes them soon.
   void touch();
   /// Number of the latest change, and up to which changes are recorded.
@@ -36,6 +37,8 @@
     Versions_[Id] = Version;
   }
   void forget(const std::vector<std::string> &Ids);
+  void recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers);
+  void forgetWorkers(const std::vector<std::string> &Ids);
   /// When the store last confirmed that this leader leads.
   Millis confirmedAt() const { return ConfirmedAt_; }
   void confirm(Millis SentAt) { ConfirmedAt_ = std::max(ConfirmedAt_, SentAt); }
@@ -61,6 +64,9 @@
   void applied(std::int64_t Version);
   void conflicted(const std::vector<StoredRow> &Current);
   void failed(const Error &Failure);
+  void keepUnsent();
+  bool idle() const;
+  std::size_t sentRows() const;
   void callWaiters();
 
   const CellPorts Ports_;
@@ -71,11 +77,15 @@
   std::set<std::string> Dirty_;
   std::map<std::string, std::int64_t> Versions_;
   std::set<std::string> Removing_;
+  std::map<std::string, dispatch::WorkerInfo> NewWorkers_;
+  std::set<std::string> OldWorkers_;
   std::vector<Waiter> Waiters_;
   // The transaction in flight.
   std::vector<NewJob> SentJobs_;
   std::map<std::string, dispatch::JobState> SentProgress_;
   std::vector<std::string> SentRemovals_;
+  std::map<std::string, dispatch::WorkerInfo> SentWorkers_;
+  std::set<std::string> SentOldWorkers_;
   std::uint64_t SentLatest_ = 0;
   bool SentAll_ = false;
   bool InFlight_ = false;
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -133,6 +133,14 @@
 
   /// The registry's list of a moment; workers that are missing take no more.
   void setWorkers(const std::vector<WorkerInfo> &Workers, Millis Now);
+  /// Adds a worker that an earlier leader gave orders to, listed or not.
+  void restoreWorker(const WorkerInfo &Info);
+  /// Nothing is started on a worker before it is recorded: a later leader has
+  /// to know it, although it may be missing from the registry by then.
+  std::vector<WorkerInfo> takeUnrecordedWorkers();
+  void noteWorkerRecorded(const std::string &Id);
+  /// Recorded workers that are gone for good.
+  std::vector<std::string> takeForgottenWorkers();
   void noteLook(const std::string &Worker, const LookReply &Reply,
                 Millis SentAt, Millis Now);
   void noteLookFailure(const std::string &Worker, const Error &Failure,
@@ -193,6 +201,7 @@
   void orderStop(const TaskRef &Ref, TaskState &Task, const std::string &Why,
                  Millis Now);
   void stopStepRuns(JobRun &Job, int Step, const std::string &Why, Millis Now);
+  Millis firstLapse() const;
   void noteClock(Worker &Where, Millis Clock, Millis SentAt, Millis Now);
   void noteEnd(Worker &Where, const EndedTask &End, Millis Now);
   void applyEnd(JobRun &Job, const TaskRef &Ref, const EndedTask &End,
@@ -238,6 +247,8 @@
   std::set<std::string> Changed_;
   Actions Pending_;
   std::deque<Decision> Decisions_;
+  std::vector<WorkerInfo> Unrecorded_;
+  std::vector<std::string> ForgottenWorkers_;
   std::size_t UnresolvedWorkers_ = 0; ///< That may run restored work.
   std::set<std::string> HeldForGang_; ///< Workers kept free in this pass.
   Size FleetRoom_;
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -37,6 +37,35 @@
   return Where.WorkerClock_ + (Now - Where.ClockReadAt_) + Limits_.Lease_;
 }
 
+Millis Dispatcher::firstLapse() const {
+  return StartedAt_ + Limits_.LeaderGrace_ + stretched(Limits_.Lease_) +
+         LapseMargin;
+}
+
+void Dispatcher::restoreWorker(const WorkerInfo &Info) {
+  Worker &Where = Workers_[Info.Id_];
+  if (Where.Info_.Id_.empty()) {
+    Where.Info_ = Info;
+    Where.Listed_ = false;
+    Where.LeaseLapse_ = firstLapse();
+  }
+  Where.Recorded_ = true;
+}
+
+void Dispatcher::noteWorkerRecorded(const std::string &Id) {
+  const auto Found = Workers_.find(Id);
+  if (Found != Workers_.end())
+    Found->second.Recorded_ = true;
+}
+
+std::vector<WorkerInfo> Dispatcher::takeUnrecordedWorkers() {
+  return std::exchange(Unrecorded_, {});
+}
+
+std::vector<std::string> Dispatcher::takeForgottenWorkers() {
+  return std::exchange(ForgottenWorkers_, {});
+}
+
 void Dispatcher::setWorkers(const std::vector<WorkerInfo> &Workers,
                             Millis Now) {
   ListSeen_ = true;
@@ -47,9 +76,9 @@
     Worker &Where = At->second;
     if (Added) {
       // What an earlier leader started there may run as long as its last lease.
-      Where.LeaseLapse_ = StartedAt_ + Limits_.LeaderGrace_ +
-                          stretched(Limits_.Lease_) + LapseMargin;
+      Where.LeaseLapse_ = firstLapse();
       Where.SilentSince_ = Now;
+      Unrecorded_.push_back(Info);
     }
     const bool Drained = Info.Draining_ && !Where.Info_.Draining_ && !Added;
     // A drain that the worker itself reported outlasts an older list.
@@ -69,6 +98,8 @@
     Where.Listed_ = false;
     const bool Forget = Where.Tasks_.empty() && Where.LeaseLapse_ < Now &&
                         Where.Contact_ != Contact::Good;
+    if (Forget && Where.Recorded_)
+      ForgottenWorkers_.push_back(At->first);
     At = Forget ? Workers_.erase(At) : std::next(At);
   }
 }
@@ -144,14 +175,8 @@
   if (Found == Workers_.end())
     return;
   Worker &Where = Found->second;
-  if (Failure.Reason_ == Reason::ConnectFailed) {
-    // No process listens: whatever ran there is gone with it.
-    if (Where.Contact_ != Contact::Gone)
-      log("", "look at worker", Id, "connection refused, its runs are lost");
-    Where.Contact_ = Contact::Gone;
-    loseRuns(Where, false, Now);
-    return;
-  }
+  // A refused connection proves nothing: some partitions refuse connections to
+  // workers that run on.
   if (Where.Contact_ == Contact::Good) {
     log("", "look at worker", Id, "silent: " + Failure.Message_);
     Where.Contact_ = Contact::Silent;
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -21,7 +21,7 @@
 }
 
 bool acceptsWork(const Worker &Where, Millis Now) {
-  return Where.Contact_ == Contact::Good && Where.Listed_ &&
+  return Where.Contact_ == Contact::Good && Where.Listed_ && Where.Recorded_ &&
          !Where.Info_.Draining_ && Where.Health_.QuarantinedUntil_ <= Now;
 }
 
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -55,7 +55,8 @@
 /// The leader's book of one worker.
 struct Worker {
   WorkerInfo Info_;
-  bool Listed_ = true; ///< In the registry.
+  bool Listed_ = true;    ///< In the registry.
+  bool Recorded_ = false; ///< A later leader will know of it.
   Contact Contact_ = Contact::Unseen;
   std::int64_t Born_ = 0;
   Size Used_;
--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -223,11 +223,22 @@
             return Done(std::move(Outcome));
           Pool->Idle_[Key].clear();
           std::make_shared<class Connection>(Loop_, Key, Pool)
-              ->run(Call, Done, false);
+              ->run(Call, keepUnknown(Done), false);
         },
         true);
   }
 
+  // The first try may have had an effect, whatever becomes of the second.
+  static WebReplyHandler keepUnknown(WebReplyHandler Done) {
+    return [Done = std::move(Done)](Result<WebReply> Outcome) {
+      if (Outcome)
+        return Done(std::move(Outcome));
+      Error Failure = Outcome.error();
+      Failure.Effect_ = Effect::Unknown;
+      Done(std::move(Failure));
+    };
+  }
+
   boost::asio::io_context &Loop_;
   const std::shared_ptr<IdlePool> Pool_;
 };
