--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -205,7 +205,7 @@
     }
     Self->Dispatcher_.setWorkers(Workers.value(), Self->now());
     if (Self->Loaded_)
-      Self->watchWorkers();
+      Self->takeWorkers();
     else if (Self->Dispatcher_.workers().empty())
       Self->RegistryAskedAt_ = Millis{};
     Self->wake();
