--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -161,7 +161,7 @@
       RowRange{LeaderTable, CellPart, LeaderKey},
       [Self = shared_from_this()](const Result<RowPage> &Page) {
         Self->Reading_ = false;
-        if (Self->leads() || Self->Resigned_)
+        if (Self->leads())
           return;
         if (!Page) {
           Self->Ports_.Log_.write(failureEvent(Page.error(), ""));
@@ -176,7 +176,7 @@
           return;
         }
         // The answer to the write that elected this process was lost.
-        if (View.value().Boot_ == Self->Boot_)
+        if (View.value().Boot_ == Self->Boot_ && !Self->Resigned_)
           return Self->lead(View.value());
         if (View.value().Version_ != Self->View_.Version_)
           return Self->follow(View.value());
--- a/cell/member.h
+++ b/cell/member.h
@@ -38,6 +38,8 @@
   /// Passes the lead on, then calls back; for a planned stop.
   void resign(std::function<void()> Done);
   void setConfig(const CellConfig &Config);
+  /// Whether the node leads and has loaded all rows.
+  bool leading() const { return leads() && Leader_->active(); }
   /// Whether the node can serve callers: it leads, or it hears a leader.
   bool ready() const;
   void addMethods(RpcServer &Server);
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -225,6 +225,9 @@
   if (Where.Contact_ != Contact::Good)
     log("", "look at worker", Id,
         "in contact, running=" + std::to_string(Reply.Running_.size()));
+  // From this look on, the worker takes no orders of earlier leaders.
+  if (Where.Contact_ == Contact::Unseen)
+    Where.LeaseLapse_ = Millis{};
   Where.Contact_ = Contact::Good;
   noteClock(Where, Reply.Clock_, SentAt, Now);
   for (const EndedTask &Each : Reply.Ended_)
--- /dev/null
+++ b/tests/cell/fake_cell.cpp
@@ -0,0 +1,486 @@
+#include "tests/cell/fake_cell.h"
+
+#include <algorithm>
+
+namespace damaskglade::fakes {
+
+namespace {
+
+constexpr Millis StoreDelay{5};
+constexpr Millis PeerDelay{1};
+constexpr Millis WorkerDelay{1};
+constexpr Millis StoreTimeout{1500};
+constexpr Millis WorkerTimeout{700};
+
+Error timeout(const std::string &Step) {
+  return Error{Reason::Timeout, Effect::Unknown, Step, "fake", "no answer", {}};
+}
+
+} // namespace
+
+void FakeLoop::run(Millis Time) {
+  const Millis End = Now_ + Time;
+  while (!Tasks_.empty() && Tasks_.begin()->first.first <= End) {
+    const auto First = Tasks_.begin();
+    Now_ = std::max(Now_, First->first.first);
+    const auto Task = std::move(First->second);
+    Tasks_.erase(First);
+    Task();
+  }
+  Now_ = End;
+}
+
+bool FakeLoop::runUntil(Millis Time, const std::function<bool()> &Done) {
+  const Millis End = Now_ + Time;
+  while (!Done() && Now_ < End)
+    run(Millis{1});
+  return Done();
+}
+
+TransactionOutcome FakeRows::apply(const RowTransaction &Change) {
+  TransactionOutcome Out;
+  Out.Applied_ = true;
+  for (const RowCondition &Each : Change.Conditions_) {
+    const auto Found = Rows_.find(Each.Name_);
+    StoredRow Row;
+    Row.Name_ = Each.Name_;
+    if (Found != Rows_.end())
+      Row = Found->second;
+    Out.Applied_ = Out.Applied_ && Row.Version_ == Each.Version_;
+    Out.Current_.push_back(Row);
+  }
+  if (!Out.Applied_)
+    return Out;
+  Out.Current_.clear();
+  Out.Version_ = ++Version_;
+  ++Writes_;
+  for (const RowPut &Each : Change.Puts_)
+    Rows_[Each.Name_] = StoredRow{Each.Name_, Each.Value_, Version_};
+  for (const RowName &Each : Change.Removes_)
+    Rows_.erase(Each);
+  return Out;
+}
+
+void FakeStore::transact(const RowTransaction &Change,
+                         std::function<void(Result<TransactionOutcome>)> Done) {
+  Loop_.after(StoreDelay, [this, Change, Done] {
+    switch (Rows_.Modes_[Node_]) {
+    case StoreMode::Good:
+      return Done(Rows_.apply(Change));
+    case StoreMode::Refuses:
+      return Done(Error{
+          Reason::TableUnavailable, Effect::None, "write", "fake", "503", {}});
+    case StoreMode::LosesAnswers:
+      Rows_.apply(Change);
+      break;
+    case StoreMode::Silent:
+      break;
+    }
+    Loop_.after(StoreTimeout, [Done] { Done(timeout("write")); });
+  });
+}
+
+void FakeStore::read(const RowRange &Range,
+                     std::function<void(Result<RowPage>)> Done) {
+  Loop_.after(StoreDelay, [this, Range, Done] {
+    const StoreMode Mode = Rows_.Modes_[Node_];
+    if (Mode == StoreMode::Refuses)
+      return Done(Error{
+          Reason::TableUnavailable, Effect::None, "read", "fake", "503", {}});
+    if (Mode == StoreMode::Silent) {
+      Loop_.after(StoreTimeout, [Done] { Done(timeout("read")); });
+      return;
+    }
+    // Small pages, so that every reader has to go on.
+    constexpr std::size_t PageRows = 3;
+    RowPage Page;
+    Page.Version_ = Rows_.Version_;
+    for (const auto &[Name, Row] : Rows_.Rows_) {
+      if (Name.Table_ != Range.Table_ || Name.Part_ != Range.Part_ ||
+          Name.Key_ < Range.From_)
+        continue;
+      if (Page.Rows_.size() == PageRows) {
+        Page.More_ = true;
+        break;
+      }
+      Page.Rows_.push_back(Row);
+    }
+    Done(std::move(Page));
+  });
+}
+
+bool FakeFleet::runs(const std::string &Task) const {
+  return std::any_of(Workers_.begin(), Workers_.end(), [&](const auto &Each) {
+    return Each.second.Running_.count(Task) > 0;
+  });
+}
+
+FakeWorkerState *FakeTaskWorkers::reach(const WorkerTarget &Worker) {
+  const auto Found = Fleet_.Workers_.find(Worker.Worker_);
+  if (Found == Fleet_.Workers_.end() || !Found->second.Up_ ||
+      !Reaches_(Worker.Worker_))
+    return nullptr;
+  FakeWorkerState &State = Found->second;
+  if (Loop_.monotonic() > State.LeaseEnd_) {
+    const auto Lapsed = State.Running_;
+    for (const auto &[Task, Attempt] : Lapsed)
+      end(State, Task, TaskEnd::LeaseExpired);
+  }
+  return &State;
+}
+
+void FakeTaskWorkers::end(FakeWorkerState &Where, const std::string &Task,
+                          TaskEnd How) {
+  const std::int64_t Attempt = Where.Running_[Task];
+  Where.Running_.erase(Task);
+  Where.Highest_[Task] = std::max(Where.Highest_[Task], Attempt);
+  Where.Ended_.push_back(EndedTask{++Where.LastEnd_, Task, Attempt, How, ""});
+}
+
+void FakeTaskWorkers::start(const WorkerTarget &Worker, const StartOrder &Order,
+                            OrderHandler Done) {
+  Loop_.after(WorkerDelay, [this, Worker, Order, Done] {
+    FakeWorkerState *Where = reach(Worker);
+    if (!Where) {
+      Loop_.after(WorkerTimeout, [Done] { Done(timeout("start")); });
+      return;
+    }
+    OrderReply Reply{OrderOutcome::Done, Loop_.monotonic()};
+    if (Worker.Fence_ < Where->Fence_)
+      Reply.Outcome_ = OrderOutcome::Fenced;
+    else if (Where->Highest_[Order.Task_] >= Order.Attempt_)
+      Reply.Outcome_ = OrderOutcome::Superseded;
+    if (Reply.Outcome_ != OrderOutcome::Done)
+      return Done(Reply);
+    Where->Fence_ = Worker.Fence_;
+    Where->LeaseEnd_ = std::max(Where->LeaseEnd_, Order.LeaseEnd_);
+    if (Where->Running_.count(Order.Task_) > 0)
+      return Done(Reply);
+    if (Fleet_.runs(Order.Task_))
+      Fleet_.DoubleRuns_.push_back(Order.Task_);
+    if (Fleet_.NotedDone_.count(Order.Task_) > 0)
+      Fleet_.RunAfterDone_.push_back(Order.Task_);
+    Where->Running_[Order.Task_] = Order.Attempt_;
+    ++Fleet_.Starts_[Order.Task_];
+    // The payload is the length of the task in milliseconds.
+    const Millis Length{std::atoll(Order.Payload_.c_str())};
+    const std::string Id = Worker.Worker_;
+    const std::int64_t Born = Where->Born_;
+    Loop_.after(Length, [this, Id, Born, Order] {
+      FakeWorkerState &State = Fleet_.Workers_[Id];
+      const auto Found = State.Running_.find(Order.Task_);
+      if (State.Born_ != Born || Found == State.Running_.end() ||
+          Found->second != Order.Attempt_)
+        return;
+      const bool Lapsed = Loop_.monotonic() > State.LeaseEnd_;
+      end(State, Order.Task_, Lapsed ? TaskEnd::LeaseExpired : TaskEnd::Done);
+    });
+    if (Where->LosesStarts_)
+      Loop_.after(WorkerTimeout, [Done] { Done(timeout("start")); });
+    else
+      Done(Reply);
+  });
+}
+
+void FakeTaskWorkers::stop(const WorkerTarget &Worker, const std::string &Task,
+                           std::int64_t Attempt, OrderHandler Done) {
+  Loop_.after(WorkerDelay, [this, Worker, Task, Attempt, Done] {
+    FakeWorkerState *Where = reach(Worker);
+    if (!Where) {
+      Loop_.after(WorkerTimeout, [Done] { Done(timeout("stop")); });
+      return;
+    }
+    if (Worker.Fence_ < Where->Fence_)
+      return Done(OrderReply{OrderOutcome::Fenced, Loop_.monotonic()});
+    Where->Fence_ = Worker.Fence_;
+    Where->Highest_[Task] = std::max(Where->Highest_[Task], Attempt);
+    const auto Found = Where->Running_.find(Task);
+    if (Found != Where->Running_.end() && Found->second <= Attempt)
+      end(*Where, Task, TaskEnd::Stopped);
+    Done(OrderReply{OrderOutcome::Done, Loop_.monotonic()});
+  });
+}
+
+void FakeTaskWorkers::look(const WorkerTarget &Worker, const LookOrder &Order,
+                           std::function<void(Result<LookReply>)> Done) {
+  Loop_.after(WorkerDelay, [this, Worker, Order, Done] {
+    FakeWorkerState *Where = reach(Worker);
+    if (!Where) {
+      Loop_.after(WorkerTimeout, [Done] { Done(timeout("look")); });
+      return;
+    }
+    if (Worker.Fence_ < Where->Fence_) {
+      LookReply Fenced;
+      Fenced.Outcome_ = OrderOutcome::Fenced;
+      return Done(Fenced);
+    }
+    Where->Fence_ = Worker.Fence_;
+    Where->LeaseEnd_ = std::max(Where->LeaseEnd_, Order.LeaseEnd_);
+    for (const EndedTask &Each : Where->Ended_)
+      if (Each.Number_ <= Order.LastRecorded_ && Each.End_ == TaskEnd::Done)
+        Fleet_.NotedDone_.insert(Each.Task_);
+    std::erase_if(Where->Ended_, [&](const EndedTask &Each) {
+      return Each.Number_ <= Order.LastRecorded_;
+    });
+    answerLook(Worker.Worker_, Loop_.monotonic() + Order.Wait_, Done);
+  });
+}
+
+void FakeTaskWorkers::answerLook(const std::string &Id, Millis Until,
+                                 std::function<void(Result<LookReply>)> Done) {
+  const FakeWorkerState &Where = Fleet_.Workers_[Id];
+  constexpr Millis Poll{5};
+  if (Where.Ended_.empty() && Loop_.monotonic() < Until) {
+    Loop_.after(Poll, [this, Id, Until, Done] { answerLook(Id, Until, Done); });
+    return;
+  }
+  if (!Where.Up_ || !Reaches_(Id)) {
+    Loop_.after(WorkerTimeout, [Done] { Done(timeout("look")); });
+    return;
+  }
+  LookReply Reply;
+  Reply.Clock_ = Loop_.monotonic();
+  Reply.Born_ = Where.Born_;
+  // A percentage that moves with time, since standing tasks are stopped.
+  constexpr std::int64_t Whole = 100;
+  const auto Percent =
+      static_cast<int>(Loop_.monotonic().Value_ / Whole % Whole);
+  for (const auto &[Task, Attempt] : Where.Running_)
+    Reply.Running_.push_back(RunningEntry{Task, Attempt, "", Percent, 0});
+  Reply.Ended_ = Where.Ended_;
+  Done(std::move(Reply));
+}
+
+/// Delivers calls to the RPC server of the node at the address.
+class FakeCell::PeerHttp : public WebClient {
+public:
+  PeerHttp(FakeCell &Cell, std::string From)
+      : Cell_(Cell), From_(std::move(From)) {}
+  void call(const WebCall &Call, WebReplyHandler Done) override;
+
+private:
+  FakeCell &Cell_;
+  const std::string From_;
+};
+
+namespace {
+
+class FakeAdvisor : public Advisor {
+public:
+  void
+  ask(const std::string &, const std::vector<std::string> &, Millis,
+      std::function<void(Result<std::vector<AdvisedWorker>>)> Done) override {
+    Done(std::vector<AdvisedWorker>{});
+  }
+};
+
+class FakeConfigs : public ConfigSource {
+public:
+  void next(std::function<void(Result<std::optional<CellConfig>>)>) override {}
+};
+
+class FakeRegistry : public WorkerRegistry {
+public:
+  FakeRegistry(FakeLoop &Loop, FakeFleet &Fleet) : Loop_(Loop), Fleet_(Fleet) {}
+  void list(std::function<void(Result<std::vector<dispatch::WorkerInfo>>)> Done)
+      override {
+    Loop_.after(StoreDelay, [this, Done] {
+      std::vector<dispatch::WorkerInfo> Out;
+      for (const auto &[Id, State] : Fleet_.Workers_)
+        if (State.Up_)
+          Out.push_back(State.Info_);
+      Done(std::move(Out));
+    });
+  }
+
+private:
+  FakeLoop &Loop_;
+  FakeFleet &Fleet_;
+};
+
+CellConfig makeConfig() {
+  CellConfig Config;
+  Config.Version_ = 1;
+  Config.Routes_ = {QueueRoute{"host", "/q/", "queue"},
+                    QueueRoute{"host", "/q/deep/", "deep"}};
+  dispatch::QueuePolicy Policy;
+  Policy.Service_ = "desk";
+  Policy.MaxAttempts_ = 2;
+  Config.Queues_["queue"] = Policy;
+  return Config;
+}
+
+} // namespace
+
+struct FakeCell::Node {
+  Node(FakeCell &Cell, const std::string &Name)
+      : Store_(Cell.Loop_, Cell.Rows_, Name),
+        Workers_(Cell.Loop_, Cell.Fleet_,
+                 [&Cell, Name](const std::string &) {
+                   return Cell.Cut_.count(Name) == 0;
+                 }),
+        Registry_(Cell.Loop_, Cell.Fleet_), Http_(Cell, Name),
+        Rpc_(Http_), Ports_{Cell.Loop_, Cell.Loop_, Store_, Workers_, Advisor_,
+                            Configs_,   Registry_,  Rpc_,   Log_,     Metrics_},
+        Member_(std::make_shared<cell::Member>(Ports_, makeSettings(Name))),
+        Gateway_(Ports_, Member_) {
+    Member_->addMethods(Server_);
+    Member_->setConfig(makeConfig());
+    Gateway_.setConfig(makeConfig());
+    Member_->start();
+  }
+
+  static cell::CellSettings makeSettings(const std::string &Name) {
+    cell::CellSettings Settings;
+    Settings.Node_ = Name;
+    Settings.PeerListen_ = Name;
+    return Settings;
+  }
+
+  FakeStore Store_;
+  FakeTaskWorkers Workers_;
+  FakeAdvisor Advisor_;
+  FakeConfigs Configs_;
+  FakeRegistry Registry_;
+  PeerHttp Http_;
+  cell::RpcClient Rpc_;
+  NullEventLog Log_;
+  NullMetrics Metrics_;
+  cell::CellPorts Ports_;
+  std::shared_ptr<cell::Member> Member_;
+  cell::Gateway Gateway_;
+  cell::RpcServer Server_;
+};
+
+void FakeCell::PeerHttp::call(const WebCall &Call, WebReplyHandler Done) {
+  const auto Answered = std::make_shared<bool>(false);
+  const WebReplyHandler Finish = [Answered,
+                                  Done](const Result<WebReply> &Reply) {
+    if (std::exchange(*Answered, true))
+      return;
+    Done(Reply);
+  };
+  Cell_.Loop_.after(Call.Timeout_, [Finish] { Finish(timeout("peer")); });
+  Cell_.Loop_.after(PeerDelay, [this, Call, Finish] {
+    if (Cell_.Cut_.count(From_) > 0 || Cell_.Cut_.count(Call.Address_) > 0)
+      return;
+    const auto Found = Cell_.Nodes_.find(Call.Address_);
+    if (Found == Cell_.Nodes_.end())
+      return Finish(Error{Reason::ConnectFailed,
+                          Effect::None,
+                          "peer",
+                          Call.Address_,
+                          "refused",
+                          {}});
+    WebRequest Request;
+    Request.Body_ = Call.Body_;
+    Found->second->Server_.handle(
+        Request, [this, Call, Finish](const WebReply &Reply) {
+          Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Reply] {
+            if (Cell_.Cut_.count(From_) == 0 &&
+                Cell_.Cut_.count(Call.Address_) == 0)
+              Finish(Reply);
+          });
+        });
+  });
+}
+
+FakeCell::FakeCell(int Nodes, int Workers) {
+  for (int Each = 1; Each <= Workers; ++Each) {
+    FakeWorkerState State;
+    State.Info_.Id_ = "w" + std::to_string(Each);
+    State.Info_.Address_ = State.Info_.Id_;
+    State.Info_.Service_ = "desk";
+    State.Info_.Capacity_ = dispatch::Size{4000, 8000, 0};
+    Fleet_.Workers_[State.Info_.Id_] = State;
+  }
+  for (int Each = 1; Each <= Nodes; ++Each)
+    startNode("n" + std::to_string(Each));
+}
+
+FakeCell::~FakeCell() = default;
+
+void FakeCell::startNode(const std::string &Name) {
+  Nodes_[Name] = std::make_unique<Node>(*this, Name);
+}
+
+void FakeCell::killNode(const std::string &Name) {
+  // Its callbacks may still be queued, so the object stays, cut off from all.
+  const auto Found = Nodes_.find(Name);
+  Found->second->Member_->resign([] {});
+  Dead_.push_back(std::move(Found->second));
+  Nodes_.erase(Found);
+}
+
+void FakeCell::cutNode(const std::string &Name, bool Cut) {
+  Rows_.Modes_[Name] = Cut ? StoreMode::Silent : StoreMode::Good;
+  if (Cut)
+    Cut_.insert(Name);
+  else
+    Cut_.erase(Name);
+}
+
+std::vector<std::string> FakeCell::leaders() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, Each] : Nodes_)
+    if (Each->Member_->leading())
+      Out.push_back(Name);
+  return Out;
+}
+
+std::string FakeCell::leader() const {
+  const std::vector<std::string> All = leaders();
+  return All.size() == 1 ? All.front() : "";
+}
+
+cell::Member &FakeCell::member(const std::string &Name) {
+  return *Nodes_.at(Name)->Member_;
+}
+
+std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
+FakeCell::call(const std::string &Name, const cell::CallerRequest &Request) {
+  const auto Out =
+      std::make_shared<std::optional<Result<cell::CallerAnswer>>>();
+  Nodes_.at(Name)->Gateway_.handle(
+      Request, [Out](const Result<cell::CallerAnswer> &Answer) {
+        Out->emplace(Answer);
+      });
+  return Out;
+}
+
+std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
+FakeCell::submit(const std::string &Name, const std::string &Id, int Tasks,
+                 Millis Length) {
+  cell::CallerRequest Request;
+  Request.Verb_ = cell::CallerVerb::Submit;
+  Request.Queue_ = "queue";
+  Request.Id_ = Id;
+  Request.Spec_.Id_ = Id;
+  Request.Spec_.Queue_ = "queue";
+  Request.Spec_.Payload_ = std::to_string(Length.Value_);
+  dispatch::StepSpec Step;
+  Step.Count_ = Tasks;
+  Step.Size_ = dispatch::Size{500, 100, 0};
+  Step.Estimate_ = Length;
+  Request.Spec_.Steps_ = {Step};
+  return call(Name, Request);
+}
+
+std::optional<dispatch::JobState> FakeCell::state(const std::string &Name,
+                                                  const std::string &Id) {
+  cell::CallerRequest Request;
+  Request.Verb_ = cell::CallerVerb::State;
+  Request.Id_ = Id;
+  const auto Answer = call(Name, Request);
+  Loop_.runUntil(Millis{4000}, [&] { return Answer->has_value(); });
+  if (!Answer->has_value() || !(*Answer)->has_value())
+    return std::nullopt;
+  return (*Answer)->value().State_;
+}
+
+std::string jobId(int Number) {
+  const std::string Digits = std::to_string(Number);
+  return std::string(16 - Digits.size(), '0') + Digits;
+}
+
+} // namespace damaskglade::fakes
--- /dev/null
+++ b/tests/cell/units_test.cpp
@@ -0,0 +1,59 @@
+#include "cell/advice_desk.h"
+#include "cell/member.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskglade;
+using namespace damaskglade::cell;
+
+BOOST_AUTO_TEST_SUITE(Units)
+
+BOOST_AUTO_TEST_CASE(TakeoverNeedsALostLeader) {
+  ElectionInput Input;
+  BOOST_TEST(!shouldTakeOver(Input));
+  Input.Refused_ = true;
+  BOOST_TEST(shouldTakeOver(Input));
+  Input.OtherNodeHearsIt_ = true;
+  BOOST_TEST(!shouldTakeOver(Input));
+  Input = ElectionInput{};
+  Input.SaysItDoesNotLead_ = true;
+  BOOST_TEST(shouldTakeOver(Input));
+}
+
+// Guards against a minority that replaces a leader which a majority confirms.
+BOOST_AUTO_TEST_CASE(MinorityWaitsLonger) {
+  ElectionInput Input;
+  Input.SilentFor_ = Millis{2000};
+  BOOST_TEST(shouldTakeOver(Input));
+  Input.Majority_ = false;
+  BOOST_TEST(!shouldTakeOver(Input));
+  Input.SilentFor_ = Millis{7000};
+  BOOST_TEST(shouldTakeOver(Input));
+}
+
+// Guards against a lookup's question that waits behind one of 0.6 s.
+BOOST_AUTO_TEST_CASE(FastQuestionsKeepNodesOfTheirOwn) {
+  std::vector<AdviceNode> Nodes(4);
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{30}, Millis{0}) == 0);
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{600}, Millis{0}) == 1);
+  Nodes[1].Outstanding_ = Millis{600};
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{600}, Millis{0}) == 2);
+  Nodes[2].AvoidUntil_ = Millis{10};
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{600}, Millis{0}) == 3);
+  Nodes[0].AvoidUntil_ = Millis{10};
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{30}, Millis{0}) == 3);
+}
+
+BOOST_AUTO_TEST_CASE(BusyNodesTakeNoMoreQuestions) {
+  std::vector<AdviceNode> Nodes(2);
+  Nodes[0].Outstanding_ = Nodes[1].Outstanding_ = Millis{5000};
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{600}, Millis{0}) == -1);
+}
+
+BOOST_AUTO_TEST_CASE(OnlyNodeAsksEverything) {
+  const std::vector<AdviceNode> Nodes(1);
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{30}, Millis{0}) == 0);
+  BOOST_TEST(chooseAdviceNode(Nodes, Millis{600}, Millis{0}) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/dispatch/job_test.cpp
@@ -0,0 +1,74 @@
+#include "tests/dispatch/fixture.h"
+
+using namespace damaskglade;
+using namespace damaskglade::dispatch;
+using namespace damaskglade::dispatch::testing;
+
+BOOST_AUTO_TEST_SUITE(Job)
+
+// Guards against fields that a row loses between its writer and its reader.
+BOOST_AUTO_TEST_CASE(SpecSurvivesRoundTrip) {
+  StepSpec Step = makeStep(4, 500);
+  Step.Checkpointing_ = true;
+  Step.Gang_ = true;
+  Step.Filler_ = true;
+  Step.LongRunning_ = true;
+  Step.Label_ = "b";
+  Step.Rack_ = "r1";
+  Step.MaxPerWorker_ = 2;
+  Step.Image_ = "wash";
+  Step.TargetLatency_ = Millis{70};
+  Step.MaxUnavailable_ = 1;
+  JobSpec Spec = makeJob("1", "batch", {Step, makeStep(1, 100, {0})});
+  Spec.Accepted_ = Millis{77};
+  const auto Decoded = decodeSpec(Spec.Id_, encodeSpec(Spec));
+  BOOST_TEST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((Decoded.value() == Spec));
+}
+
+BOOST_AUTO_TEST_CASE(ProgressSurvivesRoundTrip) {
+  JobProgress Progress;
+  Progress.State_ = JobState::Active;
+  Progress.Done_ = {{0, 2}, {}};
+  Progress.FailedAttempts_[{0, 1}] = {1, 2001};
+  const auto Decoded = decodeProgress(encodeProgress(Progress));
+  BOOST_TEST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((Decoded.value() == Progress));
+}
+
+// Guards against a damaged row that ends the process.
+BOOST_AUTO_TEST_CASE(DamagedRowsAreErrors) {
+  BOOST_TEST(!decodeSpec("1", "{\"s\":[[[]]]").has_value());
+  BOOST_TEST(!decodeSpec("1", "{\"s\":[[\"x\"]]}").has_value());
+  BOOST_TEST(!decodeProgress("{\"s\":99}").has_value());
+  BOOST_TEST(!decodeProgress("").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TaskNamesAreChecked) {
+  const auto Good = parseTaskName("5c0e7a21d94b36f8.0.1.17");
+  BOOST_TEST_REQUIRE(Good.has_value());
+  BOOST_TEST(taskName(Good.value()) == "5c0e7a21d94b36f8.0.1.17");
+  for (const char *Bad : {"", "abc", "abc.0.1", "abc.0.1.x", "abc.0.1.2.3",
+                          "abc.1.1.1", "abc.0.-1.1"})
+    BOOST_TEST(!parseTaskName(Bad).has_value(), Bad);
+}
+
+BOOST_AUTO_TEST_CASE(BadSpecsAreRefused) {
+  BOOST_TEST(checkSpec(makeJob("1", "batch", {makeStep(1, 1)})).has_value());
+  BOOST_TEST(!checkSpec(makeJob("1", "batch", {})).has_value());
+  BOOST_TEST(!checkSpec(makeJob("1", "batch", {makeStep(0, 1)})).has_value());
+  BOOST_TEST(
+      !checkSpec(makeJob("1", "batch", {makeStep(1, 1, {0})})).has_value());
+  BOOST_TEST(!checkSpec(makeJob("1", "batch", {makeStep(1, -1)})).has_value());
+  JobSpec Named = makeJob("1", "batch", {makeStep(1, 1)});
+  Named.Id_ = "../../etc/passwd";
+  BOOST_TEST(!checkSpec(Named).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ChainIsTheLongestPath) {
+  const JobSpec Spec = makeJob(
+      "1", "batch", {makeStep(1, 1), makeStep(1, 1, {0}), makeStep(1, 1, {0})});
+  BOOST_TEST(chainEstimate(Spec).Value_ == 2000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/policy/fleet.h
+++ b/tests/policy/fleet.h
@@ -2,31 +2,16 @@
 #define DAMASKGLADE_TESTS_POLICY_FLEET_H
 
 #include "policy/ledger.h"
+#include "tests/fakes/property.h"
 
 #include <algorithm>
-#include <iostream>
 #include <rapidcheck.h>
 #include <string>
 #include <vector>
 
 namespace damaskglade::policy {
 
-/// Runs a property with a fixed seed, so that a failure repeats. Returns true
-/// if it held; rapidcheck prints the counterexample otherwise.
-template <typename Property>
-bool holds(const char *Description, Property Body) {
-  rc::detail::TestMetadata Metadata;
-  Metadata.id = Description;
-  Metadata.description = Description;
-  rc::detail::TestParams Params;
-  Params.seed = 20261204;
-  Params.maxSuccess = 200;
-  const rc::detail::TestResult Outcome =
-      rc::detail::checkTestable(Body, Metadata, Params);
-  rc::detail::printResultMessage(Outcome, std::cerr);
-  std::cerr << "\n";
-  return Outcome.template is<rc::detail::SuccessResult>();
-}
+using fakes::holds;
 
 inline std::string workerId(int Number) {
   std::string Digits = std::to_string(Number);
