dispatch: Count the first confirmation of a stop

Cause: an unanswered start is stopped, and its room released by a look that was sent after the stop's answer. Change: the first confirmation stays; a look follows it; refused stops and overdue ones are logged; a refused look is not repeated at once.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -298,7 +298,8 @@
     return wake();
   }
   State.Failures_ = 0;
-  if (State.Born_ != Reply.value().Born_) {
+  const bool Told = Reply.value().Outcome_ == OrderOutcome::Done;
+  if (Told && State.Born_ != Reply.value().Born_) {
     State.Born_ = Reply.value().Born_;
     State.Seen_ = 0;
     State.Recorded_ = 0;
@@ -324,7 +325,9 @@
   if (Probe || State.Looking_)
     return;
   const bool Unrecorded = State.Seen_ > State.Recorded_;
-  if (Unrecorded)
+  if (Reply.value().Outcome_ != OrderOutcome::Done)
+    scheduleLook(Id, LookRetry);
+  else if (Unrecorded)
     scheduleLook(Id, UnrecordedLook);
   else
     look(Id, false);
@@ -374,8 +377,13 @@
           if (Self->Stopped_)
             return;
           Self->Dispatcher_.noteStop(Each, Reply, Self->now());
-          if (Reply)
+          if (!Reply)
+            return;
+          // A look counts if it is sent later than the stop was confirmed.
+          constexpr Millis NextMoment{2};
+          Self->Ports_.Timers_.after(NextMoment, [Self, Each] {
             Self->look(Each.Target_.Worker_, true);
+          });
         });
   for (const dispatch::PaceAction &Each : Todo.Paces_)
     Ports_.Workers_.pace(
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -80,8 +80,16 @@
   if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Attempt_ ||
       Task->Run_->Worker_ != Order.Target_.Worker_)
     return;
-  if (Reply.value().Outcome_ == OrderOutcome::Done)
-    Task->Run_->StopConfirmedAt_ = Now;
+  // The first confirmation counts: a look that was sent after it tells whether
+  // the run has gone, however often the stop is repeated.
+  Run &Attempt = *Task->Run_;
+  if (Reply.value().Outcome_ == OrderOutcome::Done) {
+    if (Attempt.StopConfirmedAt_ == Millis{})
+      Attempt.StopConfirmedAt_ = Now;
+  } else
+    log(Ref.value().Job_, Order.Task_, Order.Target_.Worker_,
+        "stop refused, outcome=" +
+            std::to_string(static_cast<int>(Reply.value().Outcome_)));
 }
 
 void Dispatcher::notePace(const PaceAction &Order, bool Taken) {
@@ -154,6 +162,10 @@
       if (Now < Attempt.StopSentAt_ + (Confirmed ? StopPatience : StopRepeat))
         continue;
       Attempt.StopSentAt_ = Now;
+      log(Ref.Job_, taskName(Ref), Id,
+          "stop again, confirmed=" + std::to_string(Confirmed) +
+              " look_age_ms=" +
+              std::to_string((Now - Where.ClockReadAt_).Value_));
       Pending_.Stops_.push_back(
           StopAction{target(Where), taskName(Ref), Attempt.Attempt_, "again"});
     }
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -186,6 +186,26 @@
   BOOST_TEST(Third.Starts_[0].Order_.Attempt_ == 2);
 }
 
+// Guards against a task that stays stopped for ever: looks that take longer
+// than the pause between repeated stops were never later than the last one.
+BOOST_AUTO_TEST_CASE(RepeatedStopsDoNotPostponeTheRelease) {
+  Cell Fake;
+  Fake.addWorkers({makeWorker("w1", 1000)});
+  Fake.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Actions First = Fake.Core_.decide(Fake.Now_);
+  Fake.Core_.noteStart(First.Starts_[0], lost(Effect::Unknown), Fake.Now_);
+  Fake.look("w1");
+  BOOST_TEST(Fake.step().Stops_.size() == 1U);
+  const Millis SentAt = Fake.Now_ + Millis{5};
+  Fake.pass(Millis{1900});
+  BOOST_TEST(Fake.step().Stops_.size() == 1U);
+  LookReply Slow;
+  Slow.Clock_ = Fake.Now_;
+  Slow.Born_ = 1;
+  Fake.Core_.noteLook("w1", Slow, SentAt, Fake.Now_);
+  BOOST_TEST(Fake.step().Starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(UnansweredStartThatRunsIsKept) {
   Cell Fake;
   Fake.addWorkers({makeWorker("w1")});
