--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -22,7 +22,7 @@
 constexpr Millis TickPeriod{100};
 constexpr Millis RegistryPeriod{1000};
 constexpr Millis ConfirmPeriod{500};
-constexpr Millis HandOverAfter{1200};
+constexpr Millis HandOverAfter{500};
 constexpr Millis WakeDelay{3};
 constexpr Millis LoadRetry{100};
 constexpr Millis LookRetry{150};
@@ -273,13 +273,14 @@
   if (confirmed())
     Order.LeaseEnd_ = Dispatcher_.leaseEnd(*Where, now());
   if (Known && !Probe && State.Seen_ == State.Recorded_)
-    Order.Wait_ = Dispatcher_.lookWait(Id);
+    Order.Wait_ = Dispatcher_.lookWait(Id, now());
   const Millis SentAt = now();
-  Ports_.Workers_.look(
-      WorkerTarget{Id, Where->Info_.Address_, View_.Epoch_}, Order,
-      [Self = shared_from_this(), Id, Probe, SentAt](Result<LookReply> Reply) {
-        Self->looked(Id, Probe, SentAt, Reply);
-      });
+  Ports_.Workers_.look(WorkerTarget{Id, Where->Info_.Address_, View_.Epoch_},
+                       Order,
+                       [Self = shared_from_this(), Id, Probe,
+                        SentAt](const Result<LookReply> &Reply) {
+                         Self->looked(Id, Probe, SentAt, Reply);
+                       });
 }
 
 void Leader::looked(const std::string &Id, bool Probe, Millis SentAt,
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -14,6 +14,10 @@
 constexpr Millis SilenceLimit{1300};
 // Without a majority the old leader may be well, so it gets more time.
 constexpr Millis MinoritySilence{6000};
+// One ping has failed by then. The balancer asks twice before it turns away.
+constexpr Millis ReadySilence{1000};
+// From then on callers are told at once to come back, to another node.
+constexpr Millis HopelessSilence{1600};
 constexpr Millis NodeLifetime{1500};
 constexpr Millis HearsTimeout{450};
 constexpr Millis CheckTimeout{250};
@@ -81,7 +85,7 @@
     return false;
   if (leads())
     return Leader_->active();
-  return View_.Epoch_ > 0 && now() < HeardAt_ + SilenceLimit;
+  return View_.Epoch_ > 0 && now() < HeardAt_ + ReadySilence;
 }
 
 void Member::scheduleTick(Millis Delay) {
@@ -314,7 +318,7 @@
                        });
 }
 
-void Member::resign(std::function<void()> Done) {
+void Member::resign(const std::function<void()> &Done) {
   Resigned_ = true;
   if (!leads())
     return Done();
@@ -370,27 +374,30 @@
 
 void Member::addMethods(RpcServer &Server) {
   const auto Self = shared_from_this();
-  Server.add("node.ping", [Self](const Json::Value &Params, RpcReply Reply) {
-    Self->answerPing(Params, Reply);
-  });
-  Server.add("node.hears", [Self](const Json::Value &Params, RpcReply Reply) {
-    Self->answerHears(Params, Reply);
-  });
+  Server.add("node.ping",
+             [Self](const Json::Value &Params, const RpcReply &Reply) {
+               Self->answerPing(Params, Reply);
+             });
+  Server.add("node.hears",
+             [Self](const Json::Value &Params, const RpcReply &Reply) {
+               Self->answerHears(Params, Reply);
+             });
   Server.add("node.take_lead",
-             [Self](const Json::Value &Params, RpcReply Reply) {
+             [Self](const Json::Value &Params, const RpcReply &Reply) {
                Self->Input_ = ElectionInput{};
                Self->takeOver(Params["epoch"].asInt64());
                Reply(Json::Value(Json::objectValue));
              });
-  Server.add("advice.ask", [Self](const Json::Value &Params, RpcReply Reply) {
-    serveAdvice(Self->Ports_, Params, Reply);
-  });
+  Server.add("advice.ask",
+             [Self](const Json::Value &Params, const RpcReply &Reply) {
+               serveAdvice(Self->Ports_, Params, Reply);
+             });
   for (const char *Method :
        {"job.submit", "job.state", "job.cancel", "queue.pending"})
-    Server.add(Method,
-               [Self, Method](const Json::Value &Params, RpcReply Reply) {
-                 Self->serveLocal(Method, Params, Reply);
-               });
+    Server.add(Method, [Self, Method](const Json::Value &Params,
+                                      const RpcReply &Reply) {
+      Self->serveLocal(Method, Params, Reply);
+    });
 }
 
 void Member::serveLocal(const std::string &Method, const Json::Value &Params,
@@ -447,7 +454,8 @@
 void Member::retryCall(const std::shared_ptr<OpenCall> &Call,
                        const Error &Failure) {
   Ports_.Metrics_.countRetry(Failure.Reason_);
-  if (now() + CallRetry + CallRetry > Call->Deadline_) {
+  const bool Hopeless = !leads() && now() > HeardAt_ + HopelessSilence;
+  if (Hopeless || now() + CallRetry + CallRetry > Call->Deadline_) {
     Error Last = Failure;
     Last.Effect_ = Call->Unclear_ ? Effect::Unknown : Effect::None;
     return Call->Reply_(Last);
--- a/cell/member.h
+++ b/cell/member.h
@@ -36,7 +36,7 @@
 
   void start();
   /// Passes the lead on, then calls back; for a planned stop.
-  void resign(std::function<void()> Done);
+  void resign(const std::function<void()> &Done);
   void setConfig(const CellConfig &Config);
   /// Whether the node leads and has loaded all rows.
   bool leading() const { return leads() && Leader_->active(); }
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -98,7 +98,7 @@
 public:
   Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
 
-  void setQueues(std::map<std::string, QueuePolicy> Queues);
+  void setQueues(const std::map<std::string, QueuePolicy> &Queues);
 
   // Jobs.
 
@@ -166,7 +166,7 @@
   /// Decides what to do next.
   Actions decide(Millis Now);
   /// How long the next look at a worker may wait for an end.
-  Millis lookWait(const std::string &Worker) const;
+  Millis lookWait(const std::string &Worker, Millis Now) const;
   std::vector<Decision> takeDecisions();
   bool fenced() const { return Fenced_; }
   std::int64_t epoch() const { return Epoch_; }
@@ -203,6 +203,8 @@
   void stopStepRuns(JobRun &Job, int Step, const std::string &Why, Millis Now);
   Millis firstLapse() const;
   void noteClock(Worker &Where, Millis Clock, Millis SentAt, Millis Now);
+  void noteDuration(Worker &Where, const StepSpec &Step, const Run &Attempt,
+                    Millis Now);
   void noteEnd(Worker &Where, const EndedTask &End, Millis Now);
   void applyEnd(JobRun &Job, const TaskRef &Ref, const EndedTask &End,
                 Worker &Where, Millis Now);
@@ -232,9 +234,11 @@
   Millis untilReady(const JobRun &Job, int Step, Millis Now) const;
   void repeatStops(Millis Now);
   void stopStalled(Millis Now);
+  bool hasOverdueRun(const Worker &Where, Millis Now) const;
   void evacuate(Millis Now);
   void paceFillers(Millis Now);
-  Candidate candidateAt(Worker &Where, const JobRun &Job, int Step) const;
+  Candidate candidateAt(Worker &Where, const JobRun &Job, int Step,
+                        Millis Now) const;
 
   const DispatchLimits Limits_;
   const std::int64_t Epoch_;
@@ -251,6 +255,7 @@
   std::vector<std::string> ForgottenWorkers_;
   std::size_t UnresolvedWorkers_ = 0; ///< That may run restored work.
   std::set<std::string> HeldForGang_; ///< Workers kept free in this pass.
+  double UsualShare_ = 0;             ///< Of estimates, over all workers.
   Size FleetRoom_;
   Size FleetSize_;
   bool ListSeen_ = false;
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -15,9 +15,9 @@
                        Millis Now)
     : Limits_(Limits), Epoch_(Epoch), StartedAt_(Now) {}
 
-void Dispatcher::setQueues(std::map<std::string, QueuePolicy> Queues) {
+void Dispatcher::setQueues(const std::map<std::string, QueuePolicy> &Queues) {
   // Jobs of a queue that was removed keep its last policy.
-  for (auto &[Name, Policy] : Queues)
+  for (const auto &[Name, Policy] : Queues)
     Queues_[Name] = Policy;
 }
 
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -96,10 +96,11 @@
   return Out;
 }
 
-Candidate Dispatcher::candidateAt(Worker &Where, const JobRun &Job,
-                                  int Step) const {
+Candidate Dispatcher::candidateAt(Worker &Where, const JobRun &Job, int Step,
+                                  Millis Now) const {
   Candidate Out;
   Out.Where_ = &Where;
+  Out.Slow_ = isSlow(Where, UsualShare_, Now);
   for (auto At = Where.Tasks_.lower_bound(TaskRef{Job.Spec_.Id_, Step, 0});
        At != Where.Tasks_.end() && At->Job_ == Job.Spec_.Id_ &&
        At->Step_ == Step;
@@ -120,7 +121,7 @@
         mayRunOn(Spec, Where.Info_) &&
         (Key.Policy_->Priority_ == 0 || Spec.LongRunning_ ||
          HeldForGang_.count(Where.Info_.Id_) == 0))
-      Out.push_back(candidateAt(Where, *Key.Job_, Key.Step_));
+      Out.push_back(candidateAt(Where, *Key.Job_, Key.Step_, Now));
   };
   if (!Key.Policy_->NeedsAdvice_) {
     for (auto &[Id, Where] : Workers_)
--- a/dispatch/dispatcher_preempt.cpp
+++ b/dispatch/dispatcher_preempt.cpp
@@ -8,9 +8,15 @@
 
 constexpr Millis PreemptionGap{250};
 constexpr int MaxPreemptionsPerPass = 8;
-// A task without progress for so long stands still. Percentages arrive at
-// least every 2 s.
-constexpr Millis StallTime{4500};
+// A task stands still that has made no percent of progress for so long, as
+// seen by several looks. Overdue tasks are looked at more often.
+constexpr Millis StallTime{900};
+constexpr int StallLooks = 3;
+constexpr std::int64_t StallShare = 4; // Of the estimate, at least.
+constexpr std::int64_t OverdueFactor = 2;
+constexpr Millis OverdueMargin{300};
+constexpr Millis OverdueLook{300};
+// Lasting tasks make no progress while they start up.
 constexpr Millis StartupTime{3000};
 // Fillers are slowed before a task reaches its target and let go well below.
 constexpr double PaceDownShare = 0.8;
@@ -124,8 +130,10 @@
       const bool AtWork = Spec.LongRunning_ && Attempt.Percent_ == FullPace;
       if (Attempt.State_ != RunState::Running || !Attempt.Seen_ ||
           Spec.Filler_ || Spec.Gang_ || AtWork ||
-          Now < Attempt.ProgressAt_ + StallTime ||
-          Now < Attempt.StartedAt_ + StartupTime)
+          Attempt.StillLooks_ < StallLooks ||
+          Now < Attempt.ProgressAt_ +
+                    std::max(StallTime, Spec.Estimate_ / StallShare) ||
+          (Spec.LongRunning_ && Now < Attempt.StartedAt_ + StartupTime))
         continue;
       noteFailure(Where.Health_, Ref.Job_, Now);
       orderStop(Ref, Task, "stands still", Now);
@@ -194,11 +202,27 @@
   }
 }
 
-Millis Dispatcher::lookWait(const std::string &Id) const {
+bool Dispatcher::hasOverdueRun(const Worker &Where, Millis Now) const {
+  return std::any_of(
+      Where.Tasks_.begin(), Where.Tasks_.end(), [&](const TaskRef &Ref) {
+        const JobRun &Job = *findJob(Ref.Job_);
+        const StepSpec &Spec =
+            Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+        const Run &Attempt = *Job.Steps_[static_cast<std::size_t>(Ref.Step_)]
+                                  .Tasks_[static_cast<std::size_t>(Ref.Index_)]
+                                  .Run_;
+        return policyOf(Job).Priority_ == 0 &&
+               Attempt.State_ == RunState::Running &&
+               Now > Attempt.StartedAt_ + Spec.Estimate_ * OverdueFactor +
+                         OverdueMargin;
+      });
+}
+
+Millis Dispatcher::lookWait(const std::string &Id, Millis Now) const {
   const Worker *Where = findWorker(Id);
   if (!Where || (Where->Fillers_ > 0 && Where->ServingRuns_ > 0))
     return SharedLook;
-  return LongLook;
+  return hasOverdueRun(*Where, Now) ? OverdueLook : LongLook;
 }
 
 } // namespace damaskglade::dispatch
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -265,8 +265,11 @@
       Task->Run_->Worker_ != Where.Info_.Id_)
     return stopForeign(Where, Entry, Now);
   Run &Attempt = *Task->Run_;
-  if (!Attempt.Seen_ || Entry.Percent_ != Attempt.Percent_)
+  ++Attempt.StillLooks_;
+  if (!Attempt.Seen_ || Entry.Percent_ != Attempt.Percent_) {
     Attempt.ProgressAt_ = Now;
+    Attempt.StillLooks_ = 0;
+  }
   Attempt.Seen_ = true;
   Attempt.Percent_ = Entry.Percent_;
   Attempt.Gauge_ = Entry.Gauge_;
@@ -353,6 +356,20 @@
   }
 }
 
+void Dispatcher::noteDuration(Worker &Where, const StepSpec &Step,
+                              const Run &Attempt, Millis Now) {
+  // Fillers run at whatever is left, gangs wait for each other, and a resumed
+  // task does only part of its work.
+  if (Step.Filler_ || Step.Gang_ || Step.Checkpointing_ ||
+      Step.Estimate_ <= Millis{} || Attempt.StartedAt_ == Millis{})
+    return;
+  constexpr double Weight = 0.02;
+  const double Share = static_cast<double>((Now - Attempt.StartedAt_).Value_) /
+                       static_cast<double>(Step.Estimate_.Value_);
+  UsualShare_ += UsualShare_ == 0 ? Share : Weight * (Share - UsualShare_);
+  noteSpeed(Where, Share, Now);
+}
+
 void Dispatcher::noteEnd(Worker &Where, const EndedTask &End, Millis Now) {
   if (End.Number_ <= Where.LastEnd_)
     return;
@@ -372,6 +389,8 @@
     Task.Checkpoint_ = End.Checkpoint_;
   const bool Current = Task.Run_ && Task.Run_->Attempt_ == End.Attempt_ &&
                        Task.Run_->Worker_ == Where.Info_.Id_;
+  if (Current && End.End_ == TaskEnd::Done)
+    noteDuration(Where, Step, *Task.Run_, Now);
   if (Current)
     releaseRun(Task, Ref, Step);
   if (End.End_ == TaskEnd::Done)
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -13,6 +13,8 @@
 // The shortest faults of workers on the users' sites last about 5 s.
 constexpr Millis FirstQuarantine{2000};
 constexpr Millis LongestQuarantine{8000};
+// A worker that gets no lookups any more is tried again after this time.
+constexpr Millis SpeedMemory{4000};
 
 } // namespace
 
@@ -25,6 +27,22 @@
          !Where.Info_.Draining_ && Where.Health_.QuarantinedUntil_ <= Now;
 }
 
+void noteSpeed(Worker &Where, double ShareOfEstimate, Millis Now) {
+  constexpr double Weight = 0.35;
+  if (Where.Slowness_ == 0 || Now > Where.SlownessAt_ + SpeedMemory)
+    Where.Slowness_ = ShareOfEstimate;
+  else
+    Where.Slowness_ += Weight * (ShareOfEstimate - Where.Slowness_);
+  Where.SlownessAt_ = Now;
+}
+
+bool isSlow(const Worker &Where, double UsualShare, Millis Now) {
+  // Declared times are off by up to half, so less tells nothing.
+  constexpr double SlowFactor = 3.0;
+  return UsualShare > 0 && Where.Slowness_ > SlowFactor * UsualShare &&
+         Now < Where.SlownessAt_ + SpeedMemory;
+}
+
 void noteSuccess(WorkerHealth &Health) { Health = WorkerHealth{}; }
 
 void noteFailure(WorkerHealth &Health, const std::string &Job, Millis Now) {
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -72,6 +72,10 @@
   int ServingRuns_ = 0; ///< Runs of tasks with a latency target.
   Millis SilentSince_{};
   WorkerHealth Health_;
+  /// Moving average of the time of tasks as a share of their estimate; zero
+  /// if none has ended lately.
+  double Slowness_ = 0;
+  Millis SlownessAt_{};
   int FillerPercent_ = 100; ///< Pace of fillers here.
   Millis PaceChangedAt_{};
 };
@@ -82,6 +86,11 @@
 /// Whether new tasks may be placed on the worker.
 bool acceptsWork(const Worker &Where, Millis Now);
 
+/// Notes the time of a task that ended well.
+void noteSpeed(Worker &Where, double ShareOfEstimate, Millis Now);
+/// Whether tasks on the worker take far longer than usual.
+bool isSlow(const Worker &Where, double UsualShare, Millis Now);
+
 /// Notes an end; quarantines the worker after failures of different jobs in a
 /// row, for twice as long each time a trial fails.
 void noteSuccess(WorkerHealth &Health);
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -28,6 +28,7 @@
   bool Seen_ = false;  ///< In the worker's list at least once.
   int Percent_ = 0;
   Millis ProgressAt_{}; ///< When the percentage last rose.
+  int StillLooks_ = 0;  ///< Looks since then.
   std::int64_t Gauge_ = 0;
   int Pace_ = 100;
   Millis StopSentAt_{};
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -33,6 +33,7 @@
   constexpr double OtherRack = 40.0;
   constexpr double FillerBesideUsers = 60.0;
   constexpr double FillerBesideFiller = 8.0;
+  constexpr double SlowWorker = 100.0;
   const WorkerInfo &Info = At.Where_->Info_;
   const double FreeCpus =
       static_cast<double>(freeRoom(*At.Where_).MilliCpus_) / MilliCpusPerCpu;
@@ -46,6 +47,8 @@
     if (At.ServesUsers_)
       Cost += FillerBesideUsers;
   }
+  if (At.Slow_)
+    Cost += SlowWorker;
   // A task with users does better where no filler disturbs it.
   if (Step.TargetLatency_ > Millis{})
     Cost += FillerBesideUsers * At.Fillers_;
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -16,6 +16,7 @@
   int TasksOfStep_ = 0;      ///< Tasks of the same step that run there.
   bool ServesUsers_ = false; ///< Runs a task with a latency target.
   int Fillers_ = 0;
+  bool Slow_ = false;
 
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
--- a/drivers/beast/event_loop.cpp
+++ b/drivers/beast/event_loop.cpp
@@ -49,7 +49,8 @@
 EventLoop::~EventLoop() = default;
 
 Status EventLoop::listen(const std::string &Address,
-                         const ListenerLimits &Limits, WebHandler Handler) {
+                         const ListenerLimits &Limits,
+                         const WebHandler &Handler) {
   const auto Colon = Address.rfind(':');
   boost::system::error_code Failure;
   const auto Ip = asio::ip::make_address(
@@ -93,7 +94,7 @@
       });
 }
 
-void EventLoop::onSignal(std::function<void(int)> Handler) {
+void EventLoop::onSignal(const std::function<void(int)> &Handler) {
   for (const int Number : {SIGTERM, SIGINT, SIGHUP})
     State_->Signals_.add(Number);
   State_->waitForSignal(Handler);
--- a/drivers/beast/event_loop.h
+++ b/drivers/beast/event_loop.h
@@ -24,12 +24,12 @@
 
   /// Accepts connections on "ip:port". Errors: connect_failed.
   Status listen(const std::string &Address, const ListenerLimits &Limits,
-                WebHandler Handler);
+                const WebHandler &Handler);
   std::unique_ptr<WebClient> makeClient();
 
   void after(Millis Delay, std::function<void()> Task) override;
   /// Calls the handler for SIGTERM, SIGINT and SIGHUP.
-  void onSignal(std::function<void(int)> Handler);
+  void onSignal(const std::function<void(int)> &Handler);
   /// Takes no new connections and closes idle ones; requests in progress
   /// are answered with "Connection: close".
   void drain();
--- a/misc/scripts/lint.sh
+++ b/misc/scripts/lint.sh
@@ -1,12 +1,31 @@
 #!/usr/bin/env bash
 # Checks format and lint rules of all sources. Usage: lint.sh [BUILD_DIR]
+# A file that passed is not linted again while it, every header it includes,
+# its compile command and the lint rules stay the same.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 BUILD=${1:-build}
+export BUILD STAMPS=$BUILD/lint-stamps
+mkdir -p "$STAMPS"
 
 # Generated stubs follow their generator's style.
 mapfile -t FILES < <(git ls-files --cached --others --exclude-standard \
   '*.h' '*.cpp' | grep -v '/generated/')
 clang-format --dry-run -Werror "${FILES[@]}"
+
+lint_file() {
+  local file=$1 stamp hash
+  stamp=$STAMPS/${file//\//_}
+  # Headers outside the tree come from packages and change with the compiler.
+  hash=$({ g++ -std=c++20 -I. -I/usr/include/jsoncpp -MM "$file" |
+    tr -d '\\' | tr ' ' '\n' | grep -E '\.(h|cpp)$' | grep -v '^/' |
+    sort -u | xargs cat
+    cat .clang-tidy CMakeLists.txt
+    clang-tidy --version; } | sha256sum)
+  [ -e "$stamp" ] && [ "$(cat "$stamp")" = "$hash" ] && return 0
+  clang-tidy -p "$BUILD" --quiet "$file" 2>/dev/null || return 1
+  echo "$hash" >"$stamp"
+}
+export -f lint_file
 printf '%s\n' "${FILES[@]}" | grep '\.cpp$' |
-  xargs -P "$(nproc)" -n 2 clang-tidy -p "$BUILD" --quiet 2>/dev/null
+  xargs -P "$(nproc)" -I{} bash -c 'lint_file {}'
