tests: Cover the translation layer and the Beast driver

Cause: platform/ and drivers/beast had no tests. Change: adapter and beast test programs (bad settings, foreign entries, refusals with and without effect, lost history, stalled log reader).

--- /dev/null
+++ b/tests/adapter/adapter_test.cpp
@@ -0,0 +1,276 @@
+#include "platform/callers.h"
+#include "platform/settings.h"
+#include "platform/store.h"
+#include "platform/workers.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <deque>
+#include <fstream>
+#include <json/reader.h>
+
+using namespace damaskglade;
+using namespace damaskglade::platform;
+
+namespace {
+
+/// Keeps the calls and answers them with what was queued.
+class FakeHttp : public WebClient {
+public:
+  void call(const WebCall &Call, WebReplyHandler Done) override {
+    Calls_.push_back(Call);
+    if (Replies_.empty())
+      return Done(Error{Reason::Timeout, Effect::Unknown, "call", "", "", {}});
+    const Result<WebReply> Reply = Replies_.front();
+    Replies_.pop_front();
+    Done(Reply);
+  }
+
+  void queue(int Status, const std::string &Body) {
+    Replies_.emplace_back(WebReply{Status, Body});
+  }
+
+  std::deque<Result<WebReply>> Replies_;
+  std::vector<WebCall> Calls_;
+};
+
+Json::Value parse(const std::string &Text) {
+  Json::Value Out;
+  Json::Reader Reader;
+  Reader.parse(Text, Out);
+  return Out;
+}
+
+std::string writeFile(const std::string &Text) {
+  const std::string Path = "adapter_test_settings.ini";
+  std::ofstream(Path) << Text;
+  return Path;
+}
+
+constexpr const char *GoodSettings = "[node]\nname = n1\nzone = z1\n"
+                                     "callers = 10.0.0.1:1\n"
+                                     "readiness = 10.0.0.1:2\n"
+                                     "peers = 10.0.0.1:3\n"
+                                     "[services]\nstore = 10.0.0.9:1\n"
+                                     "[limits]\nmax_lease_ms = 10000\n"
+                                     "stop_grace_s = 6\nnew_key = 1\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Adapter)
+
+BOOST_AUTO_TEST_CASE(SettingsAreRead) {
+  const auto Read = loadSettings(writeFile(GoodSettings));
+  BOOST_TEST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read.value().PeerListen_ == "10.0.0.1:3");
+  BOOST_TEST(Read.value().StopGrace_.Value_ == 6000);
+  BOOST_TEST(Read.value().GangWait_.Value_ == 3000);
+}
+
+// Guards against a node that starts with half of its settings.
+BOOST_AUTO_TEST_CASE(BadSettingsNameTheKey) {
+  BOOST_TEST(!loadSettings("no-such-file.ini").has_value());
+  const auto Missing = loadSettings(writeFile("[node]\nname = n1\n"));
+  BOOST_TEST_REQUIRE(!Missing.has_value());
+  BOOST_TEST(Missing.error().Peer_ == "node.zone");
+  std::string Wrong = GoodSettings;
+  Wrong.replace(Wrong.find("10000"), 5, "ten");
+  const auto Parsed = loadSettings(writeFile(Wrong));
+  BOOST_TEST_REQUIRE(!Parsed.has_value());
+  BOOST_TEST(Parsed.error().Peer_ == "limits.max_lease_ms");
+  std::remove("adapter_test_settings.ini");
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationIsDecoded) {
+  const auto Config = decodeConfig(
+      R"({"version":7,"routes":[{"name":"r1","host":"h","pathPrefix":"/a/",)"
+      R"("service":"s","priority":2,"maxAttempts":4,"slackFactor":2.2,)"
+      R"("targetLatencyMs":1200,"hint":{"decisionMs":420.0,)"
+      R"("intervalMs":6.1,"validMs":2500}}]})");
+  BOOST_TEST_REQUIRE(Config.has_value());
+  BOOST_TEST(Config.value().Version_ == 7);
+  const dispatch::QueuePolicy &Policy = Config.value().Queues_.at("r1");
+  BOOST_TEST(Policy.MaxAttempts_ == 4);
+  BOOST_TEST(Policy.NeedsAdvice_);
+  BOOST_TEST(Policy.TicketValid_.Value_ == 2500);
+  BOOST_TEST(!decodeConfig("not json").has_value());
+  BOOST_TEST(!decodeConfig(R"({"version":{},"routes":3})").has_value());
+}
+
+// Guards against entries of other writers that are used as workers.
+BOOST_AUTO_TEST_CASE(OnlyWholeEntriesNameWorkers) {
+  const std::string Good =
+      R"({"service":"s","addr":"10.0.0.1:5","zone":"z","state":"draining",)"
+      R"("capacity":{"cpu":16000,"memMb":32768},"labels":["a","r1"]})";
+  const auto Worker = decodeWorker("i-1", Good);
+  BOOST_TEST_REQUIRE(Worker.has_value());
+  BOOST_TEST(Worker.value().Draining_);
+  BOOST_TEST(Worker.value().Capacity_.MilliCpus_ == 16000);
+  for (const char *Bad :
+       {"", "[]", "{}", R"({"state":"asleep","addr":"a","service":"s"})",
+        R"({"state":"ready","addr":"","service":"s"})",
+        R"({"state":"ready","addr":"a","service":"s","capacity":7})"})
+    BOOST_TEST(!decodeWorker("i-1", Bad).has_value(), Bad);
+}
+
+BOOST_AUTO_TEST_CASE(LookIsDecoded) {
+  const auto Look = decodeLook(
+      R"({"clockMs":5,"born":17,"running":[["j.0.1.2",3,"cp",41,9]],)"
+      R"("finished":[[8,"j.0.1.3",1,"broken",""],[9,"j.0.1.4",1,"done",""]]})");
+  BOOST_TEST_REQUIRE(Look.has_value());
+  BOOST_TEST(Look.value().Born_ == 17);
+  BOOST_TEST(Look.value().Running_.at(0).Percent_ == 41);
+  BOOST_TEST((Look.value().Ended_.at(0).End_ == TaskEnd::GangBroken));
+  BOOST_TEST((Look.value().Ended_.at(1).End_ == TaskEnd::Done));
+  BOOST_TEST(!decodeLook("{\"running\":[[{}]]}").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SubmissionIsDecoded) {
+  const auto Spec = decodeSubmission(
+      "5c0e7a21d94b36f8", "r1",
+      R"({"spec":"text","phases":[{"count":4,"cpu":500,"memMb":256,)"
+      R"("estimateMs":900,"gang":true},{"count":1,"after":[0],)"
+      R"("longRunning":true,"fills":true,"targetMs":70,"mayMiss":1}]})");
+  BOOST_TEST_REQUIRE(Spec.has_value());
+  BOOST_TEST(Spec.value().Steps_.at(0).Gang_);
+  BOOST_TEST(Spec.value().Steps_.at(1).LongRunning_);
+  BOOST_TEST(Spec.value().Steps_.at(1).TargetLatency_.Value_ == 70);
+  BOOST_TEST(!decodeSubmission("1", "r1", "{").has_value());
+  BOOST_TEST(
+      !decodeSubmission("1", "r1", R"({"phases":[{"count":[]}]})").has_value());
+}
+
+// Guards against work that is dropped silently: what is not carried out is
+// refused with a reason.
+BOOST_AUTO_TEST_CASE(ScheduledJobIsRefused) {
+  const auto Spec = decodeSubmission("5c0e7a21d94b36f8", "r1",
+                                     R"({"repeats":3,"phases":[{"count":1}]})");
+  BOOST_TEST_REQUIRE(!Spec.has_value());
+  BOOST_TEST((Spec.error().Effect_ == Effect::None));
+}
+
+BOOST_AUTO_TEST_CASE(TransactionIsTranslated) {
+  FakeHttp Http;
+  const auto Store = makeRowStore(Http, "10.0.0.9:1");
+  Http.queue(200, R"({"ver":9,"nowMs":1})");
+  RowTransaction Change;
+  Change.Conditions_ = {RowCondition{RowName{"t", "p", "k"}, 4}};
+  Change.Puts_ = {RowPut{RowName{"t", "p", "k"}, "node-1"}};
+  bool Applied = false;
+  Store->transact(Change, [&](const Result<TransactionOutcome> &Outcome) {
+    Applied =
+        Outcome && Outcome.value().Applied_ && Outcome.value().Version_ == 9;
+  });
+  BOOST_TEST(Applied);
+  const Json::Value Sent = parse(Http.Calls_.at(0).Body_);
+  BOOST_TEST(Sent["expectedRev"][0]["ver"].asInt() == 4);
+  BOOST_TEST(Sent["puts"][0]["value"].asString() == "bm9kZS0x");
+}
+
+// Guards against "not run" after a write that may have been done.
+BOOST_AUTO_TEST_CASE(OnlyRefusalsOfTheStoreHaveNoEffect) {
+  FakeHttp Http;
+  const auto Store = makeRowStore(Http, "10.0.0.9:1");
+  const auto EffectOf = [&] {
+    Effect Seen = Effect::None;
+    Store->transact(RowTransaction{},
+                    [&](const Result<TransactionOutcome> &Outcome) {
+                      Seen = Outcome.error().Effect_;
+                    });
+    return Seen;
+  };
+  Http.queue(503, "");
+  BOOST_TEST((EffectOf() == Effect::None));
+  Http.queue(429, "");
+  BOOST_TEST((EffectOf() == Effect::None));
+  Http.queue(500, "");
+  BOOST_TEST((EffectOf() == Effect::Unknown));
+  BOOST_TEST((EffectOf() == Effect::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(ConflictCarriesTheCurrentRows) {
+  FakeHttp Http;
+  const auto Store = makeRowStore(Http, "10.0.0.9:1");
+  Http.queue(412, R"({"rows":[{"table":"t","part":"p","key":"k",)"
+                  R"("value":"bm9kZS0x","ver":12}]})");
+  TransactionOutcome Seen;
+  Store->transact(RowTransaction{},
+                  [&](const Result<TransactionOutcome> &Outcome) {
+                    Seen = Outcome.value();
+                  });
+  BOOST_TEST(!Seen.Applied_);
+  BOOST_TEST(Seen.Current_.at(0).Value_ == "node-1");
+  BOOST_TEST(Seen.Current_.at(0).Version_ == 12);
+}
+
+// Guards against a configuration that is missed when history is dropped.
+BOOST_AUTO_TEST_CASE(LostHistoryIsReadAgain) {
+  FakeHttp Http;
+  const auto Store = makeRowStore(Http, "10.0.0.9:1");
+  const auto Source = makeConfigSource(*Store);
+  const auto Next = [&] {
+    std::optional<CellConfig> Out;
+    Source->next([&](const Result<std::optional<CellConfig>> &Config) {
+      Out = Config.value();
+    });
+    return Out;
+  };
+  Http.queue(200, R"({"rows":[],"ver":5})");
+  BOOST_TEST(!Next());
+  Http.queue(410, "");
+  // {"version":3,"routes":[]}
+  Http.queue(200, R"({"rows":[{"table":"op","part":"","key":"config","ver":8,)"
+                  R"("value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdfQ=="}],)"
+                  R"("ver":8})");
+  const auto Config = Next();
+  BOOST_TEST_REQUIRE(Config.has_value());
+  BOOST_TEST(Config->Version_ == 3);
+}
+
+BOOST_AUTO_TEST_CASE(OrdersCarryFenceAndWorker) {
+  FakeHttp Http;
+  const auto Workers = makeTaskWorkers(Http);
+  const std::pair<int, std::pair<const char *, OrderOutcome>> Cases[] = {
+      {200, {R"({"clockMs":4})", OrderOutcome::Done}},
+      {409, {R"({"clockMs":4,"reason":"fence"})", OrderOutcome::Fenced}},
+      {409, {R"({"clockMs":4,"reason":"old"})", OrderOutcome::Superseded}},
+      {409, {R"({"clockMs":4,"reason":"room"})", OrderOutcome::NoRoom}},
+      {409, {R"({"clockMs":4,"reason":"late"})", OrderOutcome::TooLate}},
+      {409, {R"({"clockMs":4,"reason":"ticket"})", OrderOutcome::BadTicket}},
+      {421, {"", OrderOutcome::WrongWorker}},
+      {503, {"", OrderOutcome::Unhealthy}},
+      {400, {"", OrderOutcome::Invalid}}};
+  for (const auto &[Status, Expected] : Cases) {
+    Http.queue(Status, Expected.first);
+    OrderOutcome Seen = OrderOutcome::Done;
+    Workers->start(WorkerTarget{"i-1", "10.0.0.2:1", 7},
+                   StartOrder{"j.0.0.0", 2, "spec", Millis{99}, "", "t1"},
+                   [&](const Result<OrderReply> &Reply) {
+                     Seen = Reply.value().Outcome_;
+                   });
+    BOOST_TEST((Seen == Expected.second), Status);
+  }
+  const WebCall &Sent = Http.Calls_.front();
+  BOOST_TEST(Sent.Headers_.at(0).second == "i-1");
+  const Json::Value Body = parse(Sent.Body_);
+  BOOST_TEST(Body["fencingToken"].asInt() == 7);
+  BOOST_TEST(Body["deadlineMs"].asInt() == 99);
+  BOOST_TEST(Body["ticket"].asString() == "t1");
+  BOOST_TEST(!Body.isMember("checkpoint"));
+}
+
+BOOST_AUTO_TEST_CASE(AdviceIsTranslated) {
+  FakeHttp Http;
+  const auto Service = makeAdvisor(Http, "10.0.0.3:1");
+  Http.queue(200, R"({"allowed":[["i-1","t1"]],"validMs":3000})");
+  std::vector<AdvisedWorker> Allowed;
+  Service->ask("j.0.1", {"i-1", "i-2"}, Millis{100},
+               [&](const Result<std::vector<AdvisedWorker>> &Reply) {
+                 Allowed = Reply.value();
+               });
+  BOOST_TEST_REQUIRE(Allowed.size() == 1U);
+  BOOST_TEST(Allowed[0].Ticket_ == "t1");
+  BOOST_TEST(parse(Http.Calls_.at(0).Body_)["workers"].size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/beast/beast_test.cpp
@@ -0,0 +1,178 @@
+#include "drivers/beast/event_loop.h"
+#include "drivers/log/bounded_log.h"
+
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+
+using namespace damaskglade;
+using namespace damaskglade::drivers;
+
+namespace {
+
+constexpr const char *Address = "127.0.0.1:18431";
+
+/// Runs the loop until the call is answered.
+Result<WebReply> exchange(EventLoop &Loop, WebClient &Client, WebCall Call) {
+  std::optional<Result<WebReply>> Out;
+  Call.Address_ = Call.Address_.empty() ? Address : Call.Address_;
+  Client.call(Call, [&](Result<WebReply> Reply) {
+    Out.emplace(std::move(Reply));
+    Loop.stop();
+  });
+  Loop.run();
+  return *Out;
+}
+
+WebCall post(const std::string &Body) {
+  WebCall Call;
+  Call.Method_ = "POST";
+  Call.Target_ = "/echo?x=1";
+  Call.Body_ = Body;
+  return Call;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Beast)
+
+BOOST_AUTO_TEST_CASE(RequestAndReplyArriveWhole) {
+  EventLoop Loop;
+  BOOST_TEST_REQUIRE(
+      Loop.listen(Address, ListenerLimits{},
+                  [](const WebRequest &Request, const WebReplier &Reply) {
+                    WebReply Out;
+                    Out.Status_ = 429;
+                    Out.Body_ = Request.Method_ + ' ' + Request.Target_ + ' ' +
+                                Request.Body_;
+                    Out.RetryAfter_ = Millis{1500};
+                    Reply(Out);
+                  })
+          .has_value());
+  const auto Client = Loop.makeClient();
+  const auto Reply = exchange(Loop, *Client, post("crates"));
+  BOOST_TEST_REQUIRE(Reply.has_value());
+  BOOST_TEST(Reply.value().Status_ == 429);
+  BOOST_TEST(Reply.value().Body_ == "POST /echo?x=1 crates");
+  BOOST_TEST(Reply.value().RetryAfter_.Value_ == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(LargeBodyIsRefused) {
+  EventLoop Loop;
+  ListenerLimits Limits;
+  Limits.BodyBytes_ = 10;
+  BOOST_TEST_REQUIRE(
+      Loop.listen(Address, Limits,
+                  [](const WebRequest &, const WebReplier &Reply) {
+                    Reply(WebReply{});
+                  })
+          .has_value());
+  const auto Client = Loop.makeClient();
+  const auto Reply = exchange(Loop, *Client, post(std::string(100, 'x')));
+  BOOST_TEST_REQUIRE(Reply.has_value());
+  BOOST_TEST(Reply.value().Status_ == 413);
+}
+
+// Guards against a refusal that is told as "may have run".
+BOOST_AUTO_TEST_CASE(RefusedConnectionHasNoEffect) {
+  EventLoop Loop;
+  const auto Client = Loop.makeClient();
+  const auto Reply = exchange(Loop, *Client, post("x"));
+  BOOST_TEST_REQUIRE(!Reply.has_value());
+  BOOST_TEST((Reply.error().Reason_ == Reason::ConnectFailed));
+  BOOST_TEST((Reply.error().Effect_ == Effect::None));
+}
+
+// Guards against a silent peer that holds a caller for ever.
+BOOST_AUTO_TEST_CASE(SilentPeerIsATimeoutWithUnknownEffect) {
+  EventLoop Loop;
+  std::vector<WebReplier> Kept;
+  BOOST_TEST_REQUIRE(
+      Loop.listen(Address, ListenerLimits{},
+                  [&](const WebRequest &, const WebReplier &Reply) {
+                    Kept.push_back(Reply);
+                  })
+          .has_value());
+  const auto Client = Loop.makeClient();
+  WebCall Call = post("x");
+  Call.Timeout_ = Millis{50};
+  const auto Reply = exchange(Loop, *Client, Call);
+  BOOST_TEST_REQUIRE(!Reply.has_value());
+  BOOST_TEST((Reply.error().Reason_ == Reason::Timeout));
+  BOOST_TEST((Reply.error().Effect_ == Effect::Unknown));
+  Kept.clear();
+}
+
+BOOST_AUTO_TEST_CASE(BadAddressIsAnError) {
+  EventLoop Loop;
+  const auto Client = Loop.makeClient();
+  WebCall Call = post("x");
+  Call.Address_ = "not-an-address";
+  BOOST_TEST(!exchange(Loop, *Client, Call).has_value());
+  BOOST_TEST(!Loop.listen("x", ListenerLimits{}, {}).has_value());
+}
+
+// Guards against a planned stop that cuts a request in progress.
+BOOST_AUTO_TEST_CASE(DrainFinishesOpenRequests) {
+  EventLoop Loop;
+  BOOST_TEST_REQUIRE(
+      Loop.listen(Address, ListenerLimits{},
+                  [&](const WebRequest &, const WebReplier &Reply) {
+                    Loop.drain();
+                    Loop.after(Millis{30}, [Reply] {
+                      Reply(WebReply{200, "late"});
+                    });
+                  })
+          .has_value());
+  const auto Client = Loop.makeClient();
+  const auto Reply = exchange(Loop, *Client, post("x"));
+  BOOST_TEST_REQUIRE(Reply.has_value());
+  BOOST_TEST(Reply.value().Body_ == "late");
+}
+
+namespace {
+
+/// A log whose reader stalls until it is released.
+class StalledLog : public EventLog {
+public:
+  explicit StalledLog(std::vector<std::string> &Lines) : Lines_(Lines) {}
+  void write(const LogEvent &Event) override {
+    std::unique_lock<std::mutex> Lock(Mutex_);
+    Released_.wait(Lock, [this] { return Open_; });
+    Lines_.push_back(Event.Message_);
+  }
+  void release() {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    Open_ = true;
+    Released_.notify_all();
+  }
+
+private:
+  std::vector<std::string> &Lines_;
+  std::mutex Mutex_;
+  std::condition_variable Released_;
+  bool Open_ = false;
+};
+
+} // namespace
+
+// Guards against a decision that waits for the reader of the log, and against
+// lines that are lost without a trace.
+BOOST_AUTO_TEST_CASE(StalledReaderNeverBlocksAndLossIsTold) {
+  std::vector<std::string> Lines;
+  auto Target = std::make_unique<StalledLog>(Lines);
+  StalledLog &Stalled = *Target;
+  const ManualClock Time(Millis{5000});
+  {
+    const auto Log =
+        makeBoundedLog(std::move(Target), Time, LogBudget{100, 20});
+    for (int Each = 0; Each < 1000; ++Each)
+      Log->write(LogEvent{LogLevel::Info, "line", "", "", ""});
+    Stalled.release();
+  }
+  BOOST_TEST(Lines.size() <= 60U);
+  BOOST_TEST(Lines.back().find("dropped_lines=") == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
