dispatch: Keep questions for advice within the service's limit

A read that a silent store never answered kept the leader from confirming its lead when the store was back, so it handed over without need. Change: renewals name the workers with most room, at most 60 for slow queues; confirming reads overlap.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -213,14 +213,17 @@
 }
 
 void Leader::confirmLead() {
-  if (ConfirmOpen_)
+  // Reads overlap, since one that a silent store never answers must not keep
+  // the leader from noticing that the store is back.
+  constexpr int MaxOpen = 4;
+  if (ConfirmsOpen_ >= MaxOpen)
     return;
-  ConfirmOpen_ = true;
+  ++ConfirmsOpen_;
   ConfirmSentAt_ = now();
   Ports_.Store_.read(RowRange{LeaderTable, CellPart, LeaderKey},
                      [Self = shared_from_this(),
                       SentAt = ConfirmSentAt_](Result<RowPage> Page) {
-                       Self->ConfirmOpen_ = false;
+                       --Self->ConfirmsOpen_;
                        if (Self->Stopped_ || !Page)
                          return;
                        const auto &Rows = Page.value().Rows_;
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -87,7 +87,7 @@
   Millis RegistryAskedAt_{};
   Millis ForgotAt_{};
   bool RegistryOpen_ = false;
-  bool ConfirmOpen_ = false;
+  int ConfirmsOpen_ = 0;
   bool WakeScheduled_ = false;
   bool Loaded_ = false;
   bool Stopped_ = false;
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -7,7 +7,10 @@
 
 namespace {
 
+// The service takes at most 100 workers in a question.
 constexpr std::size_t MaxWorkersPerQuestion = 100;
+// Each worker adds about 6 ms to a question about a step of a slow queue.
+constexpr std::size_t MaxSlowWorkers = 60;
 // Questions are asked so much before the answer is needed.
 constexpr Millis AskAhead{150};
 // A call shorter than this may be made for more workers than are needed.
@@ -63,7 +66,7 @@
     bool Fits_;
   };
   std::vector<Choice> Unasked;
-  std::vector<std::string> Renew;
+  std::vector<Choice> Renew;
   bool ValidRoom = false;
   for (const auto &[Id, Where] : Workers_) {
     if (!acceptsWork(Where, Now) ||
@@ -75,7 +78,7 @@
       if (Known->second.ValidUntil_ > Now + AskAhead)
         ValidRoom = ValidRoom || fits(bookedSize(Spec), freeRoom(Where));
       else
-        Renew.push_back(Id);
+        Renew.push_back({&Where, fits(bookedSize(Spec), freeRoom(Where))});
       continue;
     }
     if (Advice.Asked_.count(Id) == 0)
@@ -84,14 +87,14 @@
   if (ValidRoom)
     return {};
   const bool Fast = Key.Policy_->AdviceBase_ < FastAdvice;
-  if (!Advice.Asked_.empty() && !Renew.empty() && !Fast)
-    return Renew;
-  std::sort(
-      Unasked.begin(), Unasked.end(), [](const Choice &A, const Choice &B) {
-        if (A.Fits_ != B.Fits_)
-          return A.Fits_;
-        return freeRoom(*A.Where_).MilliCpus_ > freeRoom(*B.Where_).MilliCpus_;
-      });
+  // Most room first, so that a question for some of them is of use.
+  const auto MoreRoom = [](const Choice &A, const Choice &B) {
+    if (A.Fits_ != B.Fits_)
+      return A.Fits_;
+    return freeRoom(*A.Where_).MilliCpus_ > freeRoom(*B.Where_).MilliCpus_;
+  };
+  std::sort(Renew.begin(), Renew.end(), MoreRoom);
+  std::sort(Unasked.begin(), Unasked.end(), MoreRoom);
   std::size_t Wanted = Unasked.size();
   if (Fast) {
     const auto Waiting = static_cast<double>(State.Tasks_.size()) -
@@ -100,14 +103,16 @@
         std::max(FewestWorkers,
                  static_cast<std::size_t>(Waiting / UsualShare) + SpareWorkers);
   }
-  std::vector<std::string> Out = Renew;
-  for (const Choice &Each : Unasked) {
-    if (Out.size() >= std::min(Wanted, MaxWorkersPerQuestion))
-      break;
-    Out.push_back(Each.Where_->Info_.Id_);
-  }
-  if (Out.size() > MaxWorkersPerQuestion)
-    Out.resize(MaxWorkersPerQuestion);
+  const std::size_t Most = Fast ? MaxWorkersPerQuestion : MaxSlowWorkers;
+  std::vector<std::string> Out;
+  for (const Choice &Each : Renew)
+    if (Out.size() < Most)
+      Out.push_back(Each.Where_->Info_.Id_);
+  if (!Out.empty() && !Fast)
+    return Out;
+  for (const Choice &Each : Unasked)
+    if (Out.size() < std::min(Wanted, Most))
+      Out.push_back(Each.Where_->Info_.Id_);
   return Out;
 }
 
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -42,7 +42,7 @@
 }
 
 std::string writeFile(const std::string &Text) {
-  const std::string Path = "adapter_test_settings.ini";
+  constexpr const char *Path = "adapter_test_settings.ini";
   std::ofstream(Path) << Text;
   return Path;
 }
