dispatch: Ask about other workers when the allowed ones are full

Cause: a step whose allowed workers were full renewed their tickets for ever and never asked about workers with room (60 of 300 tasks started in the test). Change: renewals of full workers give way to questions about others that fit. Measured: QuestionsStayWithinTheServicesLimit fails before (60 starts) and passes after (300).

--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -108,8 +108,12 @@
   for (const Choice &Each : Renew)
     if (Out.size() < Most)
       Out.push_back(Each.Where_->Info_.Id_);
-  if (!Out.empty() && !Fast)
+  // Full workers are worth a renewal only while there are no others to ask.
+  const bool OthersFit = !Unasked.empty() && Unasked.front().Fits_;
+  if (!Out.empty() && !Fast && (Renew.front().Fits_ || !OthersFit))
     return Out;
+  if (!Fast)
+    Out.clear();
   for (const Choice &Each : Unasked)
     if (Out.size() < std::min(Wanted, Most))
       Out.push_back(Each.Where_->Info_.Id_);
