--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -484,10 +484,8 @@
         Allowed.push_back(AdvisedWorker{Worker, "t"});
       Fake.Core_.noteAdvice(Each, Allowed, Fake.Now_);
     }
-    Started += Fake.step().Starts_.size();
-    Fake.pass(Millis{3000});
-    for (const WorkerInfo &Each : Infos)
-      Fake.look(Each.Id_);
+    if (Todo.Questions_.empty())
+      Fake.pass(Millis{3000});
   }
   BOOST_TEST(Started == 300U);
 }
