--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -16,14 +16,10 @@
 constexpr Millis MinoritySilence{6000};
 // One ping has failed by then. The balancer asks twice before it turns away.
 constexpr Millis ReadySilence{1000};
-// From then on callers are told at once to come back, to another node.
-constexpr Millis HopelessSilence{1600};
 constexpr Millis NodeLifetime{1500};
 constexpr Millis HearsTimeout{450};
-constexpr Millis CheckTimeout{250};
 constexpr Millis ElectionGap{400};
-constexpr Millis CallRetry{100};
-constexpr Millis CallTimeout{1500};
+constexpr Millis ElectionRetry{100};
 constexpr Millis HandOverGap{500};
 constexpr Millis ResignTimeout{800};
 constexpr int MaxJitterMillis = 120;
@@ -270,7 +266,8 @@
         if (!Outcome) {
           Self->Ports_.Log_.write(failureEvent(Outcome.error(), ""));
           // The write may have been done: the row tells.
-          Self->Ports_.Timers_.after(CallRetry, [Self] { Self->readLeader(); });
+          Self->Ports_.Timers_.after(ElectionRetry,
+                                     [Self] { Self->readLeader(); });
           return;
         }
         if (!Outcome.value().Applied_)
@@ -340,130 +337,4 @@
       });
 }
 
-void Member::answerPing(const Json::Value &Params, const RpcReply &Reply) {
-  Nodes_[Params["address"].asString()] = now();
-  Json::Value Out;
-  Out["leads"] = leads() && !Resigned_;
-  Out["electing"] = Electing_ || Reading_;
-  Out["epoch"] = Json::Int64(View_.Epoch_);
-  Out["nodes"] = Json::arrayValue;
-  for (const std::string &Each : liveNodes())
-    Out["nodes"].append(Each);
-  Reply(std::move(Out));
-}
-
-// Asks the leader itself: what was heard before tells nothing of a leader that
-// was killed since.
-void Member::answerHears(const Json::Value &Params, const RpcReply &Reply) {
-  const auto Answer = [Reply](bool Hears) {
-    Json::Value Out;
-    Out["hears"] = Hears;
-    Reply(std::move(Out));
-  };
-  if (leads() || View_.Epoch_ > Params["epoch"].asInt64())
-    return Answer(true);
-  if (View_.Epoch_ < Params["epoch"].asInt64())
-    return Answer(false);
-  Json::Value Ping;
-  Ping["address"] = Settings_.PeerListen_;
-  Ports_.Peers_.call(View_.Address_, "node.ping", Ping, CheckTimeout,
-                     [Answer](const Result<Json::Value> &Pong) {
-                       Answer(Pong && Pong.value()["leads"].asBool());
-                     });
-}
-
-void Member::addMethods(RpcServer &Server) {
-  const auto Self = shared_from_this();
-  Server.add("node.ping",
-             [Self](const Json::Value &Params, const RpcReply &Reply) {
-               Self->answerPing(Params, Reply);
-             });
-  Server.add("node.hears",
-             [Self](const Json::Value &Params, const RpcReply &Reply) {
-               Self->answerHears(Params, Reply);
-             });
-  Server.add("node.take_lead",
-             [Self](const Json::Value &Params, const RpcReply &Reply) {
-               Self->Input_ = ElectionInput{};
-               Self->takeOver(Params["epoch"].asInt64());
-               Reply(Json::Value(Json::objectValue));
-             });
-  Server.add("advice.ask",
-             [Self](const Json::Value &Params, const RpcReply &Reply) {
-               serveAdvice(Self->Ports_, Params, Reply);
-             });
-  for (const char *Method :
-       {"job.submit", "job.state", "job.cancel", "queue.pending"})
-    Server.add(Method, [Self, Method](const Json::Value &Params,
-                                      const RpcReply &Reply) {
-      Self->serveLocal(Method, Params, Reply);
-    });
-}
-
-void Member::serveLocal(const std::string &Method, const Json::Value &Params,
-                        const RpcReply &Reply) {
-  if (!leads())
-    return Reply(Error{Reason::NotOwner, Effect::None, Method, "",
-                       "this node does not lead"});
-  const std::string Id = Params["id"].asString();
-  if (Method == "job.state")
-    return Leader_->state(Id, Reply);
-  if (Method == "job.cancel")
-    return Leader_->cancel(Id, Reply);
-  if (Method == "queue.pending")
-    return Leader_->pending(Params["queue"].asString(), Reply);
-  auto Spec = dispatch::decodeSpec(Id, Params["spec"].asString());
-  if (!Spec)
-    return Reply(Spec.error());
-  Leader_->submit(Spec.value(), Reply);
-}
-
-void Member::callLeader(const std::string &Method, const Json::Value &Params,
-                        Millis Deadline, RpcReply Reply) {
-  tryCall(std::make_shared<OpenCall>(
-      OpenCall{Method, Params, Deadline, std::move(Reply), false}));
-}
-
-void Member::tryCall(const std::shared_ptr<OpenCall> &Call) {
-  const auto Answer = [Self = shared_from_this(),
-                       Call](Result<Json::Value> Reply) {
-    if (Reply)
-      return Call->Reply_(std::move(Reply));
-    const Error &Failure = Reply.error();
-    const bool Final = Failure.Reason_ == Reason::NotFound ||
-                       Failure.Reason_ == Reason::NeverFits ||
-                       Failure.Reason_ == Reason::InvalidField ||
-                       Failure.Reason_ == Reason::QueueFull ||
-                       Failure.Reason_ == Reason::DeadlineUnreachable ||
-                       Failure.Reason_ == Reason::TableUnavailable;
-    if (Final && !Call->Unclear_)
-      return Call->Reply_(Failure);
-    Call->Unclear_ = Call->Unclear_ || Failure.Effect_ != Effect::None;
-    Self->retryCall(Call, Failure);
-  };
-  if (leads())
-    return serveLocal(Call->Method_, Call->Params_, Answer);
-  if (View_.Epoch_ == 0 || View_.Address_ == Settings_.PeerListen_)
-    return Answer(Error{Reason::NotReady, Effect::None, Call->Method_, "",
-                        "no leader is known"});
-  const Millis Left = Call->Deadline_ - now();
-  Ports_.Peers_.call(View_.Address_, Call->Method_, Call->Params_,
-                     std::min(CallTimeout, std::max(Left, Millis{1})), Answer);
-}
-
-void Member::retryCall(const std::shared_ptr<OpenCall> &Call,
-                       const Error &Failure) {
-  Ports_.Metrics_.countRetry(Failure.Reason_);
-  const bool Hopeless = !leads() && now() > HeardAt_ + HopelessSilence;
-  if (Hopeless || now() + CallRetry + CallRetry > Call->Deadline_) {
-    Error Last = Failure;
-    Last.Effect_ = Call->Unclear_ ? Effect::Unknown : Effect::None;
-    return Call->Reply_(Last);
-  }
-  if (!leads() && Failure.Reason_ != Reason::NotReady)
-    ping();
-  Ports_.Timers_.after(
-      CallRetry, [Self = shared_from_this(), Call] { Self->tryCall(Call); });
-}
-
 } // namespace damaskglade::cell
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr Millis StopRepeat{400};
 // A stop takes less than a second on the users' workers.
 constexpr Millis StopPatience{1500};
 constexpr Millis RoomRetry{60};
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -11,6 +11,10 @@
 
 namespace damaskglade::dispatch {
 
+/// Time after which an order to stop is given again. A worker answers within a
+/// few milliseconds; the call times out after 250.
+inline constexpr Millis StopRepeat{400};
+
 enum class RunState {
   Starting,  ///< The order is on its way.
   Uncertain, ///< The order got no answer; it may still be carried out.
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -468,8 +468,10 @@
   Slow.AdvicePerWorker_ = 6;
   Slow.TicketValid_ = Millis{2500};
   Fake.Core_.setQueues({{"slow", Slow}});
+  constexpr int Count = 350;
   std::vector<WorkerInfo> Infos;
-  for (int Each = 0; Each < 350; ++Each)
+  Infos.reserve(Count);
+  for (int Each = 0; Each < Count; ++Each)
     Infos.push_back(makeWorker("w" + std::to_string(Each), 500));
   Fake.addWorkers(Infos);
   Fake.submit(makeJob("1", "slow", {makeStep(300, 500)}));
