--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -442,8 +442,7 @@
 
 std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
 FakeCell::call(const std::string &Name, const cell::CallerRequest &Request) {
-  const auto Out =
-      std::make_shared<std::optional<Result<cell::CallerAnswer>>>();
+  auto Out = std::make_shared<std::optional<Result<cell::CallerAnswer>>>();
   Nodes_.at(Name)->Gateway_.handle(
       Request, [Out](const Result<cell::CallerAnswer> &Answer) {
         Out->emplace(Answer);
