--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -179,8 +179,8 @@
   std::optional<http::response_parser<http::string_body>> Parser_;
 };
 
-// The peer may have closed an idle connection; a byte or an end of file that
-// waits to be read shows it without a system call more than this one.
+// Keeps connections open between calls. A peer may have closed one meanwhile,
+// which shows when the next call uses it.
 class PooledWebClient : public WebClient {
 public:
   explicit PooledWebClient(boost::asio::io_context &Loop)
