dispatch: Look only at workers that gained room in a planning pass

Cause: the leader of the grown depot (350 workers) had no processor time left. Each planning pass visited every worker for every waiting step, with a hash look-up by name for each, and a pass ran for each end of a task.

Change: a step that found no room looks only at workers that offer more room than at the end of the last pass; advice is kept by worker number; stalled tasks and fillers are judged at looks; a pass runs at most once in 5 ms. Nodes with more processor time lead: weak ones wait before they stand for election, and a weak leader passes the lead on.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -21,7 +21,8 @@
 constexpr Millis RegistryPeriod{1000};
 constexpr Millis ConfirmPeriod{500};
 constexpr Millis HandOverAfter{500};
-constexpr Millis WakeDelay{3};
+// Events that come closer together share a planning pass.
+constexpr Millis DecisionGap{5};
 constexpr Millis LoadRetry{100};
 constexpr Millis LookRetry{150};
 // Ends that are not yet recorded are listed again by every look.
@@ -318,7 +319,7 @@
       Self->look(Id, false);
     });
   }
-  decide();
+  wake();
   if (Probe || State.Looking_)
     return;
   const bool Unrecorded = State.Seen_ > State.Recorded_;
@@ -334,10 +335,12 @@
   if (WakeScheduled_ || Stopped_)
     return;
   WakeScheduled_ = true;
-  Ports_.Timers_.after(WakeDelay, [Self = shared_from_this()] {
-    Self->WakeScheduled_ = false;
-    Self->decide();
-  });
+  const Millis Next = DecidedAt_ + DecisionGap;
+  Ports_.Timers_.after(std::max(Next - now(), Millis{}),
+                       [Self = shared_from_this()] {
+                         Self->WakeScheduled_ = false;
+                         Self->decide();
+                       });
 }
 
 void Leader::decide() {
@@ -346,6 +349,7 @@
   if (Dispatcher_.fenced())
     return lose();
   // Orders of a leader that may have been replaced could run work twice.
+  DecidedAt_ = now();
   if (confirmed())
     carryOut(Dispatcher_.decide(now()));
   Recorder_.touch();
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -84,6 +84,7 @@
   std::map<std::string, std::vector<RpcReply>> Submitting_;
   Millis MajorityAt_{};
   Millis ConfirmSentAt_{};
+  Millis DecidedAt_{};
   Millis RegistryAskedAt_{};
   Millis ForgotAt_{};
   bool RegistryOpen_ = false;
--- a/cell/leader_calls.cpp
+++ b/cell/leader_calls.cpp
@@ -75,7 +75,7 @@
     return Reply(
         Error{Reason::NotFound, Effect::None, "cancel", "", "no such job"});
   if (Dispatcher_.cancelJob(Id, now()))
-    decide();
+    wake();
   Recorder_.touch();
   Recorder_.whenRecorded([Reply] { Reply(Json::Value(Json::objectValue)); });
 }
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -21,6 +21,8 @@
 constexpr Millis ElectionGap{400};
 constexpr Millis ElectionRetry{100};
 constexpr Millis HandOverGap{500};
+// A node that was asked to lead needs about half a second to load all rows.
+constexpr Millis StrongerGap{3000};
 constexpr Millis ResignTimeout{800};
 constexpr int MaxJitterMillis = 120;
 
@@ -67,6 +69,7 @@
 void Member::start() {
   Started_ = true;
   HeardAt_ = now();
+  SuspectedAt_ = now();
   tick();
 }
 
@@ -94,6 +97,11 @@
     Leader_->setNodes(liveNodes(), hearsMajority());
     if (Leader_->shouldHandOver() && now() > HandOverAt_ + HandOverGap)
       handOver();
+    const std::string Stronger =
+        strongerNode(Nodes_, Settings_.Cpu_, liveSince());
+    if (!Stronger.empty() && Leader_->active() &&
+        now() > HandOverAt_ + StrongerGap)
+      handOverTo(Stronger);
     return;
   }
   if (View_.Epoch_ == 0)
@@ -101,10 +109,12 @@
   ping();
 }
 
+Millis Member::liveSince() const { return now() - NodeLifetime; }
+
 std::vector<std::string> Member::liveNodes() const {
   std::vector<std::string> Out;
-  for (const auto &[Address, HeardAt] : Nodes_)
-    if (now() < HeardAt + NodeLifetime)
+  for (const auto &[Address, Node] : Nodes_)
+    if (Node.HeardAt_ >= liveSince())
       Out.push_back(Address);
   return Out;
 }
@@ -114,8 +124,8 @@
 bool Member::hearsMajority() const {
   constexpr Millis Remembered{15000};
   std::size_t Known = 1;
-  for (const auto &[Address, HeardAt] : Nodes_)
-    Known += now() < HeardAt + Remembered ? 1 : 0;
+  for (const auto &[Address, Node] : Nodes_)
+    Known += now() < Node.HeardAt_ + Remembered ? 1 : 0;
   return (liveNodes().size() + 1) * 2 > Known;
 }
 
@@ -123,6 +133,7 @@
   Json::Value Params;
   Params["address"] = Settings_.PeerListen_;
   Params["epoch"] = Json::Int64(View_.Epoch_);
+  Params["cpu"] = Settings_.Cpu_;
   const std::string Address = View_.Address_;
   Ports_.Peers_.call(
       Address, "node.ping", Params, PingTimeout,
@@ -138,11 +149,15 @@
   Input_ = ElectionInput{};
   if (Reply && Reply.value()["leads"].asBool()) {
     HeardAt_ = now();
+    SuspectedAt_ = Millis{};
+    StrongestCpu_ = Reply.value()["strongest_cpu"].asDouble();
     Members_.clear();
     for (const Json::Value &Each : Reply.value()["nodes"])
       Members_.insert(Each.asString());
     return;
   }
+  if (SuspectedAt_ == Millis{})
+    SuspectedAt_ = now();
   // A node that has just been elected may not know it yet.
   Input_.SaysItDoesNotLead_ =
       Reply.has_value() && !Reply.value()["electing"].asBool();
@@ -168,8 +183,10 @@
           return;
         }
         const auto &Rows = Page.value().Rows_;
-        if (Rows.empty())
+        if (Rows.empty() && Self->maySuspect())
           return Self->takeOver(0);
+        if (Rows.empty())
+          return;
         const auto View = decodeView(Rows.front());
         if (!View) {
           Self->Ports_.Log_.write(failureEvent(View.error(), ""));
@@ -184,8 +201,15 @@
       });
 }
 
+// Weak nodes leave the election to strong ones for a while.
+bool Member::maySuspect() const {
+  return now() >= SuspectedAt_ + candidacyDelay(Settings_.Cpu_, StrongestCpu_);
+}
+
 // The row still names the leader that was lost.
 void Member::judge() {
+  if (!maySuspect())
+    return;
   if (View_.Address_ == Settings_.PeerListen_)
     return takeOver(View_.Epoch_);
   if (!Input_.SaysItDoesNotLead_)
@@ -298,6 +322,7 @@
 void Member::follow(const LeaderView &View) {
   View_ = View;
   HeardAt_ = now();
+  SuspectedAt_ = Millis{};
   Input_ = ElectionInput{};
   note(Ports_, LogLevel::Info, "", "follow", View.Address_,
        "epoch=" + std::to_string(View.Epoch_));
@@ -315,21 +340,32 @@
                        });
 }
 
+void Member::handOverTo(const std::string &Address) {
+  HandOverAt_ = now();
+  Json::Value Params;
+  Params["epoch"] = Json::Int64(View_.Epoch_);
+  Ports_.Peers_.call(
+      Address, "node.take_lead", Params, ResignTimeout,
+      [Self = shared_from_this(), Address](const Result<Json::Value> &Reply) {
+        note(Self->Ports_, LogLevel::Info, "", "hand over", Address,
+             Reply ? "asked a stronger node to lead" : describe(Reply.error()));
+      });
+}
+
 void Member::resign(const std::function<void()> &Done) {
   Resigned_ = true;
   if (!leads())
     return Done();
   Leader_->stop();
-  const std::vector<std::string> Nodes = liveNodes();
+  const std::string Next = strongestNode(Nodes_, liveSince(), Random_());
   Leader_.reset();
   HeardAt_ = now();
-  if (Nodes.empty())
+  if (Next.empty())
     return Done();
   Json::Value Params;
   Params["epoch"] = Json::Int64(View_.Epoch_);
-  const std::size_t Chosen = Random_() % Nodes.size();
   Ports_.Peers_.call(
-      Nodes[Chosen], "node.take_lead", Params, ResignTimeout,
+      Next, "node.take_lead", Params, ResignTimeout,
       [Self = shared_from_this(), Done](const Result<Json::Value> &Reply) {
         note(Self->Ports_, LogLevel::Info, "", "resign", "",
              Reply ? "passed the lead on" : describe(Reply.error()));
--- a/cell/member.h
+++ b/cell/member.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_CELL_MEMBER_H
 #define DAMASKGLADE_CELL_MEMBER_H
 
+#include "cell/candidate.h"
 #include "cell/context.h"
 #include "cell/leader.h"
 
@@ -73,6 +74,8 @@
   void lead(const LeaderView &View);
   void follow(const LeaderView &View);
   void handOver();
+  void handOverTo(const std::string &Address);
+  bool maySuspect() const;
   void tryCall(const std::shared_ptr<OpenCall> &Call);
   void retryCall(const std::shared_ptr<OpenCall> &Call, const Error &Failure);
   void serveLocal(const std::string &Method, const Json::Value &Params,
@@ -80,6 +83,7 @@
   void answerPing(const Json::Value &Params, const RpcReply &Reply);
   void answerHears(const Json::Value &Params, const RpcReply &Reply);
   std::vector<std::string> liveNodes() const;
+  Millis liveSince() const;
 
   const CellPorts Ports_;
   const CellSettings Settings_;
@@ -87,12 +91,14 @@
   LeaderView View_;
   std::shared_ptr<Leader> Leader_;
   std::optional<CellConfig> Config_;
-  std::map<std::string, Millis> Nodes_; ///< By address, when last heard.
-  std::set<std::string> Members_;       ///< As the leader last told.
+  PeerNodes Nodes_;               ///< That this node was called by.
+  std::set<std::string> Members_; ///< As the leader last told.
   ElectionInput Input_;
   Millis HeardAt_{};
   Millis ElectionAt_{};
   Millis HandOverAt_{};
+  Millis SuspectedAt_{};    ///< Zero while the leader answers.
+  double StrongestCpu_ = 0; ///< As the leader last told.
   bool Reading_ = false;
   bool Electing_ = false;
   bool Resigned_ = false;
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -15,11 +15,14 @@
 } // namespace
 
 void Member::answerPing(const Json::Value &Params, const RpcReply &Reply) {
-  Nodes_[Params["address"].asString()] = now();
+  Nodes_[Params["address"].asString()] =
+      PeerNode{now(), Params["cpu"].asDouble()};
   Json::Value Out;
   Out["leads"] = leads() && !Resigned_;
   Out["electing"] = Electing_ || Reading_;
   Out["epoch"] = Json::Int64(View_.Epoch_);
+  Out["strongest_cpu"] =
+      std::max(Settings_.Cpu_, strongestCpu(Nodes_, liveSince()));
   Out["nodes"] = Json::arrayValue;
   for (const std::string &Each : liveNodes())
     Out["nodes"].append(Each);
@@ -40,6 +43,7 @@
     return Answer(false);
   Json::Value Ping;
   Ping["address"] = Settings_.PeerListen_;
+  Ping["cpu"] = Settings_.Cpu_;
   Ports_.Peers_.call(View_.Address_, "node.ping", Ping, CheckTimeout,
                      [Answer](const Result<Json::Value> &Pong) {
                        Answer(Pong && Pong.value()["leads"].asBool());
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -18,6 +18,7 @@
   std::string StoreAddress_;
   std::string AdviceAddress_;
   std::string LogLevel_ = "info";
+  double Cpu_ = 1.0;       ///< Processors that the process may use.
   Millis MaxLease_{10000}; ///< Workers shorten longer leases.
   Millis GangWait_{3000};
   Millis StatusKept_{120000}; ///< Time for which ended jobs are known.
--- /dev/null
+++ b/dispatch/advice.h
@@ -0,0 +1,47 @@
+#ifndef DAMASKGLADE_DISPATCH_ADVICE_H
+#define DAMASKGLADE_DISPATCH_ADVICE_H
+
+#include "core/clock.h"
+
+#include <string>
+#include <vector>
+
+namespace damaskglade::dispatch {
+
+/// Ticket of a worker for a step.
+struct Ticket {
+  std::string Text_;
+  Millis ValidUntil_{};
+
+  friend bool operator==(const Ticket &, const Ticket &) = default;
+};
+
+/// A worker that may run a step, by its number in the leader's books.
+struct AllowedWorker {
+  int Slot_ = 0;
+  Ticket Ticket_;
+
+  friend bool operator==(const AllowedWorker &,
+                         const AllowedWorker &) = default;
+};
+
+/// What advice has told of a step. The allowed workers never change; the
+/// tickets run out.
+struct StepAdvice {
+  std::vector<AllowedWorker> Allowed_; ///< By rising slot.
+  std::vector<bool> Asked_;            ///< By slot.
+  bool Pending_ = false;               ///< A question is on its way.
+  Millis AskedAt_{};
+  Millis RetryAt_{};
+};
+
+/// Ticket of a worker, or null if it is not allowed to run the step.
+const Ticket *findTicket(const StepAdvice &Advice, int Slot);
+/// Allows a worker, or renews its ticket.
+void allowWorker(StepAdvice &Advice, int Slot, Ticket Given);
+bool wasAsked(const StepAdvice &Advice, int Slot);
+void noteAsked(StepAdvice &Advice, int Slot);
+
+} // namespace damaskglade::dispatch
+
+#endif
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -171,6 +171,9 @@
   bool fenced() const { return Fenced_; }
   std::int64_t epoch() const { return Epoch_; }
 
+  /// Workers that were looked at for a step since the start; the cost of
+  /// planning grows with it.
+  std::uint64_t visits() const { return Visits_; }
   /// Differences between the books and a recount; empty if they agree.
   std::string verify() const;
 
@@ -218,25 +221,30 @@
                   Millis Now);
 
   std::vector<StepKey> rankedSteps(Millis Now);
+  Worker &ensureWorker(const std::string &Id);
   void measureFleet(Millis Now);
-  std::vector<Candidate> candidates(const StepKey &Key, Millis Now);
+  void noteOfferedRoom(Millis Now);
+  bool isCandidate(const StepKey &Key, const Worker &Where, Millis Now) const;
+  std::vector<Candidate> candidates(const StepKey &Key, bool GainedOnly,
+                                    Millis Now);
   void placeStep(const StepKey &Key, Millis Now);
   bool placeGang(const StepKey &Key, std::vector<Candidate> Places, Millis Now);
   void startTask(const StepKey &Key, int Index, Candidate &Place,
                  std::int64_t Attempt, Millis Now);
   bool keepsReserve(const StepKey &Key, const StepSpec &Step) const;
+  bool mayPreempt(const StepKey &Key, Millis Now) const;
   void preemptFor(const StepKey &Key, int Missing,
                   const std::vector<Candidate> &Places, Millis Now);
   std::vector<TaskRef> victimsOn(const Worker &Where, const Size &Need,
                                  const StepKey &Key, double &Cost) const;
   void adviseStep(const StepKey &Key, bool Soon, Millis Now);
-  std::vector<std::string> workersToAsk(const StepKey &Key, Millis Now) const;
+  std::vector<std::string> workersToAsk(const StepKey &Key, Millis Now);
   Millis untilReady(const JobRun &Job, int Step, Millis Now) const;
   void repeatStops(Millis Now);
-  void stopStalled(Millis Now);
+  void stopStalled(Worker &Where, Millis Now);
   bool hasOverdueRun(const Worker &Where, Millis Now) const;
   void evacuate(Millis Now);
-  void paceFillers(Millis Now);
+  void paceFillers(Worker &Where, Millis Now);
   Candidate candidateAt(Worker &Where, const JobRun &Job, int Step,
                         Millis Now) const;
 
@@ -248,6 +256,16 @@
   std::set<std::string> Active_; ///< Jobs that have not ended.
   std::set<std::string> Unconfirmed_;
   std::map<std::string, Worker> Workers_;
+  std::vector<Worker *> BySlot_; ///< Null for workers that were forgotten.
+  /// Of this pass: workers by falling room, and those that offer more room
+  /// than at the end of the last pass.
+  std::vector<Worker *> ByRoom_;
+  std::vector<Worker *> Gained_;
+  std::int64_t Pass_ = 1;
+  int PreemptingSteps_ = 0; ///< Of this pass.
+  std::uint64_t Visits_ = 0;
+  Millis StopsCheckedAt_{};
+  std::set<std::string> PaceDue_; ///< Workers whose fillers need a look.
   std::set<std::string> Changed_;
   Actions Pending_;
   std::deque<Decision> Decisions_;
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -18,6 +18,8 @@
 // About this share of workers is allowed to run a step of a fast queue.
 constexpr double UsualShare = 0.6;
 constexpr std::size_t SpareWorkers = 8;
+// A step that has all the advice it needs is looked at again after this time.
+constexpr Millis CheckAgain{30};
 constexpr std::size_t FewestWorkers = 16;
 
 } // namespace
@@ -56,45 +58,42 @@
 }
 
 std::vector<std::string> Dispatcher::workersToAsk(const StepKey &Key,
-                                                  Millis Now) const {
+                                                  Millis Now) {
   const StepRun &State = Key.Job_->Steps_[static_cast<std::size_t>(Key.Step_)];
   const StepSpec &Spec =
       Key.Job_->Spec_.Steps_[static_cast<std::size_t>(Key.Step_)];
   const StepAdvice &Advice = State.Advice_;
-  struct Choice {
-    const Worker *Where_;
-    bool Fits_;
+  // Workers come with the most room first, so that a question for some of them
+  // is of use.
+  std::vector<const Worker *> Unasked;
+  std::vector<const Worker *> Renew;
+  const auto HasRoom = [&](const Worker &Where) {
+    return fits(bookedSize(Spec), freeRoom(Where));
   };
-  std::vector<Choice> Unasked;
-  std::vector<Choice> Renew;
-  bool ValidRoom = false;
-  for (const auto &[Id, Where] : Workers_) {
-    if (!acceptsWork(Where, Now) ||
-        Where.Info_.Service_ != Key.Policy_->Service_ ||
-        !mayRunOn(Spec, Where.Info_))
-      continue;
-    const auto Known = Advice.Allowed_.find(Id);
-    if (Known != Advice.Allowed_.end()) {
-      if (Known->second.ValidUntil_ > Now + AskAhead)
-        ValidRoom = ValidRoom || fits(bookedSize(Spec), freeRoom(Where));
-      else
-        Renew.push_back({&Where, fits(bookedSize(Spec), freeRoom(Where))});
+  for (const AllowedWorker &Each : Advice.Allowed_) {
+    const Worker *Where = BySlot_[static_cast<std::size_t>(Each.Slot_)];
+    if (Where && Each.Ticket_.ValidUntil_ > Now + AskAhead && HasRoom(*Where) &&
+        acceptsWork(*Where, Now))
+      return {};
+  }
+  for (const Worker *Where : ByRoom_) {
+    ++Visits_;
+    if (Where->Info_.Service_ != Key.Policy_->Service_ ||
+        !mayRunOn(Spec, Where->Info_))
       continue;
-    }
-    if (Advice.Asked_.count(Id) == 0)
-      Unasked.push_back({&Where, fits(bookedSize(Spec), freeRoom(Where))});
+    const Ticket *Known = findTicket(Advice, Where->Slot_);
+    if (Known && Known->ValidUntil_ <= Now + AskAhead)
+      Renew.push_back(Where);
+    else if (!Known && !wasAsked(Advice, Where->Slot_))
+      Unasked.push_back(Where);
   }
-  if (ValidRoom)
-    return {};
-  const bool Fast = Key.Policy_->AdviceBase_ < FastAdvice;
-  // Most room first, so that a question for some of them is of use.
-  const auto MoreRoom = [](const Choice &A, const Choice &B) {
-    if (A.Fits_ != B.Fits_)
-      return A.Fits_;
-    return freeRoom(*A.Where_).MilliCpus_ > freeRoom(*B.Where_).MilliCpus_;
+  const auto RoomFirst = [&](std::vector<const Worker *> &Which) {
+    std::stable_partition(Which.begin(), Which.end(),
+                          [&](const Worker *Each) { return HasRoom(*Each); });
   };
-  std::sort(Renew.begin(), Renew.end(), MoreRoom);
-  std::sort(Unasked.begin(), Unasked.end(), MoreRoom);
+  RoomFirst(Renew);
+  RoomFirst(Unasked);
+  const bool Fast = Key.Policy_->AdviceBase_ < FastAdvice;
   std::size_t Wanted = Unasked.size();
   if (Fast) {
     const auto Waiting = static_cast<double>(State.Tasks_.size()) -
@@ -105,18 +104,18 @@
   }
   const std::size_t Most = Fast ? MaxWorkersPerQuestion : MaxSlowWorkers;
   std::vector<std::string> Out;
-  for (const Choice &Each : Renew)
+  for (const Worker *Each : Renew)
     if (Out.size() < Most)
-      Out.push_back(Each.Where_->Info_.Id_);
+      Out.push_back(Each->Info_.Id_);
   // Full workers are worth a renewal only while there are no others to ask.
-  const bool OthersFit = !Unasked.empty() && Unasked.front().Fits_;
-  if (!Out.empty() && !Fast && (Renew.front().Fits_ || !OthersFit))
+  const bool OthersFit = !Unasked.empty() && HasRoom(*Unasked.front());
+  if (!Out.empty() && !Fast && (HasRoom(*Renew.front()) || !OthersFit))
     return Out;
   if (!Fast)
     Out.clear();
-  for (const Choice &Each : Unasked)
+  for (const Worker *Each : Unasked)
     if (Out.size() < std::min(Wanted, Most))
-      Out.push_back(Each.Where_->Info_.Id_);
+      Out.push_back(Each->Info_.Id_);
   return Out;
 }
 
@@ -142,8 +141,10 @@
       !Key.Job_->Spec_.Steps_[static_cast<std::size_t>(Key.Step_)].LongRunning_)
     return;
   std::vector<std::string> Ask = workersToAsk(Key, Now);
-  if (Ask.empty())
+  if (Ask.empty()) {
+    Advice.RetryAt_ = Now + CheckAgain;
     return;
+  }
   Advice.Pending_ = true;
   Advice.AskedAt_ = Now;
   AdviceQuestion Question;
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -9,6 +9,7 @@
 // A stop takes less than a second on the users' workers.
 constexpr Millis StopPatience{1500};
 constexpr Millis RoomRetry{60};
+constexpr Millis StopCheckPeriod{50};
 constexpr Millis AdviceRetry{150};
 // Taken off a ticket's validity for the way of the reply and of the order.
 constexpr Millis TicketMargin{150};
@@ -35,6 +36,8 @@
     if (Attempt.State_ == RunState::Starting ||
         Attempt.State_ == RunState::Uncertain)
       Attempt.State_ = RunState::Running;
+    if (Step.Filler_)
+      PaceDue_.insert(Id);
     return;
   }
   if (!Reply && Reply.error().Effect_ != Effect::None) {
@@ -52,9 +55,10 @@
       Reply ? "start refused, outcome=" +
                   std::to_string(static_cast<int>(Reply.value().Outcome_))
             : "start not sent: " + Reply.error().Message_);
-  if (Reply && Reply.value().Outcome_ == OrderOutcome::BadTicket)
-    Job.Steps_[static_cast<std::size_t>(Order.Task_.Step_)]
-        .Advice_.Allowed_[Id] = Ticket{};
+  if (Reply && Reply.value().Outcome_ == OrderOutcome::BadTicket &&
+      At != Workers_.end())
+    allowWorker(Job.Steps_[static_cast<std::size_t>(Order.Task_.Step_)].Advice_,
+                At->second.Slot_, Ticket{});
   if (Reply && Reply.value().Outcome_ == OrderOutcome::Unhealthy &&
       At != Workers_.end())
     noteFailure(At->second.Health_, Job.Spec_.Id_, Now);
@@ -95,8 +99,10 @@
   const auto Ref = parseTaskName(Order.Task_);
   TaskState *Task = Ref ? task(Ref.value()) : nullptr;
   constexpr int Unknown = -1;
-  if (!Taken && Task && Task->Run_ && Task->Run_->Attempt_ == Order.Attempt_)
-    Task->Run_->Pace_ = Unknown;
+  if (Taken || !Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Attempt_)
+    return;
+  Task->Run_->Pace_ = Unknown;
+  PaceDue_.insert(Order.Target_.Worker_);
 }
 
 void Dispatcher::noteAdvice(const AdviceQuestion &Question,
@@ -105,8 +111,8 @@
   JobRun *Job = job(Question.Job_);
   if (!Job || isTerminal(Job->State_))
     return;
-  StepAdvice &Advice =
-      Job->Steps_[static_cast<std::size_t>(Question.Step_)].Advice_;
+  StepRun &Step = Job->Steps_[static_cast<std::size_t>(Question.Step_)];
+  StepAdvice &Advice = Step.Advice_;
   Advice.Pending_ = false;
   if (!Reply) {
     Advice.RetryAt_ = Now + AdviceRetry;
@@ -114,10 +120,14 @@
         "no advice: " + Reply.error().Message_);
     return;
   }
-  Advice.Asked_.insert(Question.Workers_.begin(), Question.Workers_.end());
+  Step.TriedPass_ = 0;
+  for (const std::string &Each : Question.Workers_)
+    if (const Worker *Where = findWorker(Each))
+      noteAsked(Advice, Where->Slot_);
   const Millis Until = Now + policyOf(*Job).TicketValid_ - TicketMargin;
   for (const AdvisedWorker &Each : Reply.value())
-    Advice.Allowed_[Each.Worker_] = Ticket{Each.Ticket_, Until};
+    if (const Worker *Where = findWorker(Each.Worker_))
+      allowWorker(Advice, Where->Slot_, Ticket{Each.Ticket_, Until});
 }
 
 void Dispatcher::orderStop(const TaskRef &Ref, TaskState &Task,
@@ -151,6 +161,9 @@
 }
 
 void Dispatcher::repeatStops(Millis Now) {
+  if (Now < StopsCheckedAt_ + StopCheckPeriod)
+    return;
+  StopsCheckedAt_ = Now;
   for (auto &[Id, Where] : Workers_) {
     for (const TaskRef &Ref : Where.Tasks_) {
       TaskState *Task = task(Ref);
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -17,21 +17,41 @@
 void Dispatcher::measureFleet(Millis Now) {
   FleetRoom_ = Size{};
   FleetSize_ = Size{};
-  for (const auto &[Id, Where] : Workers_) {
+  ByRoom_.clear();
+  Gained_.clear();
+  for (auto &[Id, Where] : Workers_) {
     if (!acceptsWork(Where, Now))
       continue;
     FleetRoom_ = FleetRoom_ + freeRoom(Where);
     FleetSize_ = FleetSize_ + Where.Info_.Capacity_;
+    ByRoom_.push_back(&Where);
+    if (!fits(freeRoom(Where), Where.OfferedRoom_))
+      Gained_.push_back(&Where);
   }
+  std::stable_sort(ByRoom_.begin(), ByRoom_.end(),
+                   [](const Worker *A, const Worker *B) {
+                     return freeRoom(*A).MilliCpus_ > freeRoom(*B).MilliCpus_;
+                   });
+}
+
+// Within a pass rooms only shrink. A step that found no room in one pass has to
+// look in the next one only at the workers that have gained some since.
+void Dispatcher::noteOfferedRoom(Millis Now) {
+  constexpr Size None{-1, -1, -1};
+  for (auto &[Id, Where] : Workers_)
+    Where.OfferedRoom_ = acceptsWork(Where, Now) ? freeRoom(Where) : None;
+  ++Pass_;
 }
 
 Actions Dispatcher::decide(Millis Now) {
   expireSilent(Now);
   repeatStops(Now);
-  stopStalled(Now);
   evacuate(Now);
-  paceFillers(Now);
+  for (const std::string &Id : std::exchange(PaceDue_, {}))
+    if (const auto At = Workers_.find(Id); At != Workers_.end())
+      paceFillers(At->second, Now);
   measureFleet(Now);
+  PreemptingSteps_ = 0;
   HeldForGang_.clear();
   // Demand that is likely to be placed before a ticket asked for now runs out.
   constexpr std::int64_t SoonDivisor = 6;
@@ -53,6 +73,7 @@
     if (State.Ready_)
       Ahead += Waiting * bookedSize(Spec).MilliCpus_;
   }
+  noteOfferedRoom(Now);
   return std::exchange(Pending_, Actions{});
 }
 
@@ -101,9 +122,12 @@
   Candidate Out;
   Out.Where_ = &Where;
   Out.Slow_ = isSlow(Where, UsualShare_, Now);
-  for (auto At = Where.Tasks_.lower_bound(TaskRef{Job.Spec_.Id_, Step, 0});
-       At != Where.Tasks_.end() && At->Job_ == Job.Spec_.Id_ &&
-       At->Step_ == Step;
+  const StepSpec &Spec = Job.Spec_.Steps_[static_cast<std::size_t>(Step)];
+  auto At = Spec.MaxPerWorker_ == 0
+                ? Where.Tasks_.end()
+                : Where.Tasks_.lower_bound(TaskRef{Job.Spec_.Id_, Step, 0});
+  for (; At != Where.Tasks_.end() && At->Job_ == Job.Spec_.Id_ &&
+         At->Step_ == Step;
        ++At)
     ++Out.TasksOfStep_;
   Out.ServesUsers_ = Where.ServingRuns_ > 0;
@@ -111,29 +135,41 @@
   return Out;
 }
 
-std::vector<Candidate> Dispatcher::candidates(const StepKey &Key, Millis Now) {
-  std::vector<Candidate> Out;
+bool Dispatcher::isCandidate(const StepKey &Key, const Worker &Where,
+                             Millis Now) const {
   const StepSpec &Spec =
       Key.Job_->Spec_.Steps_[static_cast<std::size_t>(Key.Step_)];
+  return acceptsWork(Where, Now) && Where.WorkerClock_ > Millis{} &&
+         Where.Info_.Service_ == Key.Policy_->Service_ &&
+         mayRunOn(Spec, Where.Info_) &&
+         (Key.Policy_->Priority_ == 0 || Spec.LongRunning_ ||
+          HeldForGang_.count(Where.Info_.Id_) == 0);
+}
+
+std::vector<Candidate> Dispatcher::candidates(const StepKey &Key,
+                                              bool GainedOnly, Millis Now) {
+  std::vector<Candidate> Out;
   const auto Consider = [&](Worker &Where) {
-    if (acceptsWork(Where, Now) && Where.WorkerClock_ > Millis{} &&
-        Where.Info_.Service_ == Key.Policy_->Service_ &&
-        mayRunOn(Spec, Where.Info_) &&
-        (Key.Policy_->Priority_ == 0 || Spec.LongRunning_ ||
-         HeldForGang_.count(Where.Info_.Id_) == 0))
+    ++Visits_;
+    if (isCandidate(Key, Where, Now))
       Out.push_back(candidateAt(Where, *Key.Job_, Key.Step_, Now));
   };
-  if (!Key.Policy_->NeedsAdvice_) {
-    for (auto &[Id, Where] : Workers_)
-      Consider(Where);
+  const StepAdvice &Advice =
+      Key.Job_->Steps_[static_cast<std::size_t>(Key.Step_)].Advice_;
+  if (GainedOnly || !Key.Policy_->NeedsAdvice_) {
+    for (Worker *Where : GainedOnly ? Gained_ : ByRoom_) {
+      const Ticket *Found = Key.Policy_->NeedsAdvice_
+                                ? findTicket(Advice, Where->Slot_)
+                                : nullptr;
+      if (!Key.Policy_->NeedsAdvice_ || (Found && Found->ValidUntil_ > Now))
+        Consider(*Where);
+    }
     return Out;
   }
-  const auto &Allowed =
-      Key.Job_->Steps_[static_cast<std::size_t>(Key.Step_)].Advice_.Allowed_;
-  for (const auto &[Id, Ticket] : Allowed) {
-    const auto At = Workers_.find(Id);
-    if (Ticket.ValidUntil_ > Now && At != Workers_.end())
-      Consider(At->second);
+  for (const AllowedWorker &Each : Advice.Allowed_) {
+    Worker *Where = BySlot_[static_cast<std::size_t>(Each.Slot_)];
+    if (Each.Ticket_.ValidUntil_ > Now && Where)
+      Consider(*Where);
   }
   return Out;
 }
@@ -173,9 +209,8 @@
   Action.Order_.Payload_ = Key.Job_->Spec_.Payload_;
   Action.Order_.LeaseEnd_ = leaseEnd(Where, Now);
   Action.Order_.Checkpoint_ = Task.Checkpoint_;
-  const auto Ticket = State.Advice_.Allowed_.find(Where.Info_.Id_);
-  if (Ticket != State.Advice_.Allowed_.end())
-    Action.Order_.Ticket_ = Ticket->second.Text_;
+  if (const Ticket *Given = findTicket(State.Advice_, Where.Slot_))
+    Action.Order_.Ticket_ = Given->Text_;
   Pending_.Starts_.push_back(std::move(Action));
   if (!Key.Job_->Started_) {
     Key.Job_->Started_ = true;
@@ -193,10 +228,13 @@
       Key.Job_->Spec_.Steps_[static_cast<std::size_t>(Key.Step_)];
   if (!keepsReserve(Key, Spec))
     return;
-  std::vector<Candidate> Places = candidates(Key, Now);
-  if (Places.empty())
+  // Where a worker holds only so many tasks of a step, more room is not all
+  // that a task may wait for.
+  const bool Tried =
+      State.TriedPass_ == Pass_ - 1 && !Spec.Gang_ && Spec.MaxPerWorker_ == 0;
+  std::vector<Candidate> Places = candidates(Key, Tried, Now);
+  if (Places.empty() && !Tried)
     return;
-  const std::int64_t FirstAttempt = (Epoch_ - 1) * AttemptsPerEpoch + 1;
   if (Spec.Gang_) {
     if (!placeGang(Key, Places, Now) && Now > State.ReadyAt_ + GangPatience &&
         HeldForGang_.empty())
@@ -204,11 +242,17 @@
         HeldForGang_.insert(Each.Where_->Info_.Id_);
     return;
   }
+  const std::int64_t FirstAttempt = (Epoch_ - 1) * AttemptsPerEpoch + 1;
   int Missing = 0;
+  bool Complete = HeldForGang_.empty(); // All tasks and workers were tried.
   for (std::size_t Index = 0; Index < State.Tasks_.size(); ++Index) {
     TaskState &Task = State.Tasks_[Index];
-    if (Task.Done_ || Task.Run_ || Task.RetryAt_ > Now)
+    if (Task.Done_ || Task.Run_)
       continue;
+    if (Task.RetryAt_ > Now) {
+      Complete = false;
+      continue;
+    }
     if (!keepsReserve(Key, Spec))
       return;
     const int Best = Missing > 0 ? -1 : bestCandidate(Spec, Places);
@@ -220,8 +264,12 @@
               Places[static_cast<std::size_t>(Best)],
               std::max(Task.LastAttempt_ + 1, FirstAttempt), Now);
   }
-  if (Missing > 0)
-    preemptFor(Key, Missing, Places, Now);
+  if (Missing == 0)
+    return;
+  if (Complete)
+    State.TriedPass_ = Pass_;
+  if (mayPreempt(Key, Now))
+    preemptFor(Key, Missing, Tried ? candidates(Key, false, Now) : Places, Now);
 }
 
 // Places all members or none. Rooms are booked while the gang is laid out, and
--- a/dispatch/dispatcher_preempt.cpp
+++ b/dispatch/dispatcher_preempt.cpp
@@ -8,6 +8,9 @@
 
 constexpr Millis PreemptionGap{250};
 constexpr int MaxPreemptionsPerPass = 8;
+// Looking for victims visits every task of many workers; the next pass goes on
+// with the steps that are left.
+constexpr int MaxPreemptingSteps = 4;
 // A task stands still that has made no percent of progress for so long, as
 // seen by several looks. Overdue tasks are looked at more often.
 constexpr Millis StallTime{900};
@@ -82,15 +85,22 @@
   return Out;
 }
 
+bool Dispatcher::mayPreempt(const StepKey &Key, Millis Now) const {
+  const StepRun &State = Key.Job_->Steps_[static_cast<std::size_t>(Key.Step_)];
+  const StepSpec &Spec =
+      Key.Job_->Spec_.Steps_[static_cast<std::size_t>(Key.Step_)];
+  const bool Urgent = Key.Policy_->Priority_ == 0 || Spec.LongRunning_;
+  return Urgent && Now >= State.LastPreemption_ + PreemptionGap &&
+         PreemptingSteps_ < MaxPreemptingSteps;
+}
+
 void Dispatcher::preemptFor(const StepKey &Key, int Missing,
                             const std::vector<Candidate> &Places, Millis Now) {
   StepRun &State = Key.Job_->Steps_[static_cast<std::size_t>(Key.Step_)];
   const StepSpec &Spec =
       Key.Job_->Spec_.Steps_[static_cast<std::size_t>(Key.Step_)];
-  const bool Urgent = Key.Policy_->Priority_ == 0 || Spec.LongRunning_;
-  if (!Urgent || Now < State.LastPreemption_ + PreemptionGap)
-    return;
   State.LastPreemption_ = Now;
+  ++PreemptingSteps_;
   std::set<std::string> Taken;
   for (int Each = 0; Each < std::min(Missing, MaxPreemptionsPerPass); ++Each) {
     const Worker *Best = nullptr;
@@ -117,27 +127,21 @@
   }
 }
 
-void Dispatcher::stopStalled(Millis Now) {
-  for (auto &[Id, Where] : Workers_) {
-    if (Where.Contact_ != Contact::Good)
+void Dispatcher::stopStalled(Worker &Where, Millis Now) {
+  for (const TaskRef &Ref : Where.Tasks_) {
+    TaskState &Task = *task(Ref);
+    const Run &Attempt = *Task.Run_;
+    const StepSpec &Spec =
+        job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+    const bool AtWork = Spec.LongRunning_ && Attempt.Percent_ == FullPace;
+    if (Attempt.State_ != RunState::Running || !Attempt.Seen_ || Spec.Filler_ ||
+        Spec.Gang_ || AtWork || Attempt.StillLooks_ < StallLooks ||
+        Now < Attempt.ProgressAt_ +
+                  std::max(StallTime, Spec.Estimate_ / StallShare) ||
+        (Spec.LongRunning_ && Now < Attempt.StartedAt_ + StartupTime))
       continue;
-    const std::vector<TaskRef> Tasks(Where.Tasks_.begin(), Where.Tasks_.end());
-    for (const TaskRef &Ref : Tasks) {
-      TaskState &Task = *task(Ref);
-      const Run &Attempt = *Task.Run_;
-      const StepSpec &Spec =
-          job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
-      const bool AtWork = Spec.LongRunning_ && Attempt.Percent_ == FullPace;
-      if (Attempt.State_ != RunState::Running || !Attempt.Seen_ ||
-          Spec.Filler_ || Spec.Gang_ || AtWork ||
-          Attempt.StillLooks_ < StallLooks ||
-          Now < Attempt.ProgressAt_ +
-                    std::max(StallTime, Spec.Estimate_ / StallShare) ||
-          (Spec.LongRunning_ && Now < Attempt.StartedAt_ + StartupTime))
-        continue;
-      noteFailure(Where.Health_, Ref.Job_, Now);
-      orderStop(Ref, Task, "stands still", Now);
-    }
+    noteFailure(Where.Health_, Ref.Job_, Now);
+    orderStop(Ref, Task, "stands still", Now);
   }
 }
 
@@ -161,44 +165,41 @@
   }
 }
 
-void Dispatcher::paceFillers(Millis Now) {
-  for (auto &[Id, Where] : Workers_) {
-    if (Where.Fillers_ == 0 || Where.Contact_ != Contact::Good)
+void Dispatcher::paceFillers(Worker &Where, Millis Now) {
+  if (Where.Fillers_ == 0 || Where.Contact_ != Contact::Good)
+    return;
+  double Worst = 0; // Latency as a share of its target.
+  for (const TaskRef &Ref : Where.Tasks_) {
+    const StepSpec &Spec =
+        job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+    const Run &Attempt = *task(Ref)->Run_;
+    if (Spec.TargetLatency_ > Millis{} && Attempt.Percent_ == FullPace)
+      Worst =
+          std::max(Worst, static_cast<double>(Attempt.Gauge_) /
+                              static_cast<double>(Spec.TargetLatency_.Value_));
+  }
+  if (Worst > PaceDownShare && Where.FillerPercent_ > 0) {
+    Where.FillerPercent_ = 0;
+    Where.PaceChangedAt_ = Now;
+    log("", "pace fillers", Where.Info_.Id_,
+        "percent=0 latency_share=" + std::to_string(Worst));
+  } else if (Worst < PaceUpShare && Where.FillerPercent_ < FullPace &&
+             Now > Where.PaceChangedAt_ + PaceUpGap) {
+    Where.FillerPercent_ =
+        Worst == 0 ? FullPace
+                   : std::min(FullPace, Where.FillerPercent_ + PaceStep);
+    Where.PaceChangedAt_ = Now;
+  }
+  for (const TaskRef &Ref : Where.Tasks_) {
+    Run &Attempt = *task(Ref)->Run_;
+    const StepSpec &Spec =
+        job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+    if (!Spec.Filler_ || Attempt.State_ != RunState::Running ||
+        Attempt.Pace_ == Where.FillerPercent_)
       continue;
-    double Worst = 0; // Latency as a share of its target.
-    for (const TaskRef &Ref : Where.Tasks_) {
-      const StepSpec &Spec =
-          job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
-      const Run &Attempt = *task(Ref)->Run_;
-      if (Spec.TargetLatency_ > Millis{} && Attempt.Percent_ == FullPace)
-        Worst = std::max(Worst,
-                         static_cast<double>(Attempt.Gauge_) /
-                             static_cast<double>(Spec.TargetLatency_.Value_));
-    }
-    if (Worst > PaceDownShare && Where.FillerPercent_ > 0) {
-      Where.FillerPercent_ = 0;
-      Where.PaceChangedAt_ = Now;
-      log("", "pace fillers", Id,
-          "percent=0 latency_share=" + std::to_string(Worst));
-    } else if (Worst < PaceUpShare && Where.FillerPercent_ < FullPace &&
-               Now > Where.PaceChangedAt_ + PaceUpGap) {
-      Where.FillerPercent_ =
-          Worst == 0 ? FullPace
-                     : std::min(FullPace, Where.FillerPercent_ + PaceStep);
-      Where.PaceChangedAt_ = Now;
-    }
-    for (const TaskRef &Ref : Where.Tasks_) {
-      Run &Attempt = *task(Ref)->Run_;
-      const StepSpec &Spec =
-          job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
-      if (!Spec.Filler_ || Attempt.State_ != RunState::Running ||
-          Attempt.Pace_ == Where.FillerPercent_)
-        continue;
-      Attempt.Pace_ = Where.FillerPercent_;
-      Pending_.Paces_.push_back(PaceAction{target(Where), taskName(Ref),
-                                           Attempt.Attempt_,
-                                           Where.FillerPercent_});
-    }
+    Attempt.Pace_ = Where.FillerPercent_;
+    Pending_.Paces_.push_back(PaceAction{
+        target(Where), taskName(Ref), Attempt.Attempt_, Where.FillerPercent_});
   }
 }
 
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -26,6 +26,15 @@
   return Found == Workers_.end() ? nullptr : &Found->second;
 }
 
+Worker &Dispatcher::ensureWorker(const std::string &Id) {
+  const auto [At, Added] = Workers_.try_emplace(Id);
+  if (Added) {
+    At->second.Slot_ = static_cast<int>(BySlot_.size());
+    BySlot_.push_back(&At->second);
+  }
+  return At->second;
+}
+
 Millis Dispatcher::leaseEnd(const Worker &Where, Millis Now) const {
   if (Where.WorkerClock_ == Millis{})
     return Millis{};
@@ -38,8 +47,9 @@
 }
 
 void Dispatcher::restoreWorker(const WorkerInfo &Info) {
-  Worker &Where = Workers_[Info.Id_];
-  if (Where.Info_.Id_.empty()) {
+  const bool Added = Workers_.count(Info.Id_) == 0;
+  Worker &Where = ensureWorker(Info.Id_);
+  if (Added) {
     Where.Info_ = Info;
     Where.Listed_ = false;
     Where.LeaseLapse_ = firstLapse();
@@ -67,8 +77,8 @@
   std::set<std::string> Listed;
   for (const WorkerInfo &Info : Workers) {
     Listed.insert(Info.Id_);
-    const auto [At, Added] = Workers_.try_emplace(Info.Id_);
-    Worker &Where = At->second;
+    const bool Added = Workers_.count(Info.Id_) == 0;
+    Worker &Where = ensureWorker(Info.Id_);
     if (Added) {
       // What an earlier leader started there may run as long as its last lease.
       Where.LeaseLapse_ = firstLapse();
@@ -95,6 +105,8 @@
                         Where.Contact_ != Contact::Good;
     if (Forget && Where.Recorded_)
       ForgottenWorkers_.push_back(At->first);
+    if (Forget)
+      BySlot_[static_cast<std::size_t>(Where.Slot_)] = nullptr;
     At = Forget ? Workers_.erase(At) : std::next(At);
   }
 }
@@ -230,6 +242,8 @@
   for (const RunningEntry &Each : Reply.Running_)
     noteRunning(Where, Each, SentAt, Now);
   dropMissing(Where, Reply, SentAt, Now);
+  stopStalled(Where, Now);
+  PaceDue_.insert(Id);
 }
 
 } // namespace damaskglade::dispatch
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -55,11 +55,14 @@
 /// The leader's book of one worker.
 struct Worker {
   WorkerInfo Info_;
+  int Slot_ = 0;          ///< Never used again for another worker.
   bool Listed_ = true;    ///< In the registry.
   bool Recorded_ = false; ///< A later leader will know of it.
   Contact Contact_ = Contact::Unseen;
   std::int64_t Born_ = 0;
   Size Used_;
+  /// Room at the end of the last planning pass; negative if it took no work.
+  Size OfferedRoom_{-1, -1, -1};
   /// All leases on the worker have lapsed by then, on the leader's clock.
   Millis LeaseLapse_{};
   /// Worker clock and leader clock at the same reply.
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_DISPATCH_JOB_RUN_H
 #define DAMASKGLADE_DISPATCH_JOB_RUN_H
 
+#include "dispatch/advice.h"
 #include "dispatch/job.h"
 
 #include <optional>
@@ -48,22 +49,6 @@
   Millis RetryAt_{}; ///< Not started before.
 };
 
-/// Ticket of a worker for a step.
-struct Ticket {
-  std::string Text_;
-  Millis ValidUntil_{};
-};
-
-/// What advice has told of a step. The allowed workers never change; the
-/// tickets run out.
-struct StepAdvice {
-  std::unordered_map<std::string, Ticket> Allowed_;
-  std::set<std::string> Asked_;
-  bool Pending_ = false; ///< A question is on its way.
-  Millis AskedAt_{};
-  Millis RetryAt_{};
-};
-
 struct StepRun {
   std::vector<TaskState> Tasks_;
   int DoneCount_ = 0;
@@ -72,6 +57,8 @@
   Millis ReadyAt_{};
   StepAdvice Advice_;
   Millis LastPreemption_{};
+  /// Last pass in which no worker had room for a task of the step.
+  std::int64_t TriedPass_ = 0;
 
   bool ended() const { return DoneCount_ == static_cast<int>(Tasks_.size()); }
 };
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -56,4 +56,26 @@
   BOOST_TEST(chooseAdviceNode(Nodes, Millis{600}, Millis{0}) == 0);
 }
 
+// Guards against a site whose leader has too little processor time for it while
+// larger nodes follow.
+BOOST_AUTO_TEST_CASE(WeakNodesLeaveTheLeadToStrongOnes) {
+  BOOST_TEST((candidacyDelay(0.5, 0.5) == Millis{}));
+  BOOST_TEST((candidacyDelay(0.12, 0.5) > Millis{}));
+  // Before a leader has told, a node judges by itself.
+  BOOST_TEST((candidacyDelay(0.12, 0) > Millis{}));
+  BOOST_TEST((candidacyDelay(0.25, 0) == Millis{}));
+  // On a site of small nodes only, none waits.
+  BOOST_TEST((candidacyDelay(0.12, 0.12) == Millis{}));
+}
+
+BOOST_AUTO_TEST_CASE(LeadPassesToAStrongerNodeThatIsAlive) {
+  const PeerNodes Nodes = {{"a", {Millis{100}, 0.12}},
+                           {"b", {Millis{100}, 0.5}},
+                           {"c", {Millis{10}, 1.0}}};
+  BOOST_TEST(strongerNode(Nodes, 0.12, Millis{50}) == "b");
+  BOOST_TEST(strongerNode(Nodes, 0.5, Millis{50}).empty());
+  BOOST_TEST(strongestNode(Nodes, Millis{50}, 7) == "b");
+  BOOST_TEST(strongestNode(Nodes, Millis{200}, 7).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
