dispatch: Ask about other workers for steps with a limit per worker

A task of a lasting step failed and was not started again: an allowed worker had room, so no question was asked, but that worker already ran as many tasks of the step as it may.

Change: such workers do not count as room, neither for new questions nor for renewals.

Test Advice/WorkersThatMayTakeNoMoreOfAStepDoNotCount fails without the change.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -245,6 +245,8 @@
   bool hasOverdueRun(const Worker &Where, Millis Now) const;
   void evacuate(Millis Now);
   void paceFillers(Worker &Where, Millis Now);
+  /// Counted only for steps that limit it.
+  static int tasksOfStep(const Worker &Where, const JobRun &Job, int Step);
   Candidate candidateAt(Worker &Where, const JobRun &Job, int Step,
                         Millis Now) const;
 
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -68,6 +68,9 @@
   std::vector<const Worker *> Unasked;
   std::vector<const Worker *> Renew;
   const auto HasRoom = [&](const Worker &Where) {
+    if (Spec.MaxPerWorker_ > 0 &&
+        tasksOfStep(Where, *Key.Job_, Key.Step_) >= Spec.MaxPerWorker_)
+      return false;
     return fits(bookedSize(Spec), freeRoom(Where));
   };
   for (const AllowedWorker &Each : Advice.Allowed_) {
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -117,22 +117,23 @@
   return Out;
 }
 
+int Dispatcher::tasksOfStep(const Worker &Where, const JobRun &Job, int Step) {
+  if (Job.Spec_.Steps_[static_cast<std::size_t>(Step)].MaxPerWorker_ == 0)
+    return 0;
+  int Count = 0;
+  for (auto At = Where.Tasks_.lower_bound(TaskRef{Job.Spec_.Id_, Step, 0});
+       At != Where.Tasks_.end() && At->Job_ == Job.Spec_.Id_ &&
+       At->Step_ == Step;
+       ++At)
+    ++Count;
+  return Count;
+}
+
 Candidate Dispatcher::candidateAt(Worker &Where, const JobRun &Job, int Step,
                                   Millis Now) const {
-  Candidate Out;
-  Out.Where_ = &Where;
-  Out.Slow_ = isSlow(Where, UsualShare_, Now);
-  const StepSpec &Spec = Job.Spec_.Steps_[static_cast<std::size_t>(Step)];
-  auto At = Spec.MaxPerWorker_ == 0
-                ? Where.Tasks_.end()
-                : Where.Tasks_.lower_bound(TaskRef{Job.Spec_.Id_, Step, 0});
-  for (; At != Where.Tasks_.end() && At->Job_ == Job.Spec_.Id_ &&
-         At->Step_ == Step;
-       ++At)
-    ++Out.TasksOfStep_;
-  Out.ServesUsers_ = Where.ServingRuns_ > 0;
-  Out.Fillers_ = Where.Fillers_;
-  return Out;
+  return Candidate{&Where, tasksOfStep(Where, Job, Step),
+                   Where.ServingRuns_ > 0, Where.Fillers_,
+                   isSlow(Where, UsualShare_, Now)};
 }
 
 bool Dispatcher::isCandidate(const StepKey &Key, const Worker &Where,
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -13,7 +13,7 @@
 /// What placement has to know about a worker for one task.
 struct Candidate {
   Worker *Where_ = nullptr;
-  int TasksOfStep_ = 0;      ///< Tasks of the same step that run there.
+  int TasksOfStep_ = 0; ///< Of the same step, counted if the step limits it.
   bool ServesUsers_ = false; ///< Runs a task with a latency target.
   int Fillers_ = 0;
   bool Slow_ = false;
