cell: Bound the looks at workers while ends wait for the store

Cause: ends that are not recorded are listed again by every look, so the leader looked at each such worker every 80 ms.

Change: the delay grows with the number of such workers, to 400 looks a second.

Test LooksAreBoundedWhileTheStoreIsSlow.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -25,8 +25,11 @@
 constexpr Millis DecisionGap{5};
 constexpr Millis LoadRetry{100};
 constexpr Millis LookRetry{150};
-// Ends that are not yet recorded are listed again by every look.
+// Ends that are not yet recorded are listed again by every look, so such a
+// look cannot wait for news. While the store is slow, all workers are looked at
+// in this way, at no more than 400 looks a second.
 constexpr Millis UnrecordedLook{80};
+constexpr std::size_t UnrecordedWorkersPerLook = 32;
 constexpr Millis ForgetPeriod{5000};
 constexpr int FailuresBeforeSilent = 2;
 
@@ -41,6 +44,11 @@
 
 } // namespace
 
+Millis unrecordedLookDelay(std::size_t Workers) {
+  return UnrecordedLook *
+         static_cast<std::int64_t>(1 + Workers / UnrecordedWorkersPerLook);
+}
+
 Leader::Leader(const CellPorts &Ports, const CellSettings &Settings,
                LeaderView View, std::function<void()> Lost)
     : Ports_(Ports), Settings_(Settings), View_(std::move(View)),
@@ -256,6 +264,7 @@
 void Leader::look(const std::string &Id, bool Probe) {
   const dispatch::Worker *Where = Dispatcher_.findWorker(Id);
   if (Stopped_ || !Where) {
+    Unrecorded_.erase(Id);
     Watches_.erase(Id);
     return;
   }
@@ -301,6 +310,7 @@
     State.Born_ = Reply.value().Born_;
     State.Seen_ = 0;
     State.Recorded_ = 0;
+    Unrecorded_.erase(Id);
   }
   Dispatcher_.noteLook(Id, Reply.value(), SentAt, now());
   for (const EndedTask &Each : Reply.value().Ended_)
@@ -309,6 +319,7 @@
     return lose();
   Recorder_.touch();
   if (State.Seen_ > State.Recorded_) {
+    Unrecorded_.insert(Id);
     const std::int64_t Seen = State.Seen_;
     const std::int64_t Born = State.Born_;
     Recorder_.whenRecorded([Self = shared_from_this(), Id, Seen, Born] {
@@ -316,6 +327,8 @@
       if (Later.Born_ != Born || Seen <= Later.Recorded_)
         return;
       Later.Recorded_ = Seen;
+      if (Later.Seen_ == Seen)
+        Self->Unrecorded_.erase(Id);
       Self->look(Id, false);
     });
   }
@@ -326,7 +339,7 @@
   if (Reply.value().Outcome_ != OrderOutcome::Done)
     scheduleLook(Id, LookRetry);
   else if (Unrecorded)
-    scheduleLook(Id, UnrecordedLook);
+    scheduleLook(Id, unrecordedLookDelay(Unrecorded_.size()));
   else
     look(Id, false);
 }
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -8,10 +8,15 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace damaskglade::cell {
 
+/// Time to the next look at a worker whose ends are not recorded yet, when so
+/// many workers have such ends.
+Millis unrecordedLookDelay(std::size_t Workers);
+
 /// Scheduling of a cell for one epoch. Loads all rows, takes hold of the
 /// workers, and runs until a later epoch begins.
 class Leader : public std::enable_shared_from_this<Leader> {
@@ -80,6 +85,7 @@
   Recorder Recorder_;
   AdviceDesk Advice_;
   std::map<std::string, Watch> Watches_;
+  std::set<std::string> Unrecorded_; ///< Workers with ends in no row yet.
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
   std::map<std::string, std::vector<RpcReply>> Submitting_;
   Millis MajorityAt_{};
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -78,4 +78,16 @@
   BOOST_TEST(strongestNode(Nodes, Millis{200}, 7).empty());
 }
 
+// Guards against a leader that a slow store drowns in looks: at 350 workers it
+// made 4,400 a second.
+BOOST_AUTO_TEST_CASE(LooksAreBoundedWhileTheStoreIsSlow) {
+  constexpr double MillisPerSecond = 1000;
+  constexpr double MostLooks = 400;
+  for (const std::size_t Workers : {1U, 48U, 350U, 500U}) {
+    const auto Delay = static_cast<double>(unrecordedLookDelay(Workers).Value_);
+    BOOST_TEST(static_cast<double>(Workers) * MillisPerSecond / Delay <=
+               MostLooks);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
