cell: Load less at a takeover and write more at once to a slow store

While the store was slow, one transaction of 45 rows at a time was on its way.

Change: the row of an ended job is removed once none of its runs is left, its state stays; tables are loaded at the same time; up to 6 transactions with different rows are on their way when the store needs over 40 ms.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -66,7 +66,10 @@
   note(Ports_, LogLevel::Info, "", "lead", "",
        "epoch=" + std::to_string(View_.Epoch_) + " begins");
   readRegistry();
-  load(JobsTable, "");
+  for (const char *Table : {JobsTable, ProgressTable, WorkersTable}) {
+    ++TablesLoading_;
+    load(Table, "");
+  }
 }
 
 void Leader::stop() {
@@ -89,6 +92,8 @@
   Lost_();
 }
 
+// A new leader has a fence in the store already, so tables that are read at the
+// same time fit together.
 void Leader::load(const std::string &Table, const std::string &From) {
   Ports_.Store_.read(
       RowRange{Table, CellPart, From},
@@ -105,11 +110,8 @@
         if (Page.value().More_ && !Page.value().Rows_.empty())
           return Self->load(Table,
                             Page.value().Rows_.back().Name_.Key_ + '\x01');
-        if (Table == JobsTable)
-          return Self->load(ProgressTable, "");
-        if (Table == ProgressTable)
-          return Self->load(WorkersTable, "");
-        Self->finishLoad();
+        if (--Self->TablesLoading_ == 0)
+          Self->finishLoad();
       });
 }
 
@@ -122,38 +124,45 @@
         LoadedSpecs_[Id] = std::move(Spec).value();
       else
         Ports_.Log_.write(failureEvent(Spec.error(), Id));
-      continue;
-    }
-    if (Table == WorkersTable) {
+    } else if (Table == WorkersTable) {
       const auto Info = decodeWorkerRow(Row);
       if (Info)
         Dispatcher_.restoreWorker(Info.value());
       else
         Ports_.Log_.write(failureEvent(Info.error(), ""));
-      continue;
-    }
-    Recorder_.setVersion(Id, Row.Version_);
-    const auto Spec = LoadedSpecs_.find(Id);
-    if (Spec == LoadedSpecs_.end())
-      continue;
-    const auto Progress = dispatch::decodeProgress(Row.Value_);
-    if (!Progress) {
-      Ports_.Log_.write(failureEvent(Progress.error(), Id));
-      continue;
+    } else {
+      Recorder_.setVersion(Id, Row.Version_);
+      auto Progress = dispatch::decodeProgress(Row.Value_);
+      if (Progress)
+        LoadedProgress_[Id] = std::move(Progress).value();
+      else
+        Ports_.Log_.write(failureEvent(Progress.error(), Id));
     }
-    Dispatcher_.restoreJob(Spec->second, Progress.value(), now());
-    LoadedSpecs_.erase(Spec);
   }
 }
 
 void Leader::finishLoad() {
   for (const auto &[Id, Spec] : LoadedSpecs_)
-    Dispatcher_.restoreJob(Spec, dispatch::JobProgress{}, now());
+    Dispatcher_.restoreJob(Spec, LoadedProgress_[Id], now());
+  for (const auto &[Id, Progress] : LoadedProgress_) {
+    if (LoadedSpecs_.count(Id) > 0)
+      continue;
+    if (dispatch::isTerminal(Progress.State_))
+      Dispatcher_.restoreEnded(Id, Progress.State_, now());
+    else
+      note(Ports_, LogLevel::Error, Id, "load", "",
+           "progress of a job that has no row and has not ended");
+  }
+  const std::size_t Jobs = LoadedSpecs_.size();
+  const std::size_t Ended = LoadedProgress_.size();
   LoadedSpecs_.clear();
+  LoadedProgress_.clear();
   Loaded_ = true;
   takeWorkers();
   note(Ports_, LogLevel::Info, "", "lead", "",
-       "epoch=" + std::to_string(View_.Epoch_) + " has loaded all rows");
+       "epoch=" + std::to_string(View_.Epoch_) + " has loaded " +
+           std::to_string(Jobs) + " jobs and " + std::to_string(Ended) +
+           " states");
   tick();
 }
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -87,6 +87,8 @@
   std::map<std::string, Watch> Watches_;
   std::set<std::string> Unrecorded_; ///< Workers with ends in no row yet.
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
+  std::map<std::string, dispatch::JobProgress> LoadedProgress_;
+  int TablesLoading_ = 0;
   std::map<std::string, std::vector<RpcReply>> Submitting_;
   Millis MajorityAt_{};
   Millis ConfirmSentAt_{};
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -8,9 +8,13 @@
 
 namespace {
 
-// The platform takes 100 entries in a transaction; a row that is written takes
-// one for the row and one for its condition.
-constexpr std::size_t MaxRows = 45;
+// The platform takes 100 entries in a transaction; conditions, rows and removed
+// rows count alike, and the leader row is one.
+constexpr std::size_t MaxEntries = 96;
+// The store answers within 10 ms on a good day; from then on a further
+// transaction does not wait for the last one.
+constexpr Millis SlowStore{40};
+constexpr std::size_t MaxInFlight = 6;
 // Changes that come within this time share a transaction.
 constexpr Millis GroupDelay{4};
 constexpr Millis RetryDelay{120};
@@ -49,12 +53,25 @@
   if (Changed.empty())
     return;
   ++Latest_;
-  Dirty_.insert(Changed.begin(), Changed.end());
+  for (const std::string &Each : Changed)
+    Dirty_.try_emplace(Each, Latest_);
   schedule(GroupDelay);
 }
 
+// Changes are numbered, and a job keeps the number of its first change that is
+// in no row yet.
+std::uint64_t Recorder::firstUnrecorded() const {
+  std::uint64_t First = Latest_ + 1;
+  for (const auto &[Id, Number] : Dirty_)
+    First = std::min(First, Number);
+  for (const auto &[Number, Sent] : InFlight_)
+    for (const auto &[Id, Change] : Sent.Progress_)
+      First = std::min(First, Change.First_);
+  return First;
+}
+
 void Recorder::whenRecorded(std::function<void()> Done) {
-  if (Recorded_ >= Latest_)
+  if (firstUnrecorded() > Latest_)
     return Done();
   Waiters_.push_back(Waiter{Latest_, std::move(Done)});
 }
@@ -83,13 +100,8 @@
          NewWorkers_.empty() && OldWorkers_.empty();
 }
 
-std::size_t Recorder::sentRows() const {
-  return SentJobs_.size() + SentProgress_.size() + SentRemovals_.size() +
-         SentWorkers_.size() + SentOldWorkers_.size();
-}
-
 void Recorder::schedule(Millis Delay) {
-  if (Scheduled_ || InFlight_ || Stopped_)
+  if (Scheduled_ || Stopped_)
     return;
   Scheduled_ = true;
   Ports_.Timers_.after(Delay, [this] {
@@ -98,99 +110,131 @@
   });
 }
 
-RowTransaction Recorder::build() {
-  RowTransaction Out;
-  Out.Conditions_.push_back(RowCondition{leaderRow(), Leader_.Version_});
-  while (!NewWorkers_.empty() && sentRows() < MaxRows) {
+// One transaction at a time groups best; a slow store gets more of them.
+bool Recorder::mayFlush() const {
+  if (InFlight_.empty())
+    return true;
+  const Millis Last = InFlight_.rbegin()->second.SentAt_;
+  return InFlight_.size() < MaxInFlight && FailingSince_ == Millis{} &&
+         Ports_.Clock_.monotonic() >= Last + SlowStore;
+}
+
+bool Recorder::isOnItsWay(const std::string &Id) const {
+  return std::any_of(InFlight_.begin(), InFlight_.end(), [&](const auto &Each) {
+    return Each.second.Progress_.count(Id) > 0;
+  });
+}
+
+void Recorder::addProgress(Batch &Out, RowTransaction &Change,
+                           std::size_t &Entries) {
+  for (auto At = Dirty_.begin(); At != Dirty_.end() && Entries < MaxEntries;) {
+    const auto &[Id, First] = *At;
+    // Two transactions with one row would fail each other's conditions.
+    if (isOnItsWay(Id)) {
+      ++At;
+      continue;
+    }
+    const dispatch::JobProgress Progress = Jobs_.progressOf(Id);
+    const auto Known = Versions_.find(Id);
+    Change.Conditions_.push_back(RowCondition{
+        progressRow(Id), Known == Versions_.end() ? 0 : Known->second});
+    Change.Puts_.push_back(
+        RowPut{progressRow(Id), dispatch::encodeProgress(Progress)});
+    Entries += 2;
+    // Of a job that has ended only its state is asked for, and rows that a new
+    // leader has to load are kept few. The sizes of tasks that are still being
+    // stopped have to be known.
+    if (dispatch::isTerminal(Progress.State_) && !Jobs_.holdsRoom(Id)) {
+      Change.Removes_.push_back(jobRow(Id));
+      ++Entries;
+    }
+    Out.Progress_[Id] = SentChange{First, Progress.State_};
+    At = Dirty_.erase(At);
+  }
+}
+
+RowTransaction Recorder::build(Batch &Out) {
+  RowTransaction Change;
+  Change.Conditions_.push_back(RowCondition{leaderRow(), Leader_.Version_});
+  std::size_t Entries = 1;
+  for (; !NewWorkers_.empty() && Entries < MaxEntries; ++Entries) {
     const auto First = NewWorkers_.begin();
-    Out.Puts_.push_back(
+    Change.Puts_.push_back(
         RowPut{workerRow(First->first), encodeWorkerRow(First->second)});
-    SentWorkers_.insert(NewWorkers_.extract(First));
+    Out.Workers_.insert(NewWorkers_.extract(First));
   }
-  while (!OldWorkers_.empty() && sentRows() < MaxRows) {
+  for (; !OldWorkers_.empty() && Entries < MaxEntries; ++Entries) {
     const auto First = OldWorkers_.begin();
-    Out.Removes_.push_back(workerRow(*First));
-    SentOldWorkers_.insert(OldWorkers_.extract(First));
+    Change.Removes_.push_back(workerRow(*First));
+    Out.OldWorkers_.insert(OldWorkers_.extract(First));
   }
-  while (!NewJobs_.empty() && sentRows() < MaxRows) {
+  for (; !NewJobs_.empty() && Entries < MaxEntries; Entries += 2) {
     NewJob Next = std::move(NewJobs_.front());
     NewJobs_.pop_front();
     const dispatch::JobRun *Job = Jobs_.findJob(Next.Id_);
-    Out.Conditions_.push_back(RowCondition{jobRow(Next.Id_), 0});
-    Out.Puts_.push_back(
+    Change.Conditions_.push_back(RowCondition{jobRow(Next.Id_), 0});
+    Change.Puts_.push_back(
         RowPut{jobRow(Next.Id_), dispatch::encodeSpec(Job->Spec_)});
-    SentJobs_.push_back(std::move(Next));
-  }
-  while (!Dirty_.empty() && sentRows() < MaxRows) {
-    const std::string Id = *Dirty_.begin();
-    Dirty_.erase(Dirty_.begin());
-    const dispatch::JobProgress Progress = Jobs_.progressOf(Id);
-    const auto Known = Versions_.find(Id);
-    Out.Conditions_.push_back(RowCondition{
-        progressRow(Id), Known == Versions_.end() ? 0 : Known->second});
-    Out.Puts_.push_back(
-        RowPut{progressRow(Id), dispatch::encodeProgress(Progress)});
-    SentProgress_[Id] = Progress.State_;
+    Out.Jobs_.push_back(std::move(Next));
   }
-  while (!Removing_.empty() && sentRows() < MaxRows) {
+  addProgress(Out, Change, Entries);
+  for (; !Removing_.empty() && Entries < MaxEntries; Entries += 2) {
     const std::string Id = *Removing_.begin();
     Removing_.erase(Removing_.begin());
-    Out.Removes_.push_back(jobRow(Id));
-    Out.Removes_.push_back(progressRow(Id));
-    SentRemovals_.push_back(Id);
+    Change.Removes_.push_back(jobRow(Id));
+    Change.Removes_.push_back(progressRow(Id));
+    Out.Removals_.push_back(Id);
   }
-  return Out;
+  return Change;
 }
 
 void Recorder::flush() {
-  if (InFlight_ || Stopped_)
+  if (Stopped_)
     return;
   touch();
   if (idle())
     return;
-  InFlight_ = true;
-  SentLatest_ = Latest_;
-  const RowTransaction Change = build();
-  SentAll_ = Dirty_.empty();
-  const Millis SentAt = Ports_.Clock_.monotonic();
+  if (!mayFlush())
+    return schedule(GroupDelay);
+  Batch Sent;
+  const RowTransaction Change = build(Sent);
+  if (Change.Puts_.empty() && Change.Removes_.empty())
+    return; // All that waits is on its way already, in an older state.
+  Sent.SentAt_ = Ports_.Clock_.monotonic();
+  const std::uint64_t Number = ++LastBatch_;
+  InFlight_.emplace(Number, std::move(Sent));
   Ports_.Store_.transact(
-      Change, [this, SentAt](const Result<TransactionOutcome> &Outcome) {
-        finish(Outcome, SentAt);
+      Change, [this, Number](const Result<TransactionOutcome> &Outcome) {
+        finish(Number, Outcome);
       });
+  if (!idle())
+    schedule(GroupDelay);
 }
 
-void Recorder::finish(const Result<TransactionOutcome> &Outcome,
-                      Millis SentAt) {
+void Recorder::finish(std::uint64_t Number,
+                      const Result<TransactionOutcome> &Outcome) {
   if (Stopped_)
     return;
+  Batch Sent = std::move(InFlight_.extract(Number).mapped());
   if (!Outcome)
-    return failed(Outcome.error());
+    return failed(std::move(Sent), Outcome.error());
   FailingSince_ = Millis{};
-  InFlight_ = false;
   if (!Outcome.value().Applied_)
-    return conflicted(Outcome.value().Current_);
-  confirm(SentAt);
-  applied(Outcome.value().Version_);
+    return conflicted(std::move(Sent), Outcome.value().Current_);
+  confirm(Sent.SentAt_);
+  applied(std::move(Sent), Outcome.value().Version_);
 }
 
-void Recorder::applied(std::int64_t Version) {
-  for (const auto &[Id, State] : SentProgress_) {
+void Recorder::applied(Batch Sent, std::int64_t Version) {
+  for (const auto &[Id, Change] : Sent.Progress_) {
     Versions_[Id] = Version;
-    Jobs_.noteRecorded(Id, State);
+    Jobs_.noteRecorded(Id, Change.State_);
   }
-  for (const std::string &Id : SentRemovals_)
+  for (const std::string &Id : Sent.Removals_)
     Versions_.erase(Id);
-  for (const auto &[Id, Info] : SentWorkers_)
+  for (const auto &[Id, Info] : Sent.Workers_)
     Jobs_.noteWorkerRecorded(Id);
-  SentWorkers_.clear();
-  SentOldWorkers_.clear();
-  if (SentAll_)
-    Recorded_ = SentLatest_;
-  const std::vector<NewJob> Done = std::move(SentJobs_);
-  SentJobs_.clear();
-  SentProgress_.clear();
-  SentRemovals_.clear();
-  for (const NewJob &Each : Done) {
+  for (const NewJob &Each : Sent.Jobs_) {
     Jobs_.confirmJob(Each.Id_);
     if (Each.Done_)
       Each.Done_(success());
@@ -201,9 +245,10 @@
 }
 
 void Recorder::callWaiters() {
+  const std::uint64_t First = firstUnrecorded();
   std::vector<std::function<void()>> Due;
   for (auto At = Waiters_.begin(); At != Waiters_.end();) {
-    if (At->Until_ > Recorded_) {
+    if (At->Until_ >= First) {
       ++At;
       continue;
     }
@@ -215,22 +260,19 @@
 }
 
 // Puts what a transaction did not write back into the queues.
-void Recorder::keepUnsent() {
-  for (const auto &[Id, State] : SentProgress_)
-    Dirty_.insert(Id);
-  Removing_.insert(SentRemovals_.begin(), SentRemovals_.end());
-  SentJobs_.clear();
-  SentProgress_.clear();
-  SentRemovals_.clear();
-  NewWorkers_.merge(SentWorkers_);
-  OldWorkers_.merge(SentOldWorkers_);
-  SentWorkers_.clear();
-  SentOldWorkers_.clear();
+void Recorder::keepUnsent(Batch &Sent) {
+  for (const auto &[Id, Change] : Sent.Progress_) {
+    const auto [At, Added] = Dirty_.try_emplace(Id, Change.First_);
+    At->second = std::min(At->second, Change.First_);
+  }
+  Removing_.insert(Sent.Removals_.begin(), Sent.Removals_.end());
+  NewWorkers_.merge(Sent.Workers_);
+  OldWorkers_.merge(Sent.OldWorkers_);
 }
 
 // Another transaction of this leader was applied late, or there is a new
 // leader. The rows of the conditions say which.
-void Recorder::conflicted(const std::vector<StoredRow> &Current) {
+void Recorder::conflicted(Batch Sent, const std::vector<StoredRow> &Current) {
   std::set<std::string> Present;
   for (const StoredRow &Row : Current) {
     if (Row.Name_ == leaderRow() && Row.Version_ != Leader_.Version_) {
@@ -245,13 +287,13 @@
       Present.insert(Row.Name_.Key_);
   }
   std::vector<NewJob> Recorded;
-  for (NewJob &Each : SentJobs_) {
+  for (NewJob &Each : Sent.Jobs_) {
     if (Present.count(Each.Id_) > 0)
       Recorded.push_back(std::move(Each));
     else
       NewJobs_.push_back(std::move(Each));
   }
-  keepUnsent();
+  keepUnsent(Sent);
   for (const NewJob &Each : Recorded) {
     Jobs_.confirmJob(Each.Id_);
     if (Each.Done_)
@@ -261,17 +303,16 @@
   schedule(GroupDelay);
 }
 
-void Recorder::failed(const Error &Failure) {
+void Recorder::failed(Batch Sent, const Error &Failure) {
   const Millis Now = Ports_.Clock_.monotonic();
   if (FailingSince_ == Millis{}) {
     FailingSince_ = Now;
     Ports_.Log_.write(failureEvent(Failure, ""));
   }
   Ports_.Metrics_.countRetry(Failure.Reason_);
-  InFlight_ = false;
   const bool Unclear = Failure.Effect_ != Effect::None;
   std::vector<NewJob> Refused;
-  for (NewJob &Each : SentJobs_) {
+  for (NewJob &Each : Sent.Jobs_) {
     Each.Unclear_ = Each.Unclear_ || Unclear;
     if (Each.Unclear_) {
       if (Each.Done_)
@@ -282,7 +323,7 @@
       Refused.push_back(std::move(Each));
     }
   }
-  keepUnsent();
+  keepUnsent(Sent);
   for (const NewJob &Each : Refused) {
     Jobs_.dropJob(Each.Id_);
     Error Answer = Failure;
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -14,9 +14,10 @@
 /// Row of a worker that leaders give orders to. Errors: invalid_field.
 Result<dispatch::WorkerInfo> decodeWorkerRow(const StoredRow &Row);
 
-/// Writes the rows of a leader by group commit: one transaction at a time with
-/// all that waits. Each transaction depends on the leader row, so it fails once
-/// there is a later leader.
+/// Writes the rows of a leader by group commit: each transaction takes all that
+/// waits. While the store is slow, several are on their way, with different
+/// rows. Each depends on the leader row, so it fails once there is a later
+/// leader.
 class Recorder {
 public:
   Recorder(const CellPorts &Ports, dispatch::Dispatcher &Jobs,
@@ -27,9 +28,6 @@
   void recordJob(const std::string &Id, std::function<void(Status)> Done);
   /// Collects changes and writes them soon.
   void touch();
-  /// Number of the latest change, and up to which changes are recorded.
-  std::uint64_t latest() const { return Latest_; }
-  std::uint64_t recorded() const { return Recorded_; }
   /// Calls back when all changes up to now are recorded.
   void whenRecorded(std::function<void()> Done);
   /// Version of a progress row that was loaded from the store.
@@ -56,17 +54,33 @@
     std::uint64_t Until_ = 0;
     std::function<void()> Done_;
   };
+  struct SentChange {
+    std::uint64_t First_ = 0; ///< Number of the first change it records.
+    dispatch::JobState State_ = dispatch::JobState::Queued;
+  };
+  /// What a transaction on its way writes.
+  struct Batch {
+    Millis SentAt_{};
+    std::vector<NewJob> Jobs_;
+    std::map<std::string, SentChange> Progress_;
+    std::vector<std::string> Removals_;
+    std::map<std::string, dispatch::WorkerInfo> Workers_;
+    std::set<std::string> OldWorkers_;
+  };
 
   void schedule(Millis Delay);
+  bool mayFlush() const;
   void flush();
-  RowTransaction build();
-  void finish(const Result<TransactionOutcome> &Outcome, Millis SentAt);
-  void applied(std::int64_t Version);
-  void conflicted(const std::vector<StoredRow> &Current);
-  void failed(const Error &Failure);
-  void keepUnsent();
+  RowTransaction build(Batch &Out);
+  void addProgress(Batch &Out, RowTransaction &Change, std::size_t &Entries);
+  void finish(std::uint64_t Number, const Result<TransactionOutcome> &Outcome);
+  void applied(Batch Sent, std::int64_t Version);
+  void conflicted(Batch Sent, const std::vector<StoredRow> &Current);
+  void failed(Batch Sent, const Error &Failure);
+  void keepUnsent(Batch &Sent);
   bool idle() const;
-  std::size_t sentRows() const;
+  bool isOnItsWay(const std::string &Id) const;
+  std::uint64_t firstUnrecorded() const;
   void callWaiters();
 
   const CellPorts Ports_;
@@ -74,25 +88,17 @@
   const LeaderView Leader_;
   const std::function<void()> LostLead_;
   std::deque<NewJob> NewJobs_;
-  std::set<std::string> Dirty_;
+  std::map<std::string, std::uint64_t> Dirty_; ///< With the first change.
   std::map<std::string, std::int64_t> Versions_;
   std::set<std::string> Removing_;
   std::map<std::string, dispatch::WorkerInfo> NewWorkers_;
   std::set<std::string> OldWorkers_;
   std::vector<Waiter> Waiters_;
-  // The transaction in flight.
-  std::vector<NewJob> SentJobs_;
-  std::map<std::string, dispatch::JobState> SentProgress_;
-  std::vector<std::string> SentRemovals_;
-  std::map<std::string, dispatch::WorkerInfo> SentWorkers_;
-  std::set<std::string> SentOldWorkers_;
-  std::uint64_t SentLatest_ = 0;
-  bool SentAll_ = false;
-  bool InFlight_ = false;
+  std::map<std::uint64_t, Batch> InFlight_;
+  std::uint64_t LastBatch_ = 0;
+  std::uint64_t Latest_ = 0; ///< Number of the latest change.
   bool Scheduled_ = false;
   bool Stopped_ = false;
-  std::uint64_t Latest_ = 0;
-  std::uint64_t Recorded_ = 0;
   Millis ConfirmedAt_{};
   Millis FailingSince_{};
 };
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -114,6 +114,8 @@
   }
   /// Adds a job that an earlier leader recorded.
   void restoreJob(const JobSpec &Spec, const JobProgress &Progress, Millis Now);
+  /// Adds a job of which only the end is still recorded.
+  void restoreEnded(const std::string &Id, JobState State, Millis Now);
   /// Refuses what can never run. Errors: never_fits.
   Status checkFits(const JobSpec &Spec) const;
   /// False if there is no such job or it has ended.
@@ -122,6 +124,8 @@
   const JobRun *findJob(const std::string &Id) const;
   /// Jobs of the queue of which no task has started.
   int pendingJobs(const std::string &Queue) const;
+  /// Whether a task of the job may still run.
+  bool holdsRoom(const std::string &Id) const;
   JobProgress progressOf(const std::string &Id) const;
   /// Jobs whose progress changed since the last call.
   std::vector<std::string> takeChangedJobs();
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -126,6 +126,15 @@
   readySteps(Job, Now);
 }
 
+void Dispatcher::restoreEnded(const std::string &Id, JobState State,
+                              Millis Now) {
+  JobSpec Spec;
+  Spec.Id_ = Id;
+  JobProgress Progress;
+  Progress.State_ = State;
+  restoreJob(Spec, Progress, Now);
+}
+
 Status Dispatcher::checkFits(const JobSpec &Spec) const {
   if (!ListSeen_)
     return success();
@@ -171,6 +180,13 @@
   return Count;
 }
 
+bool Dispatcher::holdsRoom(const std::string &Id) const {
+  const JobRun *Job = findJob(Id);
+  return Job &&
+         std::any_of(Job->Steps_.begin(), Job->Steps_.end(),
+                     [](const StepRun &Step) { return Step.RunCount_ > 0; });
+}
+
 JobProgress Dispatcher::progressOf(const std::string &Id) const {
   JobProgress Out;
   const JobRun *Job = findJob(Id);
@@ -205,10 +221,7 @@
   if (!isTerminal(State))
     return;
   // Runs that are still being stopped stay on the books of their workers.
-  const bool Holds =
-      std::any_of(Job->Steps_.begin(), Job->Steps_.end(),
-                  [](const StepRun &Step) { return Step.RunCount_ > 0; });
-  if (!Holds)
+  if (!holdsRoom(Id))
     Active_.erase(Id);
 }
 
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -11,6 +11,16 @@
 
 } // namespace
 
+namespace {
+
+Size positivePart(const Size &Room) {
+  constexpr std::int64_t None = 0;
+  return Size{std::max(Room.MilliCpus_, None), std::max(Room.MemoryMib_, None),
+              std::max(Room.Accelerators_, None)};
+}
+
+} // namespace
+
 void Dispatcher::noteRunning(Worker &Where, const RunningEntry &Entry,
                              Millis SentAt, Millis Now) {
   const auto Ref = parseTaskName(Entry.Task_);
@@ -71,6 +81,9 @@
         Job && Ref.value().Step_ < static_cast<int>(Job->Spec_.Steps_.size()))
       Added.Booked_ = bookedSize(
           Job->Spec_.Steps_[static_cast<std::size_t>(Ref.value().Step_)]);
+    else
+      // Of unknown size: it may fill the worker.
+      Added.Booked_ = positivePart(freeRoom(Where));
     Where.Used_ = Where.Used_ + Added.Booked_;
     log(Entry.Task_.substr(0, Entry.Task_.find('.')), Entry.Task_,
         Where.Info_.Id_,
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -134,12 +134,11 @@
   Task.Run_.reset();
   JobRun *Job = job(Ref.Job_);
   --Job->Steps_[static_cast<std::size_t>(Ref.Step_)].RunCount_;
-  if (!isTerminal(Job->RecordedState_))
+  if (!isTerminal(Job->State_) || holdsRoom(Ref.Job_))
     return;
-  const bool Holds =
-      std::any_of(Job->Steps_.begin(), Job->Steps_.end(),
-                  [](const StepRun &Each) { return Each.RunCount_ > 0; });
-  if (!Holds)
+  // The job's row is no longer needed.
+  changed(Ref.Job_);
+  if (isTerminal(Job->RecordedState_))
     Active_.erase(Ref.Job_);
 }
 
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -45,6 +45,7 @@
   std::int64_t Version_ = 0;
   std::map<std::string, StoreMode> Modes_;
   int Writes_ = 0;
+  Millis Delay_{5}; ///< Of all answers.
 
   TransactionOutcome apply(const RowTransaction &Change);
 };
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -474,4 +474,37 @@
   BOOST_TEST(Fake.Core_.pendingJobs("batch") == 0);
 }
 
+// Guards against a worker that is filled beside a run of unknown size: only
+// the state of an ended job is still recorded, and its task is being stopped.
+BOOST_AUTO_TEST_CASE(RunOfUnknownSizeTakesAllRoom) {
+  Cell Fake;
+  Fake.Running_["w1"]["00000000000000aa.0.0.0"] =
+      RunningEntry{"00000000000000aa.0.0.0", 1, "", 0, 0};
+  Fake.addWorkers({makeWorker("w1", 4000)});
+  Fake.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Actions First = Fake.step();
+  BOOST_TEST(First.Starts_.empty());
+  BOOST_TEST(First.Stops_.size() == 1U);
+  Fake.Running_["w1"].clear();
+  Fake.look("w1");
+  BOOST_TEST(Fake.step().Starts_.size() == 1U);
+}
+
+// Guards against a job row that is removed while its tasks still take room.
+BOOST_AUTO_TEST_CASE(EndedJobHoldsRoomUntilItsRunsAreGone) {
+  Cell Fake;
+  Fake.addWorkers({makeWorker("w1", 4000)});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 1000)});
+  Fake.submit(Job);
+  Fake.step();
+  Fake.Core_.cancelJob(Job.Id_, Fake.Now_);
+  BOOST_TEST(Fake.Core_.takeChangedJobs().size() == 1U);
+  BOOST_TEST(Fake.Core_.holdsRoom(Job.Id_));
+  Fake.step();
+  Fake.end(nameOf(Job, 0, 0), TaskEnd::Stopped);
+  BOOST_TEST(!Fake.Core_.holdsRoom(Job.Id_));
+  // Its row can be written once more.
+  BOOST_TEST(Fake.Core_.takeChangedJobs().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
