--- /dev/null
+++ b/tests/soak/observer.cpp
@@ -0,0 +1,124 @@
+#include "tests/soak/observer.h"
+
+#include "dispatch/job.h"
+
+namespace damaskglade::soak {
+
+namespace {
+
+// Bounds of the users' pages.
+constexpr Millis CancelBound{3000};
+constexpr Millis ContactTime{3000};
+
+} // namespace
+
+bool Observer::calm() const {
+  return Time_.monotonic() > DisturbedAt_ + ContactTime;
+}
+
+void Observer::jobSent(const std::string &Id, const CallerJob &Job) {
+  Jobs_.emplace(Id, Job);
+}
+
+void Observer::jobAccepted(const std::string &Id) {
+  Jobs_[Id].Accepted_ = true;
+}
+
+void Observer::jobUnclear(const std::string &Id) { Jobs_[Id].Unclear_ = true; }
+
+void Observer::cancelSent(const std::string &Id) {
+  if (Jobs_[Id].CancelSentAt_ == Millis{})
+    Jobs_[Id].CancelSentAt_ = Time_.monotonic();
+}
+
+void Observer::cancelAcked(const std::string &Id) {
+  if (Jobs_[Id].CancelAckAt_ == Millis{})
+    Jobs_[Id].CancelAckAt_ = Time_.monotonic();
+}
+
+bool Observer::allDone(const std::string &Id, std::size_t Step) const {
+  const CallerJob &Job = Jobs_.at(Id);
+  for (int Index = 0; Index < Job.Widths_[Step]; ++Index)
+    if (Done_.count(dispatch::taskName(
+            dispatch::TaskRef{Id, static_cast<int>(Step), Index})) == 0)
+      return false;
+  return true;
+}
+
+void Observer::jobShown(const std::string &Id, const std::string &State) {
+  CallerJob &Job = Jobs_[Id];
+  const bool Canceled = Job.CancelSentAt_ > Millis{};
+  if (State.empty() && Job.Accepted_ && !Canceled)
+    find("LOST: " + Id + " is accepted and said not to exist");
+  if (State == "failed" || (State == "cancelled" && !Canceled))
+    find("LOST: " + Id + " is shown as " + State + " without cause");
+  if (State != "complete")
+    return;
+  Job.Complete_ = true;
+  for (std::size_t Step = 0; Step < Job.Widths_.size(); ++Step)
+    if (!allDone(Id, Step))
+      find("MIXED: " + Id + " is shown as complete and a task has not ended");
+}
+
+void Observer::started(const std::string &Worker, const std::string &Task,
+                       const std::string &Payload, bool LateOrder) {
+  ++Starts_;
+  const auto Ref = dispatch::parseTaskName(Task);
+  const auto Found = Ref ? Jobs_.find(Ref.value().Job_) : Jobs_.end();
+  if (Found == Jobs_.end() || Found->second.Payload_ != Payload)
+    return find("UNASKED: " + Task + " starts, nobody handed that in");
+  Started_.insert(Found->first);
+  const auto [At, Added] = RunsOn_.emplace(Task, Worker);
+  if (!Added)
+    find("TWICE: " + Task + " starts on " + Worker + " and runs on " +
+         At->second);
+  if (Done_.count(Task) > 0 && Noted_.count(Task) > 0)
+    find("TWICE: " + Task + " starts after its end was noted");
+  if (Ref.value().Step_ > 0 &&
+      !allDone(Found->first, static_cast<std::size_t>(Ref.value().Step_) - 1))
+    find("ORDER: " + Task + " starts before the step before has ended");
+  const Millis Acked = Found->second.CancelAckAt_;
+  if (Acked > Millis{} && Time_.monotonic() > Acked + CancelBound && calm() &&
+      !LateOrder)
+    find("UNASKED: " + Task + " starts long after its job was canceled");
+}
+
+void Observer::gone(const std::string &Worker, const std::string &Task) {
+  const auto Found = RunsOn_.find(Task);
+  if (Found != RunsOn_.end() && Found->second == Worker)
+    RunsOn_.erase(Found);
+}
+
+void Observer::done(const std::string &Worker, const std::string &Task) {
+  gone(Worker, Task);
+  Done_.insert(Task);
+}
+
+void Observer::noted(const std::string &Task) { Noted_.insert(Task); }
+
+void Observer::usedRoom(const std::string &Worker, std::int64_t MilliCpus,
+                        std::int64_t Capacity) {
+  if (MilliCpus > Capacity)
+    find("LIMIT: " + Worker + " runs " + std::to_string(MilliCpus) + " of " +
+         std::to_string(Capacity));
+}
+
+std::vector<std::string> Observer::openJobs() const {
+  std::vector<std::string> Out;
+  for (const auto &[Id, Job] : Jobs_)
+    if (Job.Accepted_ && !Job.Complete_ && Job.CancelSentAt_ == Millis{})
+      Out.push_back(Id);
+  return Out;
+}
+
+void Observer::finish() {
+  for (const std::string &Id : openJobs())
+    find("LOST: " + Id + " was accepted and has not ended");
+  for (const auto &[Id, Job] : Jobs_)
+    if (!Job.Accepted_ && !Job.Unclear_ && Started_.count(Id) > 0)
+      find("REFUSED: " + Id + " ran, and every try was said not to run");
+  for (const auto &[Task, Worker] : RunsOn_)
+    find("UNASKED: " + Task + " still runs on " + Worker);
+}
+
+} // namespace damaskglade::soak
--- /dev/null
+++ b/tests/soak/observer.h
@@ -0,0 +1,79 @@
+#ifndef DAMASKGLADE_TESTS_SOAK_OBSERVER_H
+#define DAMASKGLADE_TESTS_SOAK_OBSERVER_H
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace damaskglade::soak {
+
+/// A job as a caller handed it in.
+struct CallerJob {
+  std::string Payload_;
+  std::vector<int> Widths_; ///< Tasks of each step; steps follow each other.
+  std::int64_t MilliCpus_ = 0;
+  bool Accepted_ = false;
+  bool Unclear_ = false; ///< A try got neither acceptance nor refusal.
+  bool Complete_ = false;
+  Millis CancelSentAt_{};
+  Millis CancelAckAt_{};
+};
+
+/// Checks what callers and workers see against the promises. Findings are
+/// kept as sentences.
+class Observer {
+public:
+  explicit Observer(const Clock &Time) : Time_(Time) {}
+
+  void jobSent(const std::string &Id, const CallerJob &Job);
+  void jobAccepted(const std::string &Id);
+  void jobUnclear(const std::string &Id);
+  void cancelSent(const std::string &Id);
+  void cancelAcked(const std::string &Id);
+  /// State as shown to a caller; empty if the job is said not to exist.
+  void jobShown(const std::string &Id, const std::string &State);
+
+  /// A worker begins a task. LateOrder: the order was carried out late.
+  void started(const std::string &Worker, const std::string &Task,
+               const std::string &Payload, bool LateOrder);
+  void gone(const std::string &Worker, const std::string &Task);
+  void done(const std::string &Worker, const std::string &Task);
+  /// The end of a task was acknowledged to the worker.
+  void noted(const std::string &Task);
+  void usedRoom(const std::string &Worker, std::int64_t MilliCpus,
+                std::int64_t Capacity);
+  /// While something is disturbed, and a while after it, bounds on time do not
+  /// hold.
+  void disturbed() { DisturbedAt_ = Time_.monotonic(); }
+
+  /// Jobs that were accepted, not canceled, and are not shown as complete.
+  std::vector<std::string> openJobs() const;
+  /// Checks that hold once all faults are over and all work has ended.
+  void finish();
+  const std::vector<std::string> &findings() const { return Findings_; }
+  const std::map<std::string, CallerJob> &jobs() const { return Jobs_; }
+  int starts() const { return Starts_; }
+
+private:
+  void find(const std::string &What) { Findings_.push_back(What); }
+  bool calm() const;
+  bool allDone(const std::string &Id, std::size_t Step) const;
+
+  const Clock &Time_;
+  std::map<std::string, CallerJob> Jobs_;
+  std::map<std::string, std::string> RunsOn_; ///< Worker by task.
+  std::set<std::string> Done_;
+  std::set<std::string> Noted_;
+  std::set<std::string> Started_; ///< Ids of jobs.
+  std::vector<std::string> Findings_;
+  Millis DisturbedAt_{};
+  int Starts_ = 0;
+};
+
+} // namespace damaskglade::soak
+
+#endif
--- /dev/null
+++ b/tests/soak/platform_server.h
@@ -0,0 +1,73 @@
+#ifndef DAMASKGLADE_TESTS_SOAK_PLATFORM_SERVER_H
+#define DAMASKGLADE_TESTS_SOAK_PLATFORM_SERVER_H
+
+#include "drivers/beast/event_loop.h"
+
+#include <json/value.h>
+#include <map>
+#include <random>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace damaskglade::soak {
+
+/// How the store treats calls.
+enum class StoreFault {
+  None,
+  Refuses, ///< 503, nothing is done.
+  Silent,  ///< Nothing is done, no answer comes.
+  Slow,
+  LosesAnswers, ///< Half of the writes are done, now or late, and not answered.
+};
+
+/// Stand-in for the platform's table store and its advice service.
+class PlatformServer {
+public:
+  PlatformServer(drivers::EventLoop &Loop, const Clock &Time, unsigned Seed)
+      : Loop_(Loop), Time_(Time), Random_(Seed) {}
+
+  Status listen(const std::string &StoreAddress,
+                const std::string &AdviceAddress);
+  void setFault(StoreFault Fault) { Fault_ = Fault; }
+  /// Writes a row of the operator or of a worker.
+  void put(const std::string &Table, const std::string &Key,
+           const Json::Value &Value);
+  void remove(const std::string &Table, const std::string &Key);
+
+private:
+  using Name = std::tuple<std::string, std::string, std::string>;
+  struct Row {
+    std::string Value_; ///< Base64.
+    std::int64_t Version_ = 0;
+    bool Deleted_ = false;
+  };
+  struct Feed {
+    std::string Table_;
+    std::int64_t After_ = 0;
+    WebReplier Reply_;
+  };
+
+  void handleStore(const WebRequest &Request, const WebReplier &Reply);
+  void answer(const WebRequest &Request, const WebReplier &Reply);
+  WebReply transact(const std::string &Body);
+  WebReply read(const std::map<std::string, std::string> &Query) const;
+  void follow(const std::map<std::string, std::string> &Query,
+              const WebReplier &Reply);
+  bool answerFeed(const Feed &Waiting) const;
+  void wakeFeeds();
+  Json::Value show(const Name &Key, const Row &Value) const;
+  void advise(const WebRequest &Request, const WebReplier &Reply);
+
+  drivers::EventLoop &Loop_;
+  const Clock &Time_;
+  std::minstd_rand Random_;
+  std::map<Name, Row> Rows_;
+  std::int64_t Version_ = 0;
+  std::vector<Feed> Feeds_;
+  StoreFault Fault_ = StoreFault::None;
+};
+
+} // namespace damaskglade::soak
+
+#endif
--- a/tests/stand_ins/relay.cpp
+++ b/tests/stand_ins/relay.cpp
@@ -20,6 +20,7 @@
 // Also the time until a change of a link takes effect.
 constexpr int PollMillis = 10;
 constexpr std::size_t ChunkBytes = 65536;
+constexpr Millis DelayedPeriod{150};
 constexpr int Backlog = 128;
 
 sockaddr_in loopback(int Port) {
@@ -150,9 +151,17 @@
 
 void Relay::pollOnce() {
   std::map<std::string, Listener> Listeners;
+  const Millis Now = SystemClock().monotonic();
   {
     const MutexLock Held(Mutex_);
-    Listeners = Listeners_;
+    for (auto &[Name, From] : Listeners_) {
+      const bool Due = Now >= From.ServedAt_ + DelayedPeriod;
+      Listeners[Name] = From;
+      if (From.State_ != LinkState::Delayed)
+        continue;
+      Listeners[Name].State_ = Due ? LinkState::Open : LinkState::Cut;
+      From.ServedAt_ = Due ? Now : From.ServedAt_;
+    }
   }
   std::vector<pollfd> Polled;
   std::vector<std::string> Names;
@@ -170,7 +179,10 @@
     Served.push_back(&Pair);
     for (const Flow *Direction : {&Pair.Out_, &Pair.Back_}) {
       const Flow &Other = Direction == &Pair.Out_ ? Pair.Back_ : Pair.Out_;
-      const bool Read = Direction->Waiting_.empty() && !Direction->Ended_;
+      const LinkState Held =
+          Direction == &Pair.Out_ ? LinkState::OnlyIn : LinkState::OnlyOut;
+      const bool Read =
+          Direction->Waiting_.empty() && !Direction->Ended_ && State != Held;
       const bool Write = !Other.Waiting_.empty();
       // A negative descriptor is ignored: an ended connection without work
       // would otherwise be reported at once, again and again.
@@ -184,8 +196,9 @@
     for (Connection *Pair : Served) {
       const bool OutReady = Polled[Next++].revents != 0;
       const bool BackReady = Polled[Next++].revents != 0;
-      move(*Pair, Pair->Out_, OutReady);
-      move(*Pair, Pair->Back_, BackReady);
+      const LinkState State = Listeners[Pair->Link_].State_;
+      move(*Pair, Pair->Out_, OutReady && State != LinkState::OnlyIn);
+      move(*Pair, Pair->Back_, BackReady && State != LinkState::OnlyOut);
     }
     for (std::size_t Index = 0; Index < Names.size(); ++Index)
       if (Polled[Index].revents != 0)
@@ -206,7 +219,7 @@
   if (Client < 0)
     return;
   const int Target =
-      From.State_ == LinkState::Open ? connectTo(From.TargetPort_) : -1;
+      From.State_ != LinkState::Refuse ? connectTo(From.TargetPort_) : -1;
   if (Target < 0) {
     ::close(Client);
     return;
--- a/tests/stand_ins/relay.h
+++ b/tests/stand_ins/relay.h
@@ -13,8 +13,11 @@
 /// How a link behaves.
 enum class LinkState {
   Open,
-  Cut,    ///< Bytes wait, as in a partition; they go on once it heals.
-  Refuse, ///< Connections are closed at once.
+  Cut,     ///< Bytes wait, as in a partition; they go on once it heals.
+  Refuse,  ///< Connections are closed at once.
+  Delayed, ///< Bytes go on after about 150 ms.
+  OnlyIn,  ///< Only what the target sends gets through.
+  OnlyOut, ///< Only what the client sends gets through.
 };
 
 /// A text that the target writes and the text that the client sees instead.
@@ -78,6 +81,7 @@
     int TargetPort_ = 0;
     LinkState State_ = LinkState::Open;
     std::vector<Rewrite> Rewrites_;
+    Millis ServedAt_{}; ///< Last time that delayed bytes went on.
   };
   /// One direction of a connection.
   struct Flow {
