dispatch: Keep runs that began in the new life of a worker

A worker restarted and orders reached its new life before the leader's first look there. That look showed the restart, and all runs were taken for lost and started elsewhere, although the look listed them. Stops that the earlier life had confirmed also counted in the new one.

Change: at a restart, runs that the new life lists, that were answered after the look was sent, or that never got an answer are kept; stops count anew.

Tests RunOfTheNewLifeOfAWorkerIsKept and UnansweredStartIsStoppedInTheNewLifeToo fail without the change. RestartedWorkerLosesItsRuns looks one millisecond later, since a look of the same millisecond may be older than the answer.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include "ports/task_worker.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -204,7 +205,11 @@
   void bookRun(TaskState &Task, const TaskRef &Ref, const StepSpec &Step,
                Run Attempt);
   void releaseRun(TaskState &Task, const TaskRef &Ref, const StepSpec &Step);
-  void loseRuns(Worker &Where, bool KeepStarting, Millis Now);
+  void loseRuns(Worker &Where,
+                const std::function<bool(const TaskRef &, const Run &)> &Keep,
+                Millis Now);
+  void noteRestart(Worker &Where, const LookReply &Reply, Millis SentAt,
+                   Millis Now);
   void orderStop(const TaskRef &Ref, TaskState &Task, const std::string &Why,
                  Millis Now);
   void stopStepRuns(JobRun &Job, int Step, const std::string &Why, Millis Now);
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -142,13 +142,14 @@
     Active_.erase(Ref.Job_);
 }
 
-void Dispatcher::loseRuns(Worker &Where, bool KeepStarting, Millis Now) {
+void Dispatcher::loseRuns(
+    Worker &Where,
+    const std::function<bool(const TaskRef &, const Run &)> &Keep, Millis Now) {
   const std::vector<TaskRef> Tasks(Where.Tasks_.begin(), Where.Tasks_.end());
   for (const TaskRef &Ref : Tasks) {
     TaskState *Task = task(Ref);
     JobRun *Job = job(Ref.Job_);
-    if (!Task || !Task->Run_ ||
-        (KeepStarting && Task->Run_->State_ == RunState::Starting))
+    if (!Task || !Task->Run_ || (Keep && Keep(Ref, *Task->Run_)))
       continue;
     const StepSpec &Step =
         Job->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
@@ -162,6 +163,28 @@
   Where.Foreign_.clear();
 }
 
+// Orders may have reached the new life of the worker before its first look, and
+// those without an answer may still reach it.
+void Dispatcher::noteRestart(Worker &Where, const LookReply &Reply,
+                             Millis SentAt, Millis Now) {
+  std::set<std::pair<std::string, std::int64_t>> Known;
+  for (const RunningEntry &Each : Reply.Running_)
+    Known.emplace(Each.Task_, Each.Attempt_);
+  for (const EndedTask &Each : Reply.Ended_)
+    Known.emplace(Each.Task_, Each.Attempt_);
+  loseRuns(
+      Where,
+      [&](const TaskRef &Ref, const Run &Attempt) {
+        const bool Answered = Attempt.StartedAt_ > Millis{};
+        return !Answered || Attempt.StartedAt_ >= SentAt ||
+               Known.count({taskName(Ref), Attempt.Attempt_}) > 0;
+      },
+      Now);
+  // Stops that the earlier life confirmed bind the new one to nothing.
+  for (const TaskRef &Ref : Where.Tasks_)
+    task(Ref)->Run_->StopConfirmedAt_ = Millis{};
+}
+
 void Dispatcher::noteClock(Worker &Where, Millis Clock, Millis SentAt,
                            Millis Now) {
   if (Clock == Millis{})
@@ -198,7 +221,7 @@
     if (Now > Where.LeaseLapse_) {
       log("", "worker", Id, "silent past its leases, its runs are lost");
       Where.Contact_ = Contact::Gone;
-      loseRuns(Where, false, Now);
+      loseRuns(Where, nullptr, Now);
     } else if (Where.Contact_ == Contact::Unseen) {
       ++UnresolvedWorkers_;
     }
@@ -224,7 +247,7 @@
   }
   if (Where.Born_ != 0 && Reply.Born_ != Where.Born_) {
     log("", "look at worker", Id, "worker has restarted, its runs are lost");
-    loseRuns(Where, true, Now);
+    noteRestart(Where, Reply, SentAt, Now);
     Where.LastEnd_ = 0;
   }
   Where.Born_ = Reply.Born_;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -160,6 +160,8 @@
   Fake.submit(Job);
   Fake.step();
   Fake.Running_.clear();
+  // A look that is sent in the millisecond of the answer may be older than it.
+  Fake.pass(Millis{1});
   Fake.look("w1", {}, 2);
   BOOST_TEST(Fake.step().Starts_.size() == 1U);
 }
@@ -507,4 +509,50 @@
   BOOST_TEST(Fake.Core_.takeChangedJobs().size() == 1U);
 }
 
+// Guards against a task that runs twice: its worker restarted, and the order
+// reached the new life before the leader had seen the restart.
+BOOST_AUTO_TEST_CASE(RunOfTheNewLifeOfAWorkerIsKept) {
+  Cell Fake;
+  Fake.addWorkers({makeWorker("w1"), makeWorker("w2")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(2, 3000)});
+  Fake.submit(Job);
+  Fake.step();
+  const std::string Kept = Fake.workerOf(nameOf(Job, 0, 0));
+  BOOST_TEST_REQUIRE(!Kept.empty());
+  Fake.EndNumbers_.clear();
+  Fake.pass(Millis{1});
+  Fake.look(Kept, {}, 2);
+  const Actions Todo = Fake.step();
+  BOOST_TEST(Todo.Starts_.empty());
+  BOOST_TEST(Todo.Stops_.empty());
+  // What the new life does not list is lost.
+  Fake.pass(Millis{1});
+  const std::string Lost = Fake.workerOf(nameOf(Job, 0, 1));
+  Fake.Running_[Lost].clear();
+  Fake.look(Lost, {}, 2);
+  BOOST_TEST(Fake.step().Starts_.size() == 1U);
+}
+
+// Guards against an unanswered order that reaches a restarted worker late: the
+// stop that the earlier life confirmed does not hold there.
+BOOST_AUTO_TEST_CASE(UnansweredStartIsStoppedInTheNewLifeToo) {
+  Cell Fake;
+  Fake.addWorkers({makeWorker("w1")});
+  Fake.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  Fake.pass(Millis{1});
+  const Actions First = Fake.Core_.decide(Fake.Now_);
+  BOOST_TEST_REQUIRE(First.Starts_.size() == 1U);
+  Fake.Core_.noteStart(First.Starts_[0], lost(Effect::Unknown), Fake.Now_);
+  Fake.look("w1", {}, 1);
+  BOOST_TEST_REQUIRE(Fake.step().Stops_.size() == 1U);
+  Fake.look("w1", {}, 2);
+  BOOST_TEST(Fake.step().Starts_.empty());
+  Fake.pass(Millis{2000});
+  BOOST_TEST(Fake.step().Stops_.size() == 1U);
+  Fake.pass(Millis{1});
+  Fake.look("w1", {}, 2);
+  Fake.pass(Millis{1});
+  BOOST_TEST(Fake.step().Starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
