cell: Hand the lead to strong nodes, and replace a leader that cannot load

A leader that could not write asked all 34 nodes to take over; one of 0.12 cores behind a link of 10 Mbit/s won and never got a page of 500 rows within the timeout of 1.5 s. It answered pings as leader, so nobody replaced it.

Change: the three strongest nodes are asked first, more of them if that does not help; rows are loaded 200 at a time, fewer after a timeout; a leader that has not loaded after 4 s tells that it does not lead. Workers whose last task failed lately are the last choice for new tasks.

Tests LeaderOnASlowLinkLoadsSmallerPages, LeaderThatCannotLoadIsReplaced, StrongNodesAreAskedFirst, AnotherWorkerGetsTheTaskThatFailed.

--- a/cell/candidate.cpp
+++ b/cell/candidate.cpp
@@ -1,7 +1,6 @@
 #include "cell/candidate.h"
 
 #include <algorithm>
-#include <vector>
 
 namespace damaskglade::cell {
 
@@ -32,14 +31,27 @@
   return Most;
 }
 
-std::string strongestNode(const PeerNodes &Nodes, Millis HeardSince,
-                          std::size_t Draw) {
-  const double Most = strongestCpu(Nodes, HeardSince);
-  std::vector<std::string> Best;
+std::vector<std::string> byStrength(const PeerNodes &Nodes, Millis HeardSince,
+                                    unsigned long Draw) {
+  std::vector<std::string> Out;
   for (const auto &[Address, Node] : Nodes)
-    if (Node.HeardAt_ >= HeardSince && Node.Cpu_ >= Most * EqualShare)
-      Best.push_back(Address);
-  return Best.empty() ? "" : Best[Draw % Best.size()];
+    if (Node.HeardAt_ >= HeardSince)
+      Out.push_back(Address);
+  if (!Out.empty())
+    std::rotate(Out.begin(),
+                Out.begin() + static_cast<std::ptrdiff_t>(Draw % Out.size()),
+                Out.end());
+  std::stable_sort(Out.begin(), Out.end(),
+                   [&](const std::string &A, const std::string &B) {
+                     return Nodes.at(A).Cpu_ > Nodes.at(B).Cpu_;
+                   });
+  return Out;
+}
+
+std::string strongestNode(const PeerNodes &Nodes, Millis HeardSince,
+                          unsigned long Draw) {
+  const auto Order = byStrength(Nodes, HeardSince, Draw);
+  return Order.empty() ? "" : Order.front();
 }
 
 std::string strongerNode(const PeerNodes &Nodes, double OwnCpu,
--- a/cell/candidate.h
+++ b/cell/candidate.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace damaskglade::cell {
 
@@ -32,10 +33,15 @@
 std::string strongerNode(const PeerNodes &Nodes, double OwnCpu,
                          Millis HeardSince);
 
+/// Addresses of the nodes that were heard of since the time, strong ones first.
+/// The draw shuffles equal ones.
+std::vector<std::string> byStrength(const PeerNodes &Nodes, Millis HeardSince,
+                                    unsigned long Draw);
+
 /// Address of the strongest node that was heard of since the time, or empty.
 /// Among equal ones the draw picks.
 std::string strongestNode(const PeerNodes &Nodes, Millis HeardSince,
-                          std::size_t Draw);
+                          unsigned long Draw);
 
 } // namespace damaskglade::cell
 
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -24,6 +24,7 @@
 // Events that come closer together share a planning pass.
 constexpr Millis DecisionGap{5};
 constexpr Millis LoadRetry{100};
+constexpr int FewestLoadRows = 20;
 constexpr Millis LookRetry{150};
 // Ends that are not yet recorded are listed again by every look, so such a
 // look cannot wait for news. While the store is slow, all workers are looked at
@@ -96,12 +97,15 @@
 // same time fit together.
 void Leader::load(const std::string &Table, const std::string &From) {
   Ports_.Store_.read(
-      RowRange{Table, CellPart, From},
+      RowRange{Table, CellPart, From, LoadRows_},
       [Self = shared_from_this(), Table, From](Result<RowPage> Page) {
         if (Self->Stopped_)
           return;
         if (!Page) {
           Self->Ports_.Log_.write(failureEvent(Page.error(), ""));
+          // A page that does not arrive in time may be too large for the link.
+          if (Page.error().Reason_ == Reason::Timeout)
+            Self->LoadRows_ = std::max(FewestLoadRows, Self->LoadRows_ / 3);
           Self->Ports_.Timers_.after(
               LoadRetry, [Self, Table, From] { Self->load(Table, From); });
           return;
@@ -231,7 +235,7 @@
     return;
   ++ConfirmsOpen_;
   ConfirmSentAt_ = now();
-  Ports_.Store_.read(RowRange{LeaderTable, CellPart, LeaderKey},
+  Ports_.Store_.read(RowRange{LeaderTable, CellPart, LeaderKey, 1},
                      [Self = shared_from_this(),
                       SentAt = ConfirmSentAt_](Result<RowPage> Page) {
                        --Self->ConfirmsOpen_;
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -89,6 +89,7 @@
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
   std::map<std::string, dispatch::JobProgress> LoadedProgress_;
   int TablesLoading_ = 0;
+  int LoadRows_ = 200; ///< 0.7 MB of jobs, 0.6 s on the slowest link.
   std::map<std::string, std::vector<RpcReply>> Submitting_;
   Millis MajorityAt_{};
   Millis ConfirmSentAt_{};
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -23,6 +23,8 @@
 constexpr Millis HandOverGap{500};
 // A node that was asked to lead needs about half a second to load all rows.
 constexpr Millis StrongerGap{3000};
+constexpr std::size_t HandOverNodes = 3;
+constexpr Millis HandOverMemory{3000};
 constexpr Millis ResignTimeout{800};
 constexpr int MaxJitterMillis = 120;
 
@@ -173,7 +175,7 @@
     return;
   Reading_ = true;
   Ports_.Store_.read(
-      RowRange{LeaderTable, CellPart, LeaderKey},
+      RowRange{LeaderTable, CellPart, LeaderKey, 1},
       [Self = shared_from_this()](const Result<RowPage> &Page) {
         Self->Reading_ = false;
         if (Self->leads())
@@ -304,6 +306,7 @@
 
 void Member::lead(const LeaderView &View) {
   View_ = View;
+  LeadsSince_ = now();
   Leader_ = std::make_shared<Leader>(
       Ports_, Settings_, View, [Self = shared_from_this()] {
         // Later, since the leader is in the middle of a callback.
@@ -330,10 +333,16 @@
 }
 
 void Member::handOver() {
-  HandOverAt_ = now();
   Json::Value Params;
   Params["epoch"] = Json::Int64(View_.Epoch_);
-  for (const std::string &Each : liveNodes())
+  // The strongest nodes are asked first, and weaker ones if these do not lead
+  // soon: they may be unable to write as well.
+  std::vector<std::string> Nodes = byStrength(Nodes_, liveSince(), Random_());
+  HandOverTries_ =
+      now() < HandOverAt_ + HandOverMemory ? HandOverTries_ + 1 : 1;
+  Nodes.resize(std::min(Nodes.size(), HandOverNodes * HandOverTries_));
+  HandOverAt_ = now();
+  for (const std::string &Each : Nodes)
     Ports_.Peers_.call(Each, "node.take_lead", Params, ResignTimeout,
                        [](const Result<Json::Value> &) {
                          // The new leader shows by its row or its fence.
--- a/cell/member.h
+++ b/cell/member.h
@@ -97,6 +97,8 @@
   Millis HeardAt_{};
   Millis ElectionAt_{};
   Millis HandOverAt_{};
+  std::size_t HandOverTries_ = 0;
+  Millis LeadsSince_{};
   Millis SuspectedAt_{};    ///< Zero while the leader answers.
   double StrongestCpu_ = 0; ///< As the leader last told.
   bool Reading_ = false;
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -11,6 +11,8 @@
 // From then on callers are told at once to come back, to another node.
 constexpr Millis HopelessSilence{1600};
 constexpr Millis CallRetry{100};
+// Loading takes less than a second on a strong node.
+constexpr Millis LoadPatience{4000};
 
 } // namespace
 
@@ -18,7 +20,10 @@
   Nodes_[Params["address"].asString()] =
       PeerNode{now(), Params["cpu"].asDouble()};
   Json::Value Out;
-  Out["leads"] = leads() && !Resigned_;
+  // A leader that cannot load the rows gives way.
+  const bool Loads =
+      leads() && (Leader_->active() || now() < LeadsSince_ + LoadPatience);
+  Out["leads"] = Loads && !Resigned_;
   Out["electing"] = Electing_ || Reading_;
   Out["epoch"] = Json::Int64(View_.Epoch_);
   Out["strongest_cpu"] =
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -131,9 +131,9 @@
 
 Candidate Dispatcher::candidateAt(Worker &Where, const JobRun &Job, int Step,
                                   Millis Now) const {
-  return Candidate{&Where, tasksOfStep(Where, Job, Step),
-                   Where.ServingRuns_ > 0, Where.Fillers_,
-                   isSlow(Where, UsualShare_, Now)};
+  return Candidate{
+      &Where,         tasksOfStep(Where, Job, Step),   Where.ServingRuns_ > 0,
+      Where.Fillers_, isSlow(Where, UsualShare_, Now), isSuspect(Where, Now)};
 }
 
 bool Dispatcher::isCandidate(const StepKey &Key, const Worker &Where,
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -16,6 +16,10 @@
 // A worker that gets no lookups any more is tried again after this time.
 constexpr Millis SpeedMemory{4000};
 
+// Faults of workers last several seconds. Tasks also fail by their own fault,
+// so a suspect worker is only the last choice, and not for long.
+constexpr Millis SuspectTime{4000};
+
 } // namespace
 
 Size freeRoom(const Worker &Where) {
@@ -27,6 +31,11 @@
          !Where.Info_.Draining_ && Where.Health_.QuarantinedUntil_ <= Now;
 }
 
+bool isSuspect(const Worker &Where, Millis Now) {
+  return Where.Health_.FailuresInRow_ > 0 &&
+         Now < Where.Health_.LastFailureAt_ + SuspectTime;
+}
+
 void noteSpeed(Worker &Where, double ShareOfEstimate, Millis Now) {
   constexpr double Weight = 0.35;
   if (Where.Slowness_ == 0 || Now > Where.SlownessAt_ + SpeedMemory)
@@ -47,6 +56,7 @@
 
 void noteFailure(WorkerHealth &Health, const std::string &Job, Millis Now) {
   ++Health.FailuresInRow_;
+  Health.LastFailureAt_ = Now;
   if (Health.LastFailedJob_ != Job) {
     Health.LastFailedJob_ = Job;
     ++Health.FailedJobs_;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -34,6 +34,7 @@
 /// Recent ends on a worker, by which a failing one is told.
 struct WorkerHealth {
   int FailuresInRow_ = 0;
+  Millis LastFailureAt_{};
   std::string LastFailedJob_;
   int FailedJobs_ = 0; ///< Different jobs among the failures in a row.
   Millis QuarantinedUntil_{};
@@ -89,6 +90,9 @@
 /// Whether new tasks may be placed on the worker.
 bool acceptsWork(const Worker &Where, Millis Now);
 
+/// Whether the last task on the worker failed, and lately.
+bool isSuspect(const Worker &Where, Millis Now);
+
 /// Notes the time of a task that ended well.
 void noteSpeed(Worker &Where, double ShareOfEstimate, Millis Now);
 /// Whether tasks on the worker take far longer than usual.
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -17,6 +17,7 @@
   bool ServesUsers_ = false; ///< Runs a task with a latency target.
   int Fillers_ = 0;
   bool Slow_ = false;
+  bool Suspect_ = false; ///< The last task there failed.
 
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
--- a/ports/row_store.h
+++ b/ports/row_store.h
@@ -63,6 +63,7 @@
   std::string Table_;
   std::string Part_;
   std::string From_; ///< First key, or empty for the beginning.
+  int Limit_ = 0;    ///< Most rows of the page; zero: as many as there fit.
 
   friend bool operator==(const RowRange &, const RowRange &) = default;
 };
--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -316,6 +316,40 @@
   checkPromises(Cell);
 }
 
+// Guards against a new leader on a slow link that reads the same large page
+// again and again.
+BOOST_AUTO_TEST_CASE(LeaderOnASlowLinkLoadsSmallerPages) {
+  FakeCell Cell(2, 2);
+  const std::string Leader = elect(Cell);
+  Cell.submit(Leader, jobId(1), 1, Millis{100});
+  Cell.Loop_.run(Millis{500});
+  Cell.Rows_.MostRows_ = 100;
+  const std::string Other = otherThan(Leader);
+  Cell.killNode(Leader);
+  Cell.Loop_.run(Millis{5000});
+  BOOST_TEST(Cell.leader() == Other);
+  BOOST_TEST((Cell.state(Other, jobId(1)) == CellJobState::Complete));
+}
+
+// Guards against a cell that waits for a leader which never gets its rows.
+BOOST_AUTO_TEST_CASE(LeaderThatCannotLoadIsReplaced) {
+  FakeCell Cell(3, 2);
+  const std::string Leader = elect(Cell);
+  const std::string Slow = otherThan(Leader);
+  Cell.Rows_.NeverReads_.insert(Slow);
+  for (const char *Each : {"n1", "n2", "n3"})
+    if (Each != Leader && Each != Slow)
+      Cell.cutNode(Each, true);
+  Cell.killNode(Leader);
+  Cell.Loop_.run(Millis{12000});
+  for (const char *Each : {"n1", "n2", "n3"})
+    if (Each != Leader)
+      Cell.cutNode(Each, false);
+  BOOST_TEST(Cell.Loop_.runUntil(Millis{12000},
+                                 [&] { return !Cell.leader().empty(); }));
+  BOOST_TEST(Cell.leader() != Slow);
+}
+
 // Guards against a slow store that takes one group of rows at a time: 300 jobs
 // were recorded at 45 rows in each 300 ms.
 BOOST_AUTO_TEST_CASE(SlowStoreGetsSeveralTransactionsAtOnce) {
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -87,7 +87,10 @@
     if (Mode == StoreMode::Refuses)
       return Done(Error{
           Reason::TableUnavailable, Effect::None, "read", "fake", "503", {}});
-    if (Mode == StoreMode::Silent) {
+    const bool Late = Rows_.MostRows_ > 0 && Range.Limit_ > Rows_.MostRows_;
+    const bool Never =
+        Rows_.NeverReads_.count(Node_) > 0 && Range.Table_ == cell::JobsTable;
+    if (Mode == StoreMode::Silent || Late || Never) {
       Loop_.after(StoreTimeout, [Done] { Done(timeout("read")); });
       return;
     }
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -45,7 +45,9 @@
   std::int64_t Version_ = 0;
   std::map<std::string, StoreMode> Modes_;
   int Writes_ = 0;
-  Millis Delay_{5}; ///< Of all answers.
+  Millis Delay_{5};  ///< Of all answers.
+  int MostRows_ = 0; ///< Larger pages do not arrive in time; zero: all do.
+  std::set<std::string> NeverReads_; ///< Nodes whose links are too slow.
 
   TransactionOutcome apply(const RowTransaction &Change);
 };
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -90,4 +90,22 @@
   }
 }
 
+// Guards against a hand-over that makes all nodes write the leader row at once,
+// so that a weak one wins.
+BOOST_AUTO_TEST_CASE(StrongNodesAreAskedFirst) {
+  const PeerNodes Nodes = {{"a", {Millis{100}, 0.12}},
+                           {"b", {Millis{100}, 0.5}},
+                           {"c", {Millis{100}, 0.12}},
+                           {"d", {Millis{100}, 0.5}},
+                           {"e", {Millis{10}, 1.0}}};
+  for (unsigned long Draw = 0; Draw < 4; ++Draw) {
+    const auto Order = byStrength(Nodes, Millis{50}, Draw);
+    BOOST_TEST_REQUIRE(Order.size() == 4U);
+    BOOST_TEST(Nodes.at(Order[0]).Cpu_ == 0.5);
+    BOOST_TEST(Nodes.at(Order[1]).Cpu_ == 0.5);
+  }
+  BOOST_TEST(byStrength(Nodes, Millis{50}, 0).front() !=
+             byStrength(Nodes, Millis{50}, 2).front());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -419,8 +419,8 @@
   BOOST_TEST(isSlow(Slow, 1.0, Millis{1500}));
   BOOST_TEST(!isSlow(Usual, 1.0, Millis{1500}));
   BOOST_TEST(!isSlow(Slow, 1.0, Millis{9000}));
-  const std::vector<Candidate> Both = {{&Slow, 0, false, 0, true},
-                                       {&Usual, 0, false, 0, false}};
+  const std::vector<Candidate> Both = {{&Slow, 0, false, 0, true, false},
+                                       {&Usual, 0, false, 0, false, false}};
   BOOST_TEST(bestCandidate(makeStep(1, 1000), Both) == 1);
 }
 
@@ -555,4 +555,19 @@
   BOOST_TEST(Fake.step().Starts_.size() == 1U);
 }
 
+// Guards against a worker that fails all it starts and gets the second attempt
+// of a task too, while others have room.
+BOOST_AUTO_TEST_CASE(AnotherWorkerGetsTheTaskThatFailed) {
+  Cell Fake;
+  Fake.addWorkers({makeWorker("w1", 2000), makeWorker("w2", 4000)});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 1000)});
+  Fake.submit(Job);
+  Fake.step();
+  BOOST_TEST_REQUIRE(Fake.workerOf(nameOf(Job, 0, 0)) == "w1");
+  Fake.end(nameOf(Job, 0, 0), TaskEnd::Failed);
+  Fake.pass(Millis{100});
+  Fake.step();
+  BOOST_TEST(Fake.workerOf(nameOf(Job, 0, 0)) == "w2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -13,8 +13,8 @@
   Full.Used_ = Size{3000, 0, 0};
   Worker Empty;
   Empty.Info_ = makeWorker("w2", 4000);
-  const std::vector<Candidate> Both = {{&Empty, 0, false, 0, false},
-                                       {&Full, 0, false, 0, false}};
+  const std::vector<Candidate> Both = {{&Empty, 0, false, 0, false, false},
+                                       {&Full, 0, false, 0, false, false}};
   BOOST_TEST(bestCandidate(makeStep(1, 1000), Both) == 1);
   BOOST_TEST(bestCandidate(makeStep(1, 2000), Both) == 0);
   BOOST_TEST(bestCandidate(makeStep(1, 9000), Both) == -1);
@@ -25,8 +25,8 @@
   Some.Info_ = makeWorker("w1");
   StepSpec Step = makeStep(3, 1000);
   Step.MaxPerWorker_ = 1;
-  BOOST_TEST(fitsNow(Step, {&Some, 0, false, 0, false}));
-  BOOST_TEST(!fitsNow(Step, {&Some, 1, false, 0, false}));
+  BOOST_TEST(fitsNow(Step, {&Some, 0, false, 0, false, false}));
+  BOOST_TEST(!fitsNow(Step, {&Some, 1, false, 0, false, false}));
   Step.Label_ = "gpu-kind";
   BOOST_TEST(!mayRunOn(Step, Some.Info_));
   Step.Label_ = "a";
@@ -43,11 +43,11 @@
   StepSpec Filler = makeStep(1, 1000);
   Filler.Filler_ = true;
   BOOST_TEST(bestCandidate(Filler, {{&Serving, 0, true, 0, false},
-                                    {&Other, 0, false, 0, false}}) == 1);
+                                    {&Other, 0, false, 0, false, false}}) == 1);
   StepSpec Near = makeStep(1, 1000);
   Near.Rack_ = "rack-w2";
-  BOOST_TEST(bestCandidate(Near, {{&Serving, 0, false, 0, false},
-                                  {&Other, 0, false, 0, false}}) == 1);
+  BOOST_TEST(bestCandidate(Near, {{&Serving, 0, false, 0, false, false},
+                                  {&Other, 0, false, 0, false, false}}) == 1);
 }
 
 BOOST_AUTO_TEST_CASE(RankPutsPriorityThenTimeThenSize) {
