--- a/misc/scripts/bench.sh
+++ b/misc/scripts/bench.sh
@@ -19,6 +19,8 @@
 esac
 
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build --target bench_decisions bench_measures >/dev/null
+cmake --build build --target bench_decisions bench_measures \
+  bench_dispatch >/dev/null
 build/tests/bench/bench_decisions "${DECISIONS[@]}"
 build/tests/bench/bench_measures "${MEASURES[@]}"
+build/tests/bench/bench_dispatch
