--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -222,10 +222,10 @@
   if (!Outcome.value().Applied_)
     return conflicted(std::move(Sent), Outcome.value().Current_);
   confirm(Sent.SentAt_);
-  applied(std::move(Sent), Outcome.value().Version_);
+  applied(Sent, Outcome.value().Version_);
 }
 
-void Recorder::applied(Batch Sent, std::int64_t Version) {
+void Recorder::applied(const Batch &Sent, std::int64_t Version) {
   for (const auto &[Id, Change] : Sent.Progress_) {
     Versions_[Id] = Version;
     Jobs_.noteRecorded(Id, Change.State_);
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -74,7 +74,7 @@
   RowTransaction build(Batch &Out);
   void addProgress(Batch &Out, RowTransaction &Change, std::size_t &Entries);
   void finish(std::uint64_t Number, const Result<TransactionOutcome> &Outcome);
-  void applied(Batch Sent, std::int64_t Version);
+  void applied(const Batch &Sent, std::int64_t Version);
   void conflicted(Batch Sent, const std::vector<StoredRow> &Current);
   void failed(Batch Sent, const Error &Failure);
   void keepUnsent(Batch &Sent);
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -34,6 +34,7 @@
   constexpr double FillerBesideUsers = 60.0;
   constexpr double FillerBesideFiller = 8.0;
   constexpr double SlowWorker = 100.0;
+  constexpr double SuspectWorker = 50.0;
   const WorkerInfo &Info = At.Where_->Info_;
   const double FreeCpus =
       static_cast<double>(freeRoom(*At.Where_).MilliCpus_) / MilliCpusPerCpu;
@@ -49,6 +50,8 @@
   }
   if (At.Slow_)
     Cost += SlowWorker;
+  if (At.Suspect_)
+    Cost += SuspectWorker;
   // A task with users does better where no filler disturbs it.
   if (Step.TargetLatency_ > Millis{})
     Cost += FillerBesideUsers * At.Fillers_;
--- a/tests/dispatch/fixture.h
+++ b/tests/dispatch/fixture.h
@@ -138,6 +138,11 @@
   std::map<std::string, std::int64_t> EndNumbers_;
 };
 
+/// Failure of an order.
+inline Error lost(Effect What) {
+  return Error{Reason::Timeout, What, "start", "w", "no answer", {}};
+}
+
 inline std::string nameOf(const JobSpec &Job, int Step, int Index) {
   return taskName(TaskRef{Job.Id_, Step, Index});
 }
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,35 @@
+// Randomized soak of real daemons as separate processes: faults come from
+// outside of them, and the promises are checked from what callers and workers
+// see. Exits with 1 if a promise was broken.
+
+#include "tests/soak/soak.h"
+
+#include <csignal>
+#include <cstdio>
+#include <gflags/gflags.h>
+
+DEFINE_string(daemon, "", "path of damaskgladed");
+DEFINE_uint32(seed, 1, "seed of the run");
+DEFINE_int32(seconds, 20, "time with faults");
+DEFINE_int32(nodes, 4, "daemons");
+DEFINE_int32(workers, 12, "stand-in workers");
+DEFINE_string(logs, "", "folder for logs; empty: a new temporary folder");
+
+int main(int Count, char **Arguments) {
+  using namespace damaskglade;
+  std::signal(SIGPIPE, SIG_IGN);
+  gflags::SetUsageMessage("soak --daemon=PATH [--seed=N] [--seconds=N]");
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  constexpr std::int64_t MillisPerSecond = 1000;
+  soak::SoakSettings Settings;
+  Settings.Daemon_ = FLAGS_daemon;
+  Settings.Folder_ =
+      FLAGS_logs.empty() ? process_tests::makeTemporaryFolder() : FLAGS_logs;
+  Settings.Seed_ = FLAGS_seed;
+  Settings.Length_ = Millis{FLAGS_seconds * MillisPerSecond};
+  Settings.Nodes_ = FLAGS_nodes;
+  Settings.Workers_ = FLAGS_workers;
+  soak::Soak Run(Settings);
+  return Run.run();
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,93 @@
+#ifndef DAMASKGLADE_TESTS_SOAK_SOAK_H
+#define DAMASKGLADE_TESTS_SOAK_SOAK_H
+
+#include "tests/process/launcher.h"
+#include "tests/soak/platform_server.h"
+#include "tests/soak/worker_server.h"
+#include "tests/stand_ins/relay.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace damaskglade::soak {
+
+/// Host and path under which the soak's queue is served.
+inline constexpr const char *QueueHost = "queue.example";
+inline constexpr const char *QueuePrefix = "/work/";
+
+inline std::string local(int Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+struct SoakSettings {
+  std::string Daemon_; ///< Path of damaskgladed.
+  std::string Folder_; ///< For settings and logs.
+  unsigned Seed_ = 1;
+  Millis Length_{20000}; ///< Time with faults.
+  int Nodes_ = 4;
+  int Workers_ = 12;
+};
+
+struct Node {
+  std::string Name_;
+  int CallerPort_ = 0; ///< Those of readiness, peers and metrics follow.
+  std::string Settings_;
+  std::unique_ptr<process_tests::Process> Process_;
+  bool Down_ = false; ///< Killed or stopped by the soak; started again later.
+  bool Paused_ = false;
+};
+
+/// One run: daemons, stand-ins, callers and faults.
+class Soak {
+public:
+  explicit Soak(SoakSettings Settings);
+  int run();
+
+private:
+  void addWorkers(int FirstPort, std::vector<stand_ins::Link> &Links);
+  void addNodes(int FirstPort, int AdvicePort);
+  void startNode(Node &Each);
+  void restartEnded();
+  void registerWorkers();
+  void scheduleFault();
+  void injectFault();
+  void disturb(const std::string &What, const std::function<void()> &Begin,
+               std::function<void()> End);
+  void faultNode(Node &Each);
+  void submitLater();
+  void submit();
+  void send(const std::string &Id, const std::string &Body, int TriesLeft);
+  void poll(const std::string &Id);
+  void cancel(const std::string &Id);
+  void call(const std::string &Method, const std::string &Id,
+            const std::string &Body, WebReplyHandler Done);
+  void settle(Millis Until);
+  bool faultsOver() const {
+    return Time_.monotonic() > StartedAt_ + Settings_.Length_;
+  }
+  std::size_t draw(std::size_t Below) { return Random_() % Below; }
+
+  const SoakSettings Settings_;
+  const SystemClock Time_;
+  std::minstd_rand Random_;
+  drivers::EventLoop Loop_;
+  Observer Watch_{Time_};
+  PlatformServer Platform_;
+  std::unique_ptr<WebClient> Callers_ = Loop_.makeClient();
+  std::vector<std::unique_ptr<WorkerServer>> Workers_;
+  std::vector<int> WorkerPorts_;
+  std::unique_ptr<stand_ins::Relay> Relay_;
+  std::vector<Node> Nodes_;
+  std::map<std::string, int> Disturbances_;
+  Millis StartedAt_{};
+  int Jobs_ = 0;
+  int Faults_ = 0;
+};
+
+} // namespace damaskglade::soak
+
+#endif
