dispatch: Ask for advice on wide steps in parallel

Cause: a gang needs valid tickets for all its tasks at once. Requests for a step followed each other, each for 60 workers at most, and none was made while one allowed worker had capacity. The tickets of the first workers had expired when the last were known, so wide gangs never started on an idle fleet, and spread services started their last tasks after seconds. Change: a step has up to six requests in flight, one for 16 nodes, as long as the expected answers do not cover its waiting tasks. A gang renews tickets only once its known allowed workers suffice, and holds all of them. Result: WideGangStartsOnAnIdleFleet and SpreadServiceStartsOnAnIdleFleet fail without it (a gang that never ends; 8,177 ms) and pass with it.

--- a/cell/leader.h
+++ b/cell/leader.h
@@ -40,6 +40,7 @@
   /// are a majority of the known nodes.
   void setNodes(const std::vector<std::string> &Addresses, bool Majority) {
     AdviceBalancer_.setNodes(Addresses);
+    Dispatcher_.setAdviceServerCount(Addresses.size() + 1);
     if (Majority)
       MajorityHeardAt_ = now();
   }
--- a/dispatch/advice.h
+++ b/dispatch/advice.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,9 +36,10 @@
   /// Whether the service has answered about a worker; indexed by
   /// Worker::Index_.
   std::vector<bool> AnsweredWorkers_;
-  bool RequestPending_ = false; ///< A request is in flight.
-  Millis RequestedAt_{};        ///< When the latest request was made.
-  Millis NextRequestAt_{};      ///< Earliest time of the next request.
+  /// Workers named in requests that are in flight, by worker index.
+  std::set<int> PendingWorkers_;
+  int PendingRequests_ = 0; ///< Requests in flight.
+  Millis NextRequestAt_{};  ///< Earliest time of the next request.
 };
 
 /// Ticket of a worker, which may have expired; null if the worker is not
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -177,6 +177,9 @@
   /// zero if the worker's clock is unknown.
   Millis leaseEnd(const Worker &W, Millis Now) const;
 
+  /// Sets how many advice requests can be served at the same time.
+  void setAdviceServerCount(std::size_t Count) { AdviceServerCount_ = Count; }
+
   // Replies to orders and advice requests.
 
   void handleStartReply(const StartAction &Order,
@@ -207,6 +210,11 @@
   std::string verify() const;
 
 private:
+  /// How many of the workers named in advice requests of a queue were allowed.
+  struct AllowedShare {
+    double Answered_ = 0;
+    double Allowed_ = 0;
+  };
   /// A step with waiting tasks and its place in the order of planning.
   struct RankedStep {
     JobRun *Job_ = nullptr;
@@ -269,6 +277,8 @@
   std::vector<Candidate> findCandidates(const RankedStep &Ranked,
                                         bool GainedCapacityOnly, Millis Now);
   void placeStep(const RankedStep &Ranked, Millis Now);
+  void holdWorkersForGang(const StepAdvice &Advice,
+                          const std::vector<Candidate> &Candidates);
   bool placeGang(const RankedStep &Ranked, std::vector<Candidate> Candidates,
                  Millis Now);
   void startTask(const RankedStep &Ranked, int Index,
@@ -282,7 +292,11 @@
                                    double &Cost) const;
   void requestAdvice(const RankedStep &Ranked, bool CapacityExpected,
                      Millis Now);
+  int maxParallelRequests() const;
+  double expectedAllowedShare(const RankedStep &Ranked) const;
   std::vector<std::string> workersToAsk(const RankedStep &Ranked, Millis Now);
+  std::vector<std::string> workersToAskForMore(const RankedStep &Ranked,
+                                               Millis Now);
   Millis timeUntilReady(const JobRun &Job, int Step, Millis Now) const;
   void retryStops(Millis Now);
   void stopStalledRuns(Worker &W, Millis Now);
@@ -292,6 +306,8 @@
   /// Tasks of the step on the worker; zero for steps without a limit per
   /// worker.
   static int countTasksOfStep(const Worker &W, const JobRun &Job, int Step);
+  /// Number of further tasks of the step that fit on the worker.
+  static int freeSlots(const Worker &W, const JobRun &Job, int Step);
   Candidate makeCandidate(Worker &W, const JobRun &Job, int Step,
                           Millis Now) const;
 
@@ -330,6 +346,8 @@
   /// Moving average, over tasks on all workers, of actual divided by estimated
   /// duration.
   double TypicalDurationRatio_ = 0;
+  std::size_t AdviceServerCount_ = 1;
+  std::map<std::string, AllowedShare> AllowedShares_; ///< By queue.
   Size FleetFreeCapacity_;
   Size FleetCapacity_;
   bool RegistryReceived_ = false; ///< setWorkers() has been called.
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -26,9 +26,119 @@
 // Lower limit of the workers named in a request for a fast queue, if there are
 // as many.
 constexpr std::size_t MinWorkersPerQuestion = 16;
+// A step that needs many workers has several requests in flight, one for this
+// many nodes, so that a wide step does not occupy the nodes of a small cell.
+constexpr std::size_t NodesPerParallelRequest = 16;
+constexpr int MaxParallelRequests = 6;
+// Requests name workers for this many times the tasks that wait, since other
+// steps use some of their capacity before the answer arrives.
+constexpr double SpareSlotRatio = 1.15;
+// Weight, in answered workers, of ExpectedAllowedRatio in the expected share
+// of allowed workers of a queue.
+constexpr double PriorAnsweredWorkers = 20;
 
 } // namespace
 
+int Dispatcher::maxParallelRequests() const {
+  return std::clamp(
+      static_cast<int>(AdviceServerCount_ / NodesPerParallelRequest), 1,
+      MaxParallelRequests);
+}
+
+double Dispatcher::expectedAllowedShare(const RankedStep &Ranked) const {
+  const auto Share = AllowedShares_.find(Ranked.Job_->Spec_.Queue_);
+  if (Share == AllowedShares_.end())
+    return ExpectedAllowedRatio;
+  return (PriorAnsweredWorkers * ExpectedAllowedRatio +
+          Share->second.Allowed_) /
+         (PriorAnsweredWorkers + Share->second.Answered_);
+}
+
+int Dispatcher::freeSlots(const Worker &W, const JobRun &Job, int Step) {
+  const StepSpec &Spec = Job.Spec_.Steps_[static_cast<std::size_t>(Step)];
+  const Size Need = reservedSize(Spec);
+  const Size Free = freeCapacity(W);
+  std::int64_t Slots = Spec.Count_;
+  if (Spec.MaxPerWorker_ > 0)
+    Slots = Spec.MaxPerWorker_ - countTasksOfStep(W, Job, Step);
+  const auto Limit = [&Slots](std::int64_t Needed, std::int64_t Available) {
+    if (Needed > 0)
+      Slots = std::min(Slots, Available / Needed);
+  };
+  Limit(Need.MilliCpus_, Free.MilliCpus_);
+  Limit(Need.MemoryMib_, Free.MemoryMib_);
+  Limit(Need.Accelerators_, Free.Accelerators_);
+  return static_cast<int>(std::max<std::int64_t>(Slots, 0));
+}
+
+// Workers with capacity for the tasks that neither valid tickets nor requests
+// in flight are expected to cover. A gang needs valid tickets for all its tasks
+// at the same time, so only tickets that are still valid when the answer
+// arrives count for it, and known allowed workers are asked about again only
+// once they suffice for the whole gang.
+std::vector<std::string>
+Dispatcher::workersToAskForMore(const RankedStep &Ranked, Millis Now) {
+  const StepRun &State =
+      Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
+  const StepSpec &Spec =
+      Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
+  const StepAdvice &Advice = State.Advice_;
+  const double Share = expectedAllowedShare(Ranked);
+  const Millis ValidAfter =
+      Now + AdviceLeadTime + Ranked.Policy_->AdviceBase_ +
+      Millis{std::llround(Ranked.Policy_->AdvicePerWorker_ *
+                          static_cast<double>(MaxWorkersPerSlowQuestion))};
+  double MissingSlots = SpareSlotRatio * (static_cast<int>(State.Tasks_.size()) -
+                                          State.DoneCount_ - State.RunCount_);
+  int SlotsNow = 0;
+  int RenewableSlots = 0;
+  std::vector<std::pair<const Worker *, int>> WorkersToRenew;
+  std::vector<std::pair<const Worker *, int>> WorkersWithoutAnswer;
+  for (const Worker *W : WorkersByFreeCapacity_) {
+    ++WorkerChecks_;
+    if (W->Info_.Service_ != Ranked.Policy_->Service_ ||
+        !mayRunOn(Spec, W->Info_))
+      continue;
+    const int Slots = freeSlots(*W, *Ranked.Job_, Ranked.Step_);
+    if (Slots == 0)
+      continue;
+    const Ticket *WorkerTicket = findTicket(Advice, W->Index_);
+    if (WorkerTicket && WorkerTicket->ValidUntil_ > Now + AdviceLeadTime)
+      SlotsNow += Slots;
+    if (Advice.PendingWorkers_.count(W->Index_) > 0) {
+      MissingSlots -= WorkerTicket ? Slots : Share * Slots;
+    } else if (WorkerTicket && WorkerTicket->ValidUntil_ > ValidAfter) {
+      MissingSlots -= Slots;
+    } else if (WorkerTicket) {
+      WorkersToRenew.emplace_back(W, Slots);
+      RenewableSlots += Slots;
+    } else if (!hasAnswer(Advice, W->Index_)) {
+      WorkersWithoutAnswer.emplace_back(W, Slots);
+    }
+  }
+  if (MissingSlots <= 0 || (Spec.Gang_ && SlotsNow >= Spec.Count_))
+    return {};
+  std::vector<std::string> Ids;
+  const auto AddWorkers =
+      [&](const std::vector<std::pair<const Worker *, int>> &Workers,
+          double ExpectedShare) {
+        for (const auto &[W, Slots] : Workers) {
+          if (MissingSlots <= 0 || Ids.size() >= MaxWorkersPerSlowQuestion)
+            return;
+          Ids.push_back(W->Info_.Id_);
+          MissingSlots -= ExpectedShare * Slots;
+        }
+      };
+  const bool RenewalsSuffice = RenewableSlots >= MissingSlots;
+  if (!Spec.Gang_ || RenewalsSuffice || WorkersWithoutAnswer.empty())
+    AddWorkers(WorkersToRenew, 1);
+  else
+    MissingSlots -= RenewableSlots;
+  if (Ids.empty())
+    AddWorkers(WorkersWithoutAnswer, Share);
+  return Ids;
+}
+
 // Estimated time until all dependencies of a step are complete. Uses the
 // progress that workers report or, without any, the estimates in the job
 // specification.
@@ -150,7 +260,7 @@
   StepAdvice &Advice = State.Advice_;
   const int WaitingTasks = static_cast<int>(State.Tasks_.size()) -
                            State.DoneCount_ - State.RunCount_;
-  if (Advice.RequestPending_ || Advice.NextRequestAt_ > Now ||
+  if (Advice.PendingRequests_ > 0 || Advice.NextRequestAt_ > Now ||
       WaitingTasks <= 0)
     return;
   const double PerWorker = Ranked.Policy_->AdvicePerWorker_;
@@ -169,22 +279,37 @@
       !Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)]
            .LongRunning_)
     return;
-  std::vector<std::string> WorkerIds = workersToAsk(Ranked, Now);
-  if (WorkerIds.empty()) {
-    Advice.NextRequestAt_ = Now + AdviceRecheckInterval;
-    return;
+  const bool Gang =
+      Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)].Gang_;
+  while (Advice.PendingRequests_ < maxParallelRequests()) {
+    std::vector<std::string> WorkerIds =
+        Gang || Advice.PendingRequests_ > 0 ? workersToAskForMore(Ranked, Now)
+                                            : workersToAsk(Ranked, Now);
+    if (WorkerIds.empty()) {
+      Advice.NextRequestAt_ = Now + AdviceRecheckInterval;
+      return;
+    }
+    // Workers with capacity are named first. A request that is not full, or
+    // that had to name full workers, shows that there are no others to ask.
+    const bool MoreWorkersWithCapacity =
+        WorkerIds.size() >= MaxWorkersPerSlowQuestion &&
+        freeSlots(*findWorker(WorkerIds.back()), *Ranked.Job_, Ranked.Step_) >
+            0;
+    ++Advice.PendingRequests_;
+    for (const std::string &Id : WorkerIds)
+      Advice.PendingWorkers_.insert(findWorker(Id)->Index_);
+    AdviceQuestion Question;
+    Question.Job_ = Ranked.Job_->Spec_.Id_;
+    Question.Step_ = Ranked.Step_;
+    Question.Expected_ =
+        Ranked.Policy_->AdviceBase_ +
+        Millis{std::llround(PerWorker * static_cast<double>(WorkerIds.size()))};
+    Question.Priority_ = Ranked.Policy_->Priority_;
+    Question.Workers_ = std::move(WorkerIds);
+    PendingActions_.Questions_.push_back(std::move(Question));
+    if (!MoreWorkersWithCapacity)
+      return;
   }
-  Advice.RequestPending_ = true;
-  Advice.RequestedAt_ = Now;
-  AdviceQuestion Question;
-  Question.Job_ = Ranked.Job_->Spec_.Id_;
-  Question.Step_ = Ranked.Step_;
-  Question.Expected_ =
-      Ranked.Policy_->AdviceBase_ +
-      Millis{std::llround(PerWorker * static_cast<double>(WorkerIds.size()))};
-  Question.Priority_ = Ranked.Policy_->Priority_;
-  Question.Workers_ = std::move(WorkerIds);
-  PendingActions_.Questions_.push_back(std::move(Question));
 }
 
 } // namespace damaskglade::dispatch
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -119,7 +119,13 @@
     return;
   StepRun &Step = Job->Steps_[static_cast<std::size_t>(Question.Step_)];
   StepAdvice &Advice = Step.Advice_;
-  Advice.RequestPending_ = false;
+  --Advice.PendingRequests_;
+  int NewlyAnswered = 0;
+  for (const std::string &Id : Question.Workers_)
+    if (const Worker *W = findWorker(Id)) {
+      Advice.PendingWorkers_.erase(W->Index_);
+      NewlyAnswered += hasAnswer(Advice, W->Index_) ? 0 : 1;
+    }
   if (!Reply) {
     Advice.NextRequestAt_ = Now + AdviceRetryDelay;
     log(Question.Job_, stepName(Question.Job_, Question.Step_), "advice",
@@ -131,9 +137,15 @@
     if (const Worker *W = findWorker(Id))
       markAnswered(Advice, W->Index_);
   const Millis ValidUntil = Now + policyOf(*Job).TicketValid_ - TicketMargin;
+  int NewlyAllowed = 0;
   for (const AdvisedWorker &Advised : Reply.value())
-    if (const Worker *W = findWorker(Advised.Worker_))
+    if (const Worker *W = findWorker(Advised.Worker_)) {
+      NewlyAllowed += findTicket(Advice, W->Index_) ? 0 : 1;
       allowWorker(Advice, W->Index_, Ticket{Advised.Ticket_, ValidUntil});
+    }
+  AllowedShare &Share = AllowedShares_[Job->Spec_.Queue_];
+  Share.Answered_ += NewlyAnswered;
+  Share.Allowed_ += NewlyAllowed;
 }
 
 void Dispatcher::requestStop(const TaskRef &Ref, TaskState &Task,
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -258,8 +258,7 @@
   if (Spec.Gang_) {
     if (!placeGang(Ranked, Candidates, Now) &&
         Now > State.ReadyAt_ + GangHoldDelay && WorkersHeldForGang_.empty())
-      for (const Candidate &CandidateWorker : Candidates)
-        WorkersHeldForGang_.insert(CandidateWorker.Worker_->Info_.Id_);
+      holdWorkersForGang(State.Advice_, Candidates);
     return;
   }
   const std::int64_t FirstAttempt = (Epoch_ - 1) * AttemptsPerEpoch + 1;
@@ -298,6 +297,18 @@
                Now);
 }
 
+// Holds the workers that the gang may use. Those whose tickets have expired are
+// included: they are renewed once enough capacity is free.
+void Dispatcher::holdWorkersForGang(const StepAdvice &Advice,
+                                    const std::vector<Candidate> &Candidates) {
+  for (const Candidate &CandidateWorker : Candidates)
+    WorkersHeldForGang_.insert(CandidateWorker.Worker_->Info_.Id_);
+  for (const AllowedWorker &AllowedEntry : Advice.AllowedWorkers_)
+    if (const Worker *W = WorkersByIndex_[static_cast<std::size_t>(
+            AllowedEntry.WorkerIndex_)])
+      WorkersHeldForGang_.insert(W->Info_.Id_);
+}
+
 // Places all members of a gang or none. First finds a worker for each member by
 // reserving resources temporarily; these are released before the members start.
 bool Dispatcher::placeGang(const RankedStep &Ranked,
--- a/tests/bench/dispatch_bench.cpp
+++ b/tests/bench/dispatch_bench.cpp
@@ -52,7 +52,7 @@
 int main() {
   constexpr double NormalLoad = 0.8;
   constexpr double Overload = 1.3;
-  for (const int Workers : {48, 150, 350, 500})
+  for (const int Workers : {48, 150, 350, 500, 1100})
     for (const double LoadShare : {NormalLoad, Overload})
       damaskglade::bench::measure(Workers, LoadShare);
   return 0;
--- a/tests/dispatch/load_test.cpp
+++ b/tests/dispatch/load_test.cpp
@@ -9,6 +9,29 @@
 namespace {
 
 constexpr Millis SimulatedTime{20000};
+// A large site: 1,100 workers, of which slow advice allows about a third.
+constexpr int ManyWorkers = 1100;
+constexpr int ManyAdviceServers = 110;
+// A job must not wait longer than this while most of the fleet is idle.
+constexpr Millis LongestIdleWait{3000};
+
+// Single-step jobs on an idle fleet, in a queue with slow advice.
+LoadSettings wideStepLoad(int Workers, int AdviceServers, int Width) {
+  LoadSettings Settings = depotLoad(Workers, 1.0);
+  Settings.AdviceServerCount_ = AdviceServers;
+  Settings.ArrivalsEnd_ = Millis{8000};
+  LoadClass Class = Settings.Classes_.back();
+  Class.Policy_.AdviceBase_ = Millis{546};
+  Class.Policy_.AdvicePerWorker_ = 7.93;
+  Class.JobsPerSecond_ = 0.5;
+  Class.Steps_ = 1;
+  Class.Width_ = Width;
+  Class.MilliCpus_ = 5000;
+  Class.MemoryMib_ = 9000;
+  Class.Length_ = Millis{2000};
+  Settings.Classes_ = {Class};
+  return Settings;
+}
 
 } // namespace
 
@@ -55,4 +78,39 @@
   }
 }
 
+// Guards against a gang that never starts on an idle fleet because the tickets
+// for its first workers expire before the last ones have been asked about.
+BOOST_AUTO_TEST_CASE(WideGangStartsOnAnIdleFleet) {
+  const struct {
+    int Workers_;
+    int AdviceServers_;
+    int Width_;
+  } Sites[] = {{ManyWorkers, ManyAdviceServers, 100}, {350, 24, 36}};
+  for (const auto &Site : Sites) {
+    LoadSettings Settings =
+        wideStepLoad(Site.Workers_, Site.AdviceServers_, Site.Width_);
+    Settings.Classes_.front().Gang_ = true;
+    PlayedLoad Load(Settings);
+    Load.run(SimulatedTime);
+    const LoadOutcome &Gangs = Load.outcome("batch");
+    BOOST_TEST(Gangs.Jobs_ > 0);
+    BOOST_TEST(Load.waitingJobs() == 0);
+    BOOST_TEST(Gangs.LongestWait_.Value_ < LongestIdleWait.Value_);
+    BOOST_TEST(Load.dispatcher().verify() == "");
+  }
+}
+
+// Guards against long-running tasks that start seconds after the others of
+// their job, because each advice request waits for the one before.
+BOOST_AUTO_TEST_CASE(SpreadServiceStartsOnAnIdleFleet) {
+  LoadSettings Settings = wideStepLoad(ManyWorkers, ManyAdviceServers, 120);
+  Settings.Classes_.front().LongRunning_ = true;
+  Settings.Classes_.front().MaxPerWorker_ = 1;
+  PlayedLoad Load(Settings);
+  Load.run(SimulatedTime);
+  const LoadOutcome &Services = Load.outcome("batch");
+  BOOST_TEST(Services.Starts_ > 100);
+  BOOST_TEST(Services.LongestWait_.Value_ < LongestIdleWait.Value_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/played_load.cpp
+++ b/tests/dispatch/played_load.cpp
@@ -39,6 +39,7 @@
     Outcomes_[Class.Queue_];
   }
   Dispatcher_.setQueues(Queues);
+  Dispatcher_.setAdviceServerCount(AdviceServersFreeAt_.size());
   std::vector<WorkerInfo> Infos;
   for (int Number = 0; Number < Settings_.Workers_; ++Number) {
     WorkerInfo Info;
@@ -113,6 +114,8 @@
     Step.Estimate_ = scaled(Class.Length_, 0.5 + uniform());
     Step.Checkpointing_ = Class.Policy_.Priority_ > 1;
     Step.LongRunning_ = Class.LongRunning_;
+    Step.Gang_ = Class.Gang_;
+    Step.MaxPerWorker_ = Class.MaxPerWorker_;
     if (Number > 0)
       Step.Dependencies_ = {Number - 1};
     Spec.Steps_.push_back(Step);
@@ -164,6 +167,9 @@
   const JobRun &Job = *Dispatcher_.findJob(Action.Task_.Job_);
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Action.Task_.Step_)];
+  LoadOutcome &Outcome = Outcomes_[Job.Spec_.Queue_];
+  ++Outcome.Starts_;
+  Outcome.LongestWait_ = std::max(Outcome.LongestWait_, Now_ - Job.ArrivedAt_);
   RunningTask NewTask;
   NewTask.Entry_ = RunningEntry{Task, Action.Order_.Attempt_, "", 0, 0};
   NewTask.StartedAt_ = Now_;
--- a/tests/dispatch/played_load.h
+++ b/tests/dispatch/played_load.h
@@ -24,6 +24,8 @@
   Millis Length_{1000};       ///< Mean run time of a task.
   double AllowedShare_ = 1.0; ///< Share of workers that advice allows.
   bool LongRunning_ = false;
+  bool Gang_ = false;
+  int MaxPerWorker_ = 0; ///< Tasks of a step on one worker; zero: no limit.
 };
 
 inline constexpr Millis StartTime{1000};
@@ -33,6 +35,9 @@
   int Jobs_ = 0;   ///< Submitted jobs.
   int OnTime_ = 0; ///< Ended within the objective.
   int Late_ = 0;   ///< Ended later, within three times the objective.
+  int Starts_ = 0; ///< Started tasks.
+  /// Longest time from the arrival of a job to the start of one of its tasks.
+  Millis LongestWait_{};
 };
 
 struct LoadSettings {
