dispatch, drivers: Cut the leader's processor time at 1,100 workers

Change: the estimate visits each step once, and a step that is not ready soon is estimated again after half of the remaining time. Jobs, stops and the order of workers no longer cost a look-up by name for each entry in each pass. Result: ChainOfWideStepsIsPlannedAtOnce does not end within 20 s with the old estimate and passes with the new one.

--- a/core/codec.cpp
+++ b/core/codec.cpp
@@ -73,9 +73,12 @@
 
 Result<Json::Value> parseJson(const std::string &Text,
                               const std::string &Step) {
-  Json::CharReaderBuilder Builder;
-  Json::CharReaderBuilder::strictMode(&Builder.settings_);
-  const std::unique_ptr<Json::CharReader> Reader(Builder.newCharReader());
+  // Creating a reader costs more than parsing a short message.
+  thread_local const std::unique_ptr<Json::CharReader> Reader = [] {
+    Json::CharReaderBuilder Builder;
+    Json::CharReaderBuilder::strictMode(&Builder.settings_);
+    return std::unique_ptr<Json::CharReader>(Builder.newCharReader());
+  }();
   Json::Value Root;
   std::string Problems;
   // The reader throws on excessive nesting.
@@ -92,9 +95,14 @@
 }
 
 std::string writeJson(const Json::Value &Value) {
-  Json::StreamWriterBuilder Builder;
-  Builder["indentation"] = "";
-  return Json::writeString(Builder, Value);
+  thread_local const std::unique_ptr<Json::StreamWriter> Writer = [] {
+    Json::StreamWriterBuilder Builder;
+    Builder["indentation"] = "";
+    return std::unique_ptr<Json::StreamWriter>(Builder.newStreamWriter());
+  }();
+  std::ostringstream Out;
+  Writer->write(Value, &Out);
+  return Out.str();
 }
 
 Error invalidField(const std::string &Step, const std::string &Field,
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -297,6 +297,8 @@
   std::vector<std::string> workersToAsk(const RankedStep &Ranked, Millis Now);
   std::vector<std::string> workersToAskForMore(const RankedStep &Ranked,
                                                Millis Now);
+  static Millis remainingRunTime(const TaskState &Task, Millis Estimate,
+                                 Millis Now);
   Millis timeUntilReady(const JobRun &Job, int Step, Millis Now) const;
   void retryStops(Millis Now);
   void stopStalledRuns(Worker &W, Millis Now);
@@ -317,7 +319,7 @@
   std::map<std::string, QueuePolicy> Queues_;
   std::unordered_map<std::string, std::unique_ptr<JobRun>> Jobs_;
   /// Jobs that have not ended, or whose end is not stored, or that have runs.
-  std::set<std::string> ActiveJobs_;
+  std::map<std::string, JobRun *> ActiveJobs_;
   std::set<std::string> UnconfirmedJobs_; ///< See isConfirmed().
   std::map<std::string, Worker> Workers_;
   std::vector<Worker *> WorkersByIndex_; ///< Null for removed workers.
@@ -329,7 +331,10 @@
   std::int64_t PassNumber_ = 1;
   int PreemptingSteps_ = 0; ///< Steps that preempted tasks in this pass.
   std::uint64_t WorkerChecks_ = 0;
-  Millis StopsCheckedAt_{}; ///< When retryStops() last looked at all runs.
+  Millis StopsCheckedAt_{}; ///< When retryStops() last looked at the runs.
+  /// Tasks whose run has been told to stop. Entries whose run has ended are
+  /// removed by retryStops().
+  std::set<TaskRef> StoppingTasks_;
   /// Workers whose speed limit for fillers the next pass recalculates.
   std::set<std::string> WorkersToPace_;
   std::set<std::string> ChangedJobs_; ///< See takeChangedJobs().
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t SpareWorkers = 8;
 // A step for which there is no worker to ask about is checked again after this.
 constexpr Millis AdviceRecheckInterval{30};
+// A step that is not ready soon is checked again after half of the remaining
+// time, at most after this.
+constexpr Millis MaxRecheckDelay{300};
 // Lower limit of the workers named in a request for a fast queue, if there are
 // as many.
 constexpr std::size_t MinWorkersPerQuestion = 16;
@@ -88,8 +91,9 @@
       Now + AdviceLeadTime + Ranked.Policy_->AdviceBase_ +
       Millis{std::llround(Ranked.Policy_->AdvicePerWorker_ *
                           static_cast<double>(MaxWorkersPerSlowQuestion))};
-  double MissingSlots = SpareSlotRatio * (static_cast<int>(State.Tasks_.size()) -
-                                          State.DoneCount_ - State.RunCount_);
+  double MissingSlots =
+      SpareSlotRatio * (static_cast<int>(State.Tasks_.size()) -
+                        State.DoneCount_ - State.RunCount_);
   int SlotsNow = 0;
   int RenewableSlots = 0;
   std::vector<std::pair<const Worker *, int>> WorkersToRenew;
@@ -139,40 +143,41 @@
   return Ids;
 }
 
-// Estimated time until all dependencies of a step are complete. Uses the
-// progress that workers report or, without any, the estimates in the job
-// specification.
-Millis Dispatcher::timeUntilReady(const JobRun &Job, int Step,
-                                  Millis Now) const {
+// Estimated run time that an attempt still needs. Uses the progress that the
+// worker reports or, without any, the estimate in the job specification.
+Millis Dispatcher::remainingRunTime(const TaskState &Task, Millis Estimate,
+                                    Millis Now) {
   constexpr std::int64_t FullPercent = 100;
   constexpr std::int64_t MinPercent = 5;
+  if (!Task.Run_ || Task.Run_->StartedAt_ == Millis{})
+    return Estimate;
+  const Run &Attempt = *Task.Run_;
+  if (Attempt.Percent_ < MinPercent)
+    return Estimate - (Now - Attempt.StartedAt_);
+  const Millis ProgressTime = Attempt.ProgressAt_ - Attempt.StartedAt_;
+  return ProgressTime * (FullPercent - Attempt.Percent_) / Attempt.Percent_ -
+         (Now - Attempt.ProgressAt_);
+}
+
+// Estimated time until all dependencies of a step are complete.
+Millis Dispatcher::timeUntilReady(const JobRun &Job, int Step,
+                                  Millis Now) const {
   Millis LongestRemaining{};
   for (const int Dependency :
        Job.Spec_.Steps_[static_cast<std::size_t>(Step)].Dependencies_) {
     const StepRun &State = Job.Steps_[static_cast<std::size_t>(Dependency)];
-    const StepSpec &Spec =
-        Job.Spec_.Steps_[static_cast<std::size_t>(Dependency)];
-    for (const TaskState &Task : State.Tasks_) {
-      if (Task.Done_)
-        continue;
-      Millis Remaining = Spec.Estimate_;
-      if (!State.Ready_)
-        Remaining = Remaining + timeUntilReady(Job, Dependency, Now);
-      if (Task.Run_ && Task.Run_->StartedAt_ > Millis{}) {
-        const Run &Attempt = *Task.Run_;
-        const Millis Elapsed = Now - Attempt.StartedAt_;
-        if (Attempt.Percent_ >= MinPercent) {
-          const Millis ProgressTime = Attempt.ProgressAt_ - Attempt.StartedAt_;
-          Remaining = ProgressTime * (FullPercent - Attempt.Percent_) /
-                          Attempt.Percent_ -
-                      (Now - Attempt.ProgressAt_);
-        } else {
-          Remaining = Remaining - Elapsed;
-        }
-      }
-      LongestRemaining =
-          std::max(LongestRemaining, std::max(Remaining, Millis{}));
+    const Millis Estimate =
+        Job.Spec_.Steps_[static_cast<std::size_t>(Dependency)].Estimate_;
+    // No task of a step that is not ready has a run.
+    if (!State.Ready_) {
+      LongestRemaining = std::max(
+          LongestRemaining, Estimate + timeUntilReady(Job, Dependency, Now));
+      continue;
     }
+    for (const TaskState &Task : State.Tasks_)
+      if (!Task.Done_)
+        LongestRemaining =
+            std::max(LongestRemaining, remainingRunTime(Task, Estimate, Now));
   }
   return LongestRemaining;
 }
@@ -272,9 +277,16 @@
       Millis{std::llround(
           PerWorker *
           static_cast<double>(std::min(WorkerCount, MaxWorkersPerQuestion)))};
-  if (!State.Ready_ && timeUntilReady(*Ranked.Job_, Ranked.Step_, Now) >
-                           FullCallTime + AdviceLeadTime)
-    return;
+  if (!State.Ready_) {
+    const Millis Early = timeUntilReady(*Ranked.Job_, Ranked.Step_, Now) -
+                         FullCallTime - AdviceLeadTime;
+    if (Early > Millis{}) {
+      // The estimate shrinks faster than time passes if progress speeds up.
+      Advice.NextRequestAt_ =
+          Now + std::clamp(Early / 2, AdviceRecheckInterval, MaxRecheckDelay);
+      return;
+    }
+  }
   if (!CapacityExpected && Ranked.Policy_->Priority_ != 0 &&
       !Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)]
            .LongRunning_)
@@ -282,9 +294,9 @@
   const bool Gang =
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)].Gang_;
   while (Advice.PendingRequests_ < maxParallelRequests()) {
-    std::vector<std::string> WorkerIds =
-        Gang || Advice.PendingRequests_ > 0 ? workersToAskForMore(Ranked, Now)
-                                            : workersToAsk(Ranked, Now);
+    std::vector<std::string> WorkerIds = Gang || Advice.PendingRequests_ > 0
+                                             ? workersToAskForMore(Ranked, Now)
+                                             : workersToAsk(Ranked, Now);
     if (WorkerIds.empty()) {
       Advice.NextRequestAt_ = Now + AdviceRecheckInterval;
       return;
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -84,7 +84,7 @@
   JobRun *Job = job(Id);
   if (!Job || UnconfirmedJobs_.erase(Id) == 0)
     return;
-  ActiveJobs_.insert(Id);
+  ActiveJobs_.emplace(Id, Job);
   markReadySteps(*Job, Job->ArrivedAt_);
 }
 
@@ -124,7 +124,7 @@
             task(TaskRef{Spec.Id_, TaskKey.first, TaskKey.second}))
       Task->FailedAttempts_ = Attempts;
   }
-  ActiveJobs_.insert(Spec.Id_);
+  ActiveJobs_.emplace(Spec.Id_, &Job);
   markReadySteps(Job, Now);
 }
 
@@ -174,9 +174,8 @@
 
 int Dispatcher::pendingJobs(const std::string &Queue) const {
   int Count = 0;
-  for (const std::string &Id : ActiveJobs_) {
-    const JobRun *Job = findJob(Id);
-    if (Job && Job->Spec_.Queue_ == Queue && !Job->Started_ &&
+  for (const auto &[Id, Job] : ActiveJobs_) {
+    if (Job->Spec_.Queue_ == Queue && !Job->Started_ &&
         !isTerminal(Job->State_))
       ++Count;
   }
@@ -256,6 +255,7 @@
       continue;
     State.Ready_ = true;
     State.ReadyAt_ = Now;
+    State.Advice_.NextRequestAt_ = Now;
   }
 }
 
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -155,6 +155,7 @@
     return;
   Attempt.State_ = RunState::Stopping;
   Attempt.StopSentAt_ = Now;
+  StoppingTasks_.insert(Ref);
   const Worker &W = Workers_[Attempt.Worker_];
   PendingActions_.Stops_.push_back(
       StopAction{target(W), taskName(Ref), Attempt.Attempt_, Cause});
@@ -182,23 +183,26 @@
   if (Now < StopsCheckedAt_ + StopCheckPeriod)
     return;
   StopsCheckedAt_ = Now;
-  for (auto &[Id, W] : Workers_) {
-    for (const TaskRef &Ref : W.Tasks_) {
-      TaskState *Task = task(Ref);
-      if (!Task || !Task->Run_ || Task->Run_->State_ != RunState::Stopping)
-        continue;
-      Run &Attempt = *Task->Run_;
-      const bool Confirmed = Attempt.StopConfirmedAt_ > Millis{};
-      if (Now < Attempt.StopSentAt_ + (Confirmed ? ConfirmedStopRetryInterval
-                                                 : StopRetryInterval))
-        continue;
-      Attempt.StopSentAt_ = Now;
-      log(Ref.Job_, taskName(Ref), Id,
-          "stop repeated, confirmed=" + std::to_string(Confirmed) +
-              " look_age_ms=" + std::to_string((Now - W.ClockReadAt_).Value_));
-      PendingActions_.Stops_.push_back(
-          StopAction{target(W), taskName(Ref), Attempt.Attempt_, "again"});
+  for (auto Entry = StoppingTasks_.begin(); Entry != StoppingTasks_.end();) {
+    const TaskRef Ref = *Entry;
+    TaskState *Task = task(Ref);
+    if (!Task || !Task->Run_ || Task->Run_->State_ != RunState::Stopping) {
+      Entry = StoppingTasks_.erase(Entry);
+      continue;
     }
+    ++Entry;
+    Run &Attempt = *Task->Run_;
+    const bool Confirmed = Attempt.StopConfirmedAt_ > Millis{};
+    if (Now < Attempt.StopSentAt_ +
+                  (Confirmed ? ConfirmedStopRetryInterval : StopRetryInterval))
+      continue;
+    Attempt.StopSentAt_ = Now;
+    const Worker &W = Workers_[Attempt.Worker_];
+    log(Ref.Job_, taskName(Ref), Attempt.Worker_,
+        "stop repeated, confirmed=" + std::to_string(Confirmed) +
+            " look_age_ms=" + std::to_string((Now - W.ClockReadAt_).Value_));
+    PendingActions_.Stops_.push_back(
+        StopAction{target(W), taskName(Ref), Attempt.Attempt_, "again"});
   }
 }
 
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -21,20 +21,25 @@
   FleetCapacity_ = Size{};
   WorkersByFreeCapacity_.clear();
   WorkersWithGainedCapacity_.clear();
+  std::vector<std::pair<std::int64_t, Worker *>> FreeMilliCpus;
+  FreeMilliCpus.reserve(Workers_.size());
   for (auto &[Id, W] : Workers_) {
     if (!acceptsWork(W, Now))
       continue;
-    FleetFreeCapacity_ = FleetFreeCapacity_ + freeCapacity(W);
+    const Size Free = freeCapacity(W);
+    FleetFreeCapacity_ = FleetFreeCapacity_ + Free;
     FleetCapacity_ = FleetCapacity_ + W.Info_.Capacity_;
-    WorkersByFreeCapacity_.push_back(&W);
-    if (!fits(freeCapacity(W), W.OfferedCapacity_))
+    FreeMilliCpus.emplace_back(Free.MilliCpus_, &W);
+    if (!fits(Free, W.OfferedCapacity_))
       WorkersWithGainedCapacity_.push_back(&W);
   }
-  std::stable_sort(WorkersByFreeCapacity_.begin(), WorkersByFreeCapacity_.end(),
-                   [](const Worker *A, const Worker *B) {
-                     return freeCapacity(*A).MilliCpus_ >
-                            freeCapacity(*B).MilliCpus_;
-                   });
+  std::sort(FreeMilliCpus.begin(), FreeMilliCpus.end(),
+            [](const auto &A, const auto &B) {
+              return A.first != B.first ? A.first > B.first
+                                        : A.second->Index_ < B.second->Index_;
+            });
+  for (const auto &[MilliCpus, W] : FreeMilliCpus)
+    WorkersByFreeCapacity_.push_back(W);
 }
 
 // Records the free capacity at the end of the pass. Within a pass it only
@@ -86,9 +91,8 @@
 
 std::vector<Dispatcher::RankedStep> Dispatcher::rankedSteps(Millis Now) {
   std::vector<RankedStep> Steps;
-  for (const std::string &Id : ActiveJobs_) {
-    JobRun *Job = job(Id);
-    if (!Job || isTerminal(Job->State_) || awaitsRecovery(*Job))
+  for (const auto &[Id, Job] : ActiveJobs_) {
+    if (isTerminal(Job->State_) || awaitsRecovery(*Job))
       continue;
     const QueuePolicy &Policy = policyOf(*Job);
     RankInput Input;
--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -1,8 +1,12 @@
 #include "drivers/beast/web_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
+#include <map>
 #include <optional>
 #include <unordered_map>
 
@@ -39,37 +43,105 @@
   return tcp::endpoint(Ip, static_cast<unsigned short>(Port));
 }
 
+using Socket =
+    boost::asio::basic_stream_socket<tcp,
+                                     boost::asio::io_context::executor_type>;
+
+/// Ends calls at their deadlines with a single timer. A timer per call would be
+/// armed and cancelled thousands of times a second by a leader.
+class DeadlineQueue : public std::enable_shared_from_this<DeadlineQueue> {
+public:
+  using Clock = std::chrono::steady_clock;
+  using Entries = std::multimap<Clock::time_point, std::function<void()>>;
+
+  explicit DeadlineQueue(boost::asio::io_context &Loop) : Timer_(Loop) {}
+
+  Entries::iterator add(Millis Timeout, std::function<void()> OnDeadline) {
+    const auto Entry = Entries_.emplace(
+        Clock::now() + std::chrono::milliseconds(Timeout.Value_),
+        std::move(OnDeadline));
+    if (!Armed_ || Entry->first < ArmedFor_)
+      arm(Entry->first);
+    return Entry;
+  }
+
+  void remove(Entries::iterator Entry) { Entries_.erase(Entry); }
+
+  // Entries stay, since the connections that added them remove them.
+  void stop() { Timer_.cancel(); }
+
+private:
+  void arm(Clock::time_point At) {
+    Armed_ = true;
+    ArmedFor_ = At;
+    Timer_.expires_at(At);
+    Timer_.async_wait(
+        [Queue = weak_from_this()](boost::system::error_code Failure) {
+          const auto Self = Queue.lock();
+          if (!Failure && Self)
+            Self->runDue();
+        });
+  }
+
+  // Entries of calls that have ended are gone, so the timer may find none due.
+  void runDue() {
+    Armed_ = false;
+    const auto Now = Clock::now();
+    while (!Entries_.empty() && Entries_.begin()->first <= Now) {
+      const auto Due = Entries_.extract(Entries_.begin());
+      Due.mapped()();
+    }
+    if (!Entries_.empty() && !Armed_)
+      arm(Entries_.begin()->first);
+  }
+
+  boost::asio::steady_timer Timer_;
+  Entries Entries_;
+  Clock::time_point ArmedFor_{};
+  bool Armed_ = false;
+};
+
+// The head and the body of a request as they are sent.
+std::string formatRequest(const WebCall &Call) {
+  std::string Text = Call.Method_ + ' ' + Call.Target_ + " HTTP/1.1\r\n";
+  bool HasHost = false;
+  for (const auto &[Name, Value] : Call.Headers_) {
+    Text.append(Name).append(": ").append(Value).append("\r\n");
+    HasHost = HasHost || Name == "Host";
+  }
+  if (!HasHost)
+    Text.append("Host: ").append(Call.Address_).append("\r\n");
+  if (!Call.Body_.empty())
+    Text.append("Content-Type: application/json\r\n");
+  if (!Call.Body_.empty() || Call.Method_ == "POST" || Call.Method_ == "PUT")
+    Text.append("Content-Length: ")
+        .append(std::to_string(Call.Body_.size()))
+        .append("\r\n");
+  return Text.append("\r\n").append(Call.Body_);
+}
+
 // Carries one call at a time and returns to the pool after it.
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   Connection(boost::asio::io_context &Loop, std::string PoolKey,
-             std::shared_ptr<IdlePool> Pool)
-      : Loop_(Loop), Stream_(Loop), PoolKey_(std::move(PoolKey)),
-        Pool_(std::move(Pool)) {}
+             std::shared_ptr<IdlePool> Pool,
+             std::shared_ptr<DeadlineQueue> Deadlines)
+      : Loop_(Loop), Socket_(Loop), PoolKey_(std::move(PoolKey)),
+        Pool_(std::move(Pool)), Deadlines_(std::move(Deadlines)) {}
 
   void run(const WebCall &Call, WebReplyHandler Done, bool Reused) {
     Address_ = Call.Address_;
     Step_ = Call.Method_ + " " + Call.Target_.substr(0, Call.Target_.find('?'));
     Done_ = std::move(Done);
-    Reused_ = Reused;
     Sent_ = Reused;
-    Request_ = {};
-    constexpr int Version = 11;
-    Request_.version(Version);
-    Request_.method_string(Call.Method_);
-    Request_.target(Call.Target_);
-    bool HasHost = false;
-    for (const auto &[Name, Value] : Call.Headers_) {
-      Request_.set(Name, Value);
-      HasHost = HasHost || Name == "Host";
-    }
-    if (!HasHost)
-      Request_.set(http::field::host, Call.Address_);
-    if (!Call.Body_.empty())
-      Request_.set(http::field::content_type, "application/json");
-    Request_.body() = Call.Body_;
-    Request_.prepare_payload();
-    Stream_.expires_after(std::chrono::milliseconds(Call.Timeout_.Value_));
+    TimedOut_ = false;
+    Request_ = formatRequest(Call);
+    Deadline_ = Deadlines_->add(
+        Call.Timeout_,
+        [Connection = std::weak_ptr<class Connection>(shared_from_this())] {
+          if (const auto Self = Connection.lock())
+            Self->onDeadline();
+        });
     if (Reused)
       return write();
     const auto Endpoint = parseAddress(Call.Address_);
@@ -80,27 +152,27 @@
           });
       return;
     }
-    Stream_.async_connect(Endpoint.value(), [Self = shared_from_this()](
+    Socket_.async_connect(Endpoint.value(), [Self = shared_from_this()](
                                                 beast::error_code Failure) {
       Self->onConnected(Failure);
     });
   }
 
-  bool usable() const { return Stream_.socket().is_open() && !Broken_; }
+  bool usable() const { return Socket_.is_open() && !Broken_; }
 
 private:
   void onConnected(beast::error_code Failure) {
-    if (Failure)
+    if (Failure || TimedOut_)
       return fail(Failure);
     boost::system::error_code Ignored;
-    Stream_.socket().set_option(tcp::no_delay(true), Ignored);
+    Socket_.set_option(tcp::no_delay(true), Ignored);
     write();
   }
 
   void write() {
     Sent_ = true;
-    http::async_write(
-        Stream_, Request_,
+    boost::asio::async_write(
+        Socket_, boost::asio::buffer(Request_),
         [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
           if (Failure)
             return Self->fail(Failure);
@@ -112,7 +184,7 @@
     Parser_.emplace();
     Parser_->body_limit(MaxReplyBytes);
     http::async_read(
-        Stream_, Buffer_, *Parser_,
+        Socket_, Buffer_, *Parser_,
         [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
           if (Failure)
             return Self->fail(Failure);
@@ -121,6 +193,9 @@
   }
 
   void onReply() {
+    // The deadline may have closed the socket after the reply had arrived.
+    if (TimedOut_)
+      return fail(beast::error::timeout);
     auto Message = Parser_->release();
     WebReply Reply;
     Reply.Status_ = static_cast<int>(Message.result_int());
@@ -132,21 +207,33 @@
                  MillisPerSecond};
     }
     Reply.Body_ = std::move(Message.body());
-    Stream_.expires_never();
     if (Message.keep_alive() && !Pool_->Closed_)
       Pool_->Idle_[PoolKey_].push_back(shared_from_this());
     else
-      Stream_.close();
+      close();
     finish(std::move(Reply));
   }
 
+  void onDeadline() {
+    Deadline_.reset();
+    TimedOut_ = true;
+    close();
+  }
+
+  void close() {
+    boost::system::error_code Ignored;
+    Socket_.close(Ignored);
+  }
+
   void fail(beast::error_code Failure) {
     Broken_ = true;
-    Stream_.close();
+    close();
     Error Problem{Reason::AnswerLost, Effect::Unknown, Step_, Address_,
                   Failure.message()};
-    if (Failure == beast::error::timeout)
+    if (TimedOut_) {
       Problem.Reason_ = Reason::Timeout;
+      Problem.Message_ = "timeout";
+    }
     if (!Sent_) {
       Problem.Effect_ = Effect::None;
       // A refused connection tells that no process listens; a silent peer
@@ -158,6 +245,9 @@
   }
 
   void finish(Result<WebReply> Outcome) {
+    if (Deadline_)
+      Deadlines_->remove(*Deadline_);
+    Deadline_.reset();
     auto Done = std::move(Done_);
     Done_ = nullptr;
     if (Done)
@@ -165,16 +255,18 @@
   }
 
   boost::asio::io_context &Loop_;
-  beast::tcp_stream Stream_;
+  Socket Socket_;
   const std::string PoolKey_;
   const std::shared_ptr<IdlePool> Pool_;
+  const std::shared_ptr<DeadlineQueue> Deadlines_;
+  std::optional<DeadlineQueue::Entries::iterator> Deadline_;
   std::string Address_;
   std::string Step_;
   WebReplyHandler Done_;
-  bool Reused_ = false;
   bool Sent_ = false;
+  bool TimedOut_ = false;
   bool Broken_ = false;
-  http::request<http::string_body> Request_;
+  std::string Request_;
   beast::flat_buffer Buffer_;
   std::optional<http::response_parser<http::string_body>> Parser_;
 };
@@ -184,11 +276,13 @@
 class PooledWebClient : public WebClient {
 public:
   explicit PooledWebClient(boost::asio::io_context &Loop)
-      : Loop_(Loop), Pool_(std::make_shared<IdlePool>()) {}
+      : Loop_(Loop), Pool_(std::make_shared<IdlePool>()),
+        Deadlines_(std::make_shared<DeadlineQueue>(Loop)) {}
 
   ~PooledWebClient() override {
     Pool_->Closed_ = true;
     Pool_->Idle_.clear();
+    Deadlines_->stop();
   }
 
   void call(const WebCall &Call, WebReplyHandler Done) override {
@@ -202,7 +296,7 @@
       callReused(Connection, Key, Call, std::move(Done));
       return;
     }
-    std::make_shared<class Connection>(Loop_, Key, Pool_)
+    std::make_shared<class Connection>(Loop_, Key, Pool_, Deadlines_)
         ->run(Call, std::move(Done), false);
   }
 
@@ -222,7 +316,7 @@
           if (!Closed)
             return Done(std::move(Outcome));
           Pool->Idle_[Key].clear();
-          std::make_shared<class Connection>(Loop_, Key, Pool)
+          std::make_shared<class Connection>(Loop_, Key, Pool, Deadlines_)
               ->run(Call, keepUnknown(Done), false);
         },
         true);
@@ -241,6 +335,7 @@
 
   boost::asio::io_context &Loop_;
   const std::shared_ptr<IdlePool> Pool_;
+  const std::shared_ptr<DeadlineQueue> Deadlines_;
 };
 
 } // namespace
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -104,6 +104,39 @@
   Kept.clear();
 }
 
+// Guards against calls that share a timer and wait for the timeout of a call
+// that was made before, and against a client that is destroyed with open calls.
+BOOST_AUTO_TEST_CASE(EachCallEndsAtItsOwnDeadline) {
+  EventLoop Loop;
+  std::vector<WebReplier> Kept;
+  BOOST_TEST_REQUIRE(
+      Loop.listen(Address, ListenerLimits{},
+                  [&](const WebRequest &, const WebReplier &Reply) {
+                    Kept.push_back(Reply);
+                  })
+          .has_value());
+  auto Client = Loop.makeClient();
+  std::vector<int> Ended;
+  const auto CallWithTimeout = [&](int Timeout) {
+    WebCall Call = post("x");
+    Call.Address_ = Address;
+    Call.Timeout_ = Millis{Timeout};
+    Client->call(Call, [&Ended, &Loop, Timeout](const Result<WebReply> &Reply) {
+      BOOST_TEST((!Reply && Reply.error().Reason_ == Reason::Timeout));
+      Ended.push_back(Timeout);
+      if (Ended.size() == 3)
+        Loop.stop();
+    });
+  };
+  for (const int Timeout : {100000, 120, 40, 80})
+    CallWithTimeout(Timeout);
+  Loop.run();
+  const std::vector<int> Expected{40, 80, 120};
+  BOOST_TEST(Ended == Expected, boost::test_tools::per_element());
+  Client.reset();
+  Kept.clear();
+}
+
 BOOST_AUTO_TEST_CASE(BadAddressIsAnError) {
   EventLoop Loop;
   const auto Client = Loop.makeClient();
--- a/tests/dispatch/advice_test.cpp
+++ b/tests/dispatch/advice_test.cpp
@@ -77,4 +77,45 @@
              std::vector<std::string>{"w2"});
 }
 
+// Guards against an estimate of the time until a step is ready that multiplies
+// with the width of every step before it: this chain would never be planned.
+BOOST_AUTO_TEST_CASE(ChainOfWideStepsIsPlannedAtOnce) {
+  DispatcherFixture Fixture;
+  Fixture.Dispatcher_.setQueues({{"slow", slowAdvicePolicy()}});
+  Fixture.addWorkers({makeWorker("w1", 8000)});
+  constexpr int ChainLength = 12;
+  constexpr int Width = 30;
+  std::vector<StepSpec> Steps;
+  for (int Number = 0; Number < ChainLength; ++Number)
+    Steps.push_back(makeStep(Width, 500,
+                             Number > 0 ? std::vector<int>{Number - 1}
+                                        : std::vector<int>{}));
+  Fixture.submit(makeJob("1", "slow", Steps));
+  const Actions FirstPass = Fixture.decideAndExecute();
+  BOOST_TEST_REQUIRE(FirstPass.Questions_.size() == 1U);
+  BOOST_TEST(FirstPass.Questions_.front().Step_ == 0);
+}
+
+// Guards against advice that comes too late because a step that was not ready
+// soon is checked again only after it is: it must be asked for while the last
+// tasks before it still run.
+BOOST_AUTO_TEST_CASE(AdviceIsAskedForBeforeTheStepIsReady) {
+  DispatcherFixture Fixture;
+  Fixture.Dispatcher_.setQueues({{"slow", slowAdvicePolicy()}});
+  Fixture.addWorkers({makeWorker("w1", 8000)});
+  Fixture.submit(
+      makeJob("1", "slow", {makeStep(1, 500), makeStep(1, 500, {0})}));
+  const Millis Start = Fixture.Now_;
+  for (const AdviceQuestion &Question : Fixture.decideAndExecute().Questions_)
+    allowAll(Fixture, Question);
+  // The first step runs for one second, and a call takes 406 ms.
+  while (Fixture.Now_ < Start + Millis{700}) {
+    for (const AdviceQuestion &Question : Fixture.decideAndExecute().Questions_)
+      if (Question.Step_ == 1)
+        return;
+    Fixture.advance(Millis{5});
+  }
+  BOOST_ERROR("no advice was asked for the second step");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
