dispatch, drivers: Do not repeat a task whose start order was seen before

By reading: a call on a connection that had been lost is sent again; if the first copy had run to its end by then, the worker rejects the second one, and the leader took that for "was not started". Change: such a rejection leaves the attempt uncertain, and a poll is sent. A planning pass is followed by three times its duration without planning, so that an overloaded leader still renews leases. Result: RejectedCopyOfAStartOrderDoesNotRepeatTheTask and RepeatedCallIsMarkedInItsReply fail without the change and pass with it.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -31,7 +31,12 @@
 // take over.
 constexpr Millis HandOverDelay{500};
 // Minimum time between planning passes, so that several events share one.
-constexpr Millis DecisionInterval{5};
+constexpr Millis MinDecisionInterval{5};
+// Limit of the time between planning passes of an overloaded leader. Lookups
+// have less than 0.3 s of slack.
+constexpr Millis MaxDecisionInterval{50};
+// A pass is followed by this many times its own duration without planning.
+constexpr std::int64_t DecisionPauseFactor = 3;
 // Delay of the next poll of a worker after a failed or rejected one.
 constexpr Millis PollRetryDelay{150};
 // Delay between polls of a worker that has ends of tasks that are not recorded
@@ -64,6 +69,11 @@
          static_cast<std::int64_t>(1 + Workers / WorkersPerBaseDelay);
 }
 
+Millis decisionInterval(Millis LastPassDuration) {
+  return std::clamp(LastPassDuration * (DecisionPauseFactor + 1),
+                    MinDecisionInterval, MaxDecisionInterval);
+}
+
 Leader::Leader(const CellPorts &Ports, const CellSettings &Settings,
                LeaderRecord Record, std::function<void()> OnLeadershipLost)
     : Ports_(Ports), Settings_(Settings), LeaderRecord_(std::move(Record)),
@@ -309,7 +319,8 @@
   if (DecisionScheduled_ || Stopped_)
     return;
   DecisionScheduled_ = true;
-  const Millis NextDecisionAt = LastDecisionAt_ + DecisionInterval;
+  const Millis NextDecisionAt =
+      LastDecisionAt_ + decisionInterval(LastDecisionDuration_);
   Ports_.Timers_.after(std::max(NextDecisionAt - now(), Millis{}),
                        [Self = shared_from_this()] {
                          Self->DecisionScheduled_ = false;
@@ -329,6 +340,7 @@
     sendOrders(Dispatcher_.decide(now()));
   Recorder_.collectChanges();
   logDecisions();
+  LastDecisionDuration_ = now() - LastDecisionAt_;
 }
 
 void Leader::sendOrders(const dispatch::Actions &Actions) {
@@ -341,7 +353,10 @@
           Self->Dispatcher_.handleStartReply(Start, Reply, Self->now());
           const bool Accepted =
               Reply && Reply.value().Outcome_ == OrderOutcome::Done;
-          if (!Reply && Reply.error().Effect_ != Effect::None)
+          const bool FateUnknown =
+              Reply ? Reply.value().Outcome_ == OrderOutcome::Superseded
+                    : Reply.error().Effect_ != Effect::None;
+          if (FateUnknown)
             Self->pollWorker(Start.Target_.Worker_, true);
           if (!Accepted)
             Self->scheduleDecision();
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -22,6 +22,12 @@
 /// given the number of such workers.
 Millis unrecordedEndsPollDelay(std::size_t Workers);
 
+/// Time from the start of a planning pass to the start of the next one, given
+/// the duration of the first. Answers the load of a leader with too little
+/// processor time: planning may take a quarter of it, so that leases are
+/// renewed and callers are answered however many steps wait.
+Millis decisionInterval(Millis LastPassDuration);
+
 /// Schedules the jobs of a cell during one epoch, that is, between two
 /// elections. Loads all rows from the store, then polls the workers and sends
 /// them orders until another node is elected.
@@ -109,6 +115,7 @@
   Millis MajorityHeardAt_{}; ///< Last contact with a majority of the nodes.
   Millis ConfirmSentAt_{};
   Millis LastDecisionAt_{};
+  Millis LastDecisionDuration_{};
   Millis RegistryReadAt_{};
   Millis EndedJobsRemovedAt_{};
   bool RegistryReadOpen_ = false;
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -56,6 +56,15 @@
     Fenced_ = true;
     return;
   }
+  // The worker has seen this attempt before, from a copy of the order whose
+  // reply was lost. The run may have ended; the next poll shows its end.
+  if (Reply && Reply.value().Outcome_ == OrderOutcome::Superseded) {
+    log(Job.Spec_.Id_, Order.Order_.Task_, Id,
+        "start order was known to the worker");
+    if (Attempt.State_ == RunState::Starting)
+      Attempt.State_ = RunState::Uncertain;
+    return;
+  }
   log(Job.Spec_.Id_, Order.Order_.Task_, Id,
       Reply ? "start refused, outcome=" +
                   std::to_string(static_cast<int>(Reply.value().Outcome_))
--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -325,8 +325,11 @@
   // The first try may have had an effect, whatever becomes of the second.
   static WebReplyHandler keepUnknown(WebReplyHandler Done) {
     return [Done = std::move(Done)](Result<WebReply> Outcome) {
-      if (Outcome)
-        return Done(std::move(Outcome));
+      if (Outcome) {
+        WebReply Reply = std::move(Outcome).value();
+        Reply.Resent_ = true;
+        return Done(std::move(Reply));
+      }
       Error Failure = Outcome.error();
       Failure.Effect_ = Effect::Unknown;
       Done(std::move(Failure));
--- a/ports/async_http.h
+++ b/ports/async_http.h
@@ -28,6 +28,9 @@
   std::string Body_;
   std::string ContentType_ = "application/json";
   Millis RetryAfter_{}; ///< Sent as Retry-After if above zero.
+  /// Set by clients: the call was sent again after its connection had been
+  /// lost, so an earlier copy of it may have had an effect.
+  bool Resent_ = false;
 
   friend bool operator==(const WebReply &, const WebReply &) = default;
 };
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -137,6 +137,38 @@
   Kept.clear();
 }
 
+// Guards against a rejection of the second copy of a call that is taken for a
+// statement about the first one.
+BOOST_AUTO_TEST_CASE(RepeatedCallIsMarkedInItsReply) {
+  EventLoop Loop;
+  ListenerLimits Limits;
+  Limits.Idle_ = Millis{30};
+  BOOST_TEST_REQUIRE(
+      Loop.listen(Address, Limits,
+                  [](const WebRequest &, const WebReplier &Reply) {
+                    Reply(WebReply{});
+                  })
+          .has_value());
+  const auto Client = Loop.makeClient();
+  std::vector<bool> Resent;
+  const auto Exchange = [&](const std::function<void()> &Next) {
+    WebCall Call = post("x");
+    Call.Address_ = Address;
+    Client->call(Call, [&Resent, Next](const Result<WebReply> &Reply) {
+      BOOST_TEST_REQUIRE(Reply.has_value());
+      Resent.push_back(Reply.value().Resent_);
+      Next();
+    });
+  };
+  // The server closes the idle connection before the second call.
+  Exchange([&] {
+    Loop.after(Millis{200}, [&] { Exchange([&] { Loop.stop(); }); });
+  });
+  Loop.run();
+  const std::vector<bool> Expected{false, true};
+  BOOST_TEST(Resent == Expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(BadAddressIsAnError) {
   EventLoop Loop;
   const auto Client = Loop.makeClient();
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -94,6 +94,19 @@
   }
 }
 
+// Guards against an overloaded leader that plans all the time, so that leases
+// run out and the other nodes elect another leader.
+BOOST_AUTO_TEST_CASE(PlanningTakesAQuarterOfTheTimeAtMost) {
+  for (const std::int64_t Duration : {2, 5, 12}) {
+    const Millis Interval = decisionInterval(Millis{Duration});
+    BOOST_TEST(Duration * 4 <= Interval.Value_);
+  }
+  // Passes that cost nothing still share their events.
+  BOOST_TEST(decisionInterval(Millis{}).Value_ == 5);
+  // However slow a pass is, the next one follows before lookups are late.
+  BOOST_TEST(decisionInterval(Millis{1000}).Value_ <= 50);
+}
+
 // Guards against a hand-over in which all nodes write the leader row at once,
 // so that a weak node is elected.
 BOOST_AUTO_TEST_CASE(StrongNodesAreAskedFirst) {
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -104,4 +104,29 @@
   BOOST_TEST(Fixture.workerOf(taskNameOf(Job, 0, 0)) == "w2");
 }
 
+// Guards against a task that runs twice: the reply to its start order was
+// lost, and the worker rejects a late copy of the order because the run has
+// already ended.
+BOOST_AUTO_TEST_CASE(RejectedCopyOfAStartOrderDoesNotRepeatTheTask) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 500)});
+  Fixture.submit(Job);
+  const Actions First = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(First.Starts_.size() == 1U);
+  Fixture.advance(Millis{600});
+  Fixture.Dispatcher_.handleStartReply(
+      First.Starts_.front(),
+      OrderReply{OrderOutcome::Superseded, Fixture.Now_ + Millis{50000}},
+      Fixture.Now_);
+  Fixture.advance(Millis{100});
+  BOOST_TEST(Fixture.Dispatcher_.decide(Fixture.Now_).Starts_.empty());
+  Fixture.pollWorker("w1", {EndedTask{0, taskNameOf(Job, 0, 0),
+                                      First.Starts_.front().Order_.Attempt_,
+                                      TaskEnd::Done, ""}});
+  BOOST_TEST(Fixture.Dispatcher_.decide(Fixture.Now_).Starts_.empty());
+  BOOST_TEST(
+      (Fixture.Dispatcher_.findJob(Job.Id_)->State_ == JobState::Complete));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
