--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -295,8 +295,8 @@
   int maxParallelRequests() const;
   double expectedAllowedShare(const RankedStep &Ranked) const;
   std::vector<std::string> workersToAsk(const RankedStep &Ranked, Millis Now);
-  std::vector<std::string> workersToAskForMore(const RankedStep &Ranked,
-                                               Millis Now);
+  std::vector<std::string> workersForUncoveredTasks(const RankedStep &Ranked,
+                                                    Millis Now);
   static Millis remainingRunTime(const TaskState &Task, Millis Estimate,
                                  Millis Now);
   Millis timeUntilReady(const JobRun &Job, int Step, Millis Now) const;
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -80,7 +80,7 @@
 // arrives count for it, and known allowed workers are asked about again only
 // once they suffice for the whole gang.
 std::vector<std::string>
-Dispatcher::workersToAskForMore(const RankedStep &Ranked, Millis Now) {
+Dispatcher::workersForUncoveredTasks(const RankedStep &Ranked, Millis Now) {
   const StepRun &State =
       Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const StepSpec &Spec =
@@ -294,9 +294,10 @@
   const bool Gang =
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)].Gang_;
   while (Advice.PendingRequests_ < maxParallelRequests()) {
-    std::vector<std::string> WorkerIds = Gang || Advice.PendingRequests_ > 0
-                                             ? workersToAskForMore(Ranked, Now)
-                                             : workersToAsk(Ranked, Now);
+    std::vector<std::string> WorkerIds =
+        Gang || Advice.PendingRequests_ > 0
+            ? workersForUncoveredTasks(Ranked, Now)
+            : workersToAsk(Ranked, Now);
     if (WorkerIds.empty()) {
       Advice.NextRequestAt_ = Now + AdviceRecheckInterval;
       return;
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -124,7 +124,7 @@
             task(TaskRef{Spec.Id_, TaskKey.first, TaskKey.second}))
       Task->FailedAttempts_ = Attempts;
   }
-  ActiveJobs_.emplace(Spec.Id_, &Job);
+  ActiveJobs_.insert_or_assign(Spec.Id_, &Job);
   markReadySteps(Job, Now);
 }
 
