--- a/tests/dispatch/advice_test.cpp
+++ b/tests/dispatch/advice_test.cpp
@@ -86,6 +86,7 @@
   constexpr int ChainLength = 12;
   constexpr int Width = 30;
   std::vector<StepSpec> Steps;
+  Steps.reserve(ChainLength);
   for (int Number = 0; Number < ChainLength; ++Number)
     Steps.push_back(makeStep(Width, 500,
                              Number > 0 ? std::vector<int>{Number - 1}
