dispatch: Log what waits for workers that a new leader has not reached

After a takeover tasks may be held back until the leases of earlier leaders have expired, but the log showed neither that nor for how long, and not whether a worker that left the registry still had runs.

A leader with such workers now logs once a second how many tasks wait, for how many workers and how long; "left the registry" gives the number of runs and whether the worker was draining. The unit tests of dispatch pass.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -339,6 +339,7 @@
 
   std::vector<RankedStep> rankedSteps(Millis Now);
   Worker &ensureWorker(const std::string &Id);
+  void logRecovery(int UnseenWorkers, Millis Now);
   /// Removes workers that have left the registry and cannot run tasks any more.
   void removeGoneWorkers(Millis Now);
   void updateFleetCapacity(Millis Now);
@@ -423,6 +424,7 @@
   /// When the leases on all workers that were not polled yet have expired. They
   /// may run tasks of restored jobs until then. Zero if there are none.
   Millis RecoveryEnd_{};
+  Millis RecoveryLoggedAt_{};
   /// Workers that only urgent and long-running steps may use in this pass, so
   /// that capacity for a waiting gang builds up.
   std::set<std::string> WorkersHeldForGang_;
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -118,7 +118,9 @@
     if (RegisteredIds.count(Id) > 0)
       continue;
     if (W.Registered_)
-      log("", "worker", Id, "left the registry");
+      log("", "worker", Id,
+          "left the registry, runs=" + std::to_string(W.Tasks_.size()) +
+              " draining=" + std::to_string(W.Info_.Draining_));
     W.Registered_ = false;
   }
   removeGoneWorkers(Now);
@@ -279,9 +281,35 @@
   }
 }
 
+// Logs once a second how many tasks wait for workers that earlier leaders used.
+void Dispatcher::logRecovery(int UnseenWorkers, Millis Now) {
+  constexpr Millis LogPeriod{1000};
+  if (UnseenWorkers == 0 || Now < RecoveryLoggedAt_ + LogPeriod)
+    return;
+  RecoveryLoggedAt_ = Now;
+  int HeldTasks = 0;
+  int HeldLongRunningTasks = 0;
+  for (const auto &[Id, Job] : ActiveJobs_)
+    for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step)
+      for (const TaskState &Task : Job->Steps_[Step].Tasks_) {
+        if (!Job->Steps_[Step].Ready_ || Task.Done_ || Task.Run_ ||
+            !mayRunUnseen(*Job, Task))
+          continue;
+        ++HeldTasks;
+        HeldLongRunningTasks += Job->Spec_.Steps_[Step].LongRunning_ ? 1 : 0;
+      }
+  log("", "recover", "",
+      "tasks=" + std::to_string(HeldTasks) +
+          " long_running=" + std::to_string(HeldLongRunningTasks) +
+          " wait for workers=" + std::to_string(UnseenWorkers) +
+          " not reached yet, wait_ms=" +
+          std::to_string((RecoveryEnd_ - Now).Value_));
+}
+
 void Dispatcher::expireUnreachable(Millis Now) {
   RecoveryEnd_ = Millis{};
   bool AnyExpired = false;
+  int UnseenWorkers = 0;
   for (auto &[Id, W] : Workers_) {
     if (W.Reachability_ != Reachability::Unknown &&
         W.Reachability_ != Reachability::Unreachable)
@@ -297,8 +325,10 @@
       dropLostRuns(W, "leases expired", nullptr, Now);
     } else if (W.Reachability_ == Reachability::Unknown) {
       RecoveryEnd_ = std::max(RecoveryEnd_, W.LeaseExpiry_);
+      ++UnseenWorkers;
     }
   }
+  logRecovery(UnseenWorkers, Now);
   // The next leader would wait for them again if it found their rows.
   if (AnyExpired)
     removeGoneWorkers(Now);
