tests/cell: Show the waits for drained and gone workers after a takeover

A task that is stopped at a planned restart waits for workers that were drained and empty when they left; and each further change of the leader, planned or by a kill, starts the wait for a worker that is gone anew. The bound is that of the rule: 6 s, and 9 s after the end of the last run on a worker that may still hold a lease.

A killed node of the fake cell no longer reaches the store.

--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -63,6 +63,8 @@
 
 void FakeStore::transact(const RowTransaction &Transaction,
                          std::function<void(Result<TransactionOutcome>)> Done) {
+  if (Disconnected_)
+    return;
   Loop_.after(StoreState_.Delay_, [this, Transaction, Done] {
     switch (StoreState_.StoreModes_[Node_]) {
     case StoreMode::Healthy:
@@ -82,6 +84,8 @@
 
 void FakeStore::read(const RowRange &Range,
                      std::function<void(Result<RowPage>)> Done) {
+  if (Disconnected_)
+    return;
   Loop_.after(StoreState_.Delay_, [this, Range, Done] {
     const StoreMode Mode = StoreState_.StoreModes_[Node_];
     if (Mode == StoreMode::Rejects)
@@ -428,6 +432,7 @@
 void FakeCell::killNode(const std::string &Name) {
   // Callbacks of the node may still be queued, so the object is kept.
   const auto Entry = Nodes_.find(Name);
+  Entry->second->Store_.disconnect();
   Entry->second->Member_->resign([] {});
   KilledNodes_.push_back(std::move(Entry->second));
   Nodes_.erase(Entry);
@@ -472,8 +477,8 @@
 }
 
 std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
-FakeCell::submit(const std::string &Name, const std::string &Id, int Tasks,
-                 Millis Duration) {
+FakeCell::submitStep(const std::string &Name, const std::string &Id,
+                     const dispatch::StepSpec &Step, Millis Duration) {
   cell::CallerRequest Request;
   Request.Verb_ = cell::CallerVerb::Submit;
   Request.Queue_ = "queue";
@@ -481,12 +486,40 @@
   Request.Spec_.Id_ = Id;
   Request.Spec_.Queue_ = "queue";
   Request.Spec_.Payload_ = std::to_string(Duration.Value_);
+  Request.Spec_.Steps_ = {Step};
+  return call(Name, Request);
+}
+
+std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
+FakeCell::submit(const std::string &Name, const std::string &Id, int Tasks,
+                 Millis Duration) {
   dispatch::StepSpec Step;
   Step.Count_ = Tasks;
   Step.Size_ = dispatch::Size{500, 100, 0};
   Step.Estimate_ = Duration;
-  Request.Spec_.Steps_ = {Step};
-  return call(Name, Request);
+  return submitStep(Name, Id, Step, Duration);
+}
+
+std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
+FakeCell::submitLongRunning(const std::string &Name, const std::string &Id,
+                            int Tasks) {
+  constexpr Millis LongerThanAnyTest{3600000};
+  dispatch::StepSpec Step;
+  Step.Count_ = Tasks;
+  Step.Size_ = dispatch::Size{500, 100, 0};
+  Step.LongRunning_ = true;
+  return submitStep(Name, Id, Step, LongerThanAnyTest);
+}
+
+void FakeCell::drainWorker(const std::string &Id) {
+  Fleet_.Workers_.at(Id).Info_.Draining_ = true;
+}
+
+void FakeCell::removeWorker(const std::string &Id) {
+  FakeWorkerState &Worker = Fleet_.Workers_.at(Id);
+  Worker.Reachable_ = false;
+  Worker.Running_.clear();
+  ++Worker.ProcessStart_;
 }
 
 std::optional<dispatch::JobState> FakeCell::state(const std::string &Name,
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -65,11 +65,14 @@
             std::function<void(Result<RowPage>)> Done) override;
   void follow(const std::string &, std::int64_t, Millis,
               std::function<void(Result<RowPage>)>) override {}
+  /// Ignores all further calls. Calls in flight are still carried out.
+  void disconnect() { Disconnected_ = true; }
 
 private:
   FakeLoop &Loop_;
   FakeStoreState &StoreState_;
   const std::string Node_;
+  bool Disconnected_ = false;
 };
 
 /// State of a simulated worker. Like real workers it rejects orders of an older
@@ -156,6 +159,13 @@
   std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
   submit(const std::string &Node, const std::string &Id, int Tasks,
          Millis Duration);
+  /// The same for a job whose tasks run until it is canceled.
+  std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
+  submitLongRunning(const std::string &Node, const std::string &Id, int Tasks);
+  /// Marks a worker as draining; it goes on running its tasks.
+  void drainWorker(const std::string &Id);
+  /// Ends a worker and all its tasks, and removes it from the registry.
+  void removeWorker(const std::string &Id);
   /// Queries the state of a job at a node; runs the loop until it is answered.
   std::optional<dispatch::JobState> state(const std::string &Node,
                                           const std::string &Id);
@@ -167,6 +177,9 @@
 private:
   struct Node;
   class PeerHttp;
+  std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
+  submitStep(const std::string &Node, const std::string &Id,
+             const dispatch::StepSpec &Step, Millis Duration);
   std::map<std::string, std::unique_ptr<Node>> Nodes_;
   std::vector<std::unique_ptr<Node>> KilledNodes_;
   std::set<std::string> IsolatedNodes_;
--- /dev/null
+++ b/tests/cell/takeover_test.cpp
@@ -0,0 +1,112 @@
+#include "tests/cell/fake_cell.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskglade;
+using namespace damaskglade::fakes;
+
+namespace {
+
+// A long-running task has to run again within this time.
+constexpr Millis RestartLimit{6000};
+
+std::string waitForLeader(FakeCell &Cell) {
+  constexpr Millis ElectionTimeout{4000};
+  constexpr Millis SettleTime{1500};
+  BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+      ElectionTimeout, [&] { return !Cell.leader().empty(); }));
+  Cell.Loop_.run(SettleTime);
+  return Cell.leader();
+}
+
+std::string taskOf(const std::string &Job) { return Job + ".0.0.0"; }
+
+/// The worker that runs the only task of the job; empty if none does.
+std::string workerOf(const FakeCell &Cell, const std::string &Job) {
+  for (const auto &[Id, Worker] : Cell.Fleet_.Workers_)
+    if (Worker.Running_.count(taskOf(Job)) > 0)
+      return Id;
+  return "";
+}
+
+bool isRunning(const FakeCell &Cell, const std::string &Job) {
+  return Cell.Fleet_.isRunning(taskOf(Job), Cell.Loop_.monotonic());
+}
+
+/// Drains the worker of the job and waits until it has moved to another one.
+void moveAway(FakeCell &Cell, const std::string &Job) {
+  const std::string From = workerOf(Cell, Job);
+  Cell.drainWorker(From);
+  BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(Millis{4000}, [&] {
+    return isRunning(Cell, Job) && workerOf(Cell, Job) != From;
+  }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TakeoverTests)
+
+// Guards against a wait for workers that were drained and empty when they left.
+BOOST_AUTO_TEST_CASE(TaskStoppedAtAPlannedRestartDoesNotWaitForDrainedWorkers) {
+  FakeCell Cell(4, 4);
+  const std::string First = waitForLeader(Cell);
+  Cell.submitLongRunning(First, jobId(1), 1);
+  Cell.Loop_.run(Millis{1000});
+  const std::string Drained = workerOf(Cell, jobId(1));
+  moveAway(Cell, jobId(1));
+  Cell.Loop_.run(Millis{1000});
+  Cell.removeWorker(Drained);
+  Cell.Loop_.run(Millis{2500});
+  Cell.drainWorker(workerOf(Cell, jobId(1)));
+  BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+      Millis{4000}, [&] { return !isRunning(Cell, jobId(1)); }));
+  Cell.member(First).resign([] {});
+  BOOST_TEST(Cell.Loop_.runUntil(RestartLimit,
+                                 [&] { return isRunning(Cell, jobId(1)); }));
+  BOOST_TEST(Cell.leader() != First);
+  BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
+}
+
+// Guards against a wait that every change of the leader starts anew.
+BOOST_AUTO_TEST_CASE(WaitForAGoneWorkerIsNotRepeatedByFurtherRestarts) {
+  FakeCell Cell(5, 3);
+  const std::string First = waitForLeader(Cell);
+  Cell.submitLongRunning(First, jobId(1), 1);
+  Cell.Loop_.run(Millis{1000});
+  Cell.removeWorker(workerOf(Cell, jobId(1)));
+  const Millis GoneAt = Cell.Loop_.monotonic();
+  constexpr Millis RestartInterval{2000};
+  for (int Restart = 0; Restart < 3; ++Restart) {
+    Cell.Loop_.run(RestartInterval);
+    BOOST_TEST_REQUIRE(!Cell.leader().empty());
+    Cell.member(Cell.leader()).resign([] {});
+  }
+  constexpr Millis LeaseAndMargins{9000};
+  BOOST_TEST(
+      Cell.Loop_.runUntil(GoneAt + LeaseAndMargins - Cell.Loop_.monotonic(),
+                          [&] { return isRunning(Cell, jobId(1)); }));
+  BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
+}
+
+// The same for leaders that are killed and can pass nothing on at their end.
+BOOST_AUTO_TEST_CASE(WaitForAGoneWorkerIsNotRepeatedByKilledLeaders) {
+  FakeCell Cell(4, 3);
+  const std::string First = waitForLeader(Cell);
+  Cell.submitLongRunning(First, jobId(1), 1);
+  Cell.Loop_.run(Millis{1000});
+  Cell.removeWorker(workerOf(Cell, jobId(1)));
+  const Millis GoneAt = Cell.Loop_.monotonic();
+  constexpr Millis KillInterval{3000};
+  for (int Kill = 0; Kill < 2; ++Kill) {
+    Cell.Loop_.run(KillInterval);
+    BOOST_TEST_REQUIRE(!Cell.leader().empty());
+    Cell.killNode(Cell.leader());
+  }
+  constexpr Millis LeaseAndMargins{9000};
+  BOOST_TEST(
+      Cell.Loop_.runUntil(GoneAt + LeaseAndMargins - Cell.Loop_.monotonic(),
+                          [&] { return isRunning(Cell, jobId(1)); }));
+  BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
