--- a/cell/context.h
+++ b/cell/context.h
@@ -35,11 +35,15 @@
 // state, and "workers" the workers that leaders send orders to.
 inline constexpr const char *LeaderTable = "cell";
 inline constexpr const char *LeaderKey = "leader";
+inline constexpr const char *ResignationKey = "resignation";
 inline constexpr const char *JobsTable = "jobs";
 inline constexpr const char *ProgressTable = "progress";
 inline constexpr const char *WorkersTable = "workers";
 
 inline RowName leaderRow() { return RowName{LeaderTable, CellPart, LeaderKey}; }
+inline RowName resignationRow() {
+  return RowName{LeaderTable, CellPart, ResignationKey};
+}
 inline RowName jobRow(const std::string &Id) {
   return RowName{JobsTable, CellPart, Id};
 }
@@ -61,6 +65,10 @@
   /// The leader was elected while it could not reach a majority of the known
   /// nodes, so the previous leader may still be in contact with them.
   bool ElectedByMinority_ = false;
+  /// All leaders from this epoch on open the row of a worker before they use
+  /// the worker, so rows that were closed since then can be relied on. During
+  /// an update a leader of an earlier release may have been in between.
+  std::int64_t LeaseRowsSince_ = 0;
 
   friend bool operator==(const LeaderRecord &, const LeaderRecord &) = default;
 };
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -47,6 +47,9 @@
 constexpr Millis BasePollDelay{80};
 constexpr std::size_t WorkersPerBaseDelay = 32;
 constexpr Millis EndedJobRemovalPeriod{5000};
+// The row of an unreachable worker is closed after this time, since many are
+// back before.
+constexpr Millis MinSilenceBeforeClosing{500};
 // A worker counts as unreachable after this many failed polls in a row.
 constexpr int PollFailuresBeforeUnreachable = 2;
 
@@ -93,7 +96,8 @@
   logEvent(Ports_, LogLevel::Info, "", "lead", "",
            "epoch=" + std::to_string(LeaderRecord_.Epoch_) + " started");
   readRegistry();
-  for (const char *Table : {JobsTable, ProgressTable, WorkersTable}) {
+  for (const char *Table :
+       {JobsTable, ProgressTable, WorkersTable, LeaderTable}) {
     ++TablesLeftToLoad_;
     loadTable(Table, "");
   }
@@ -111,6 +115,30 @@
   PendingSubmissions_.clear();
 }
 
+void Leader::resign(const std::function<void()> &Done) {
+  if (!active()) {
+    stop();
+    return Done();
+  }
+  Dispatcher_.closeLeaseRows(Millis{}, now());
+  const bool AllRecorded = Recorder_.allRecorded();
+  std::vector<dispatch::LeaseClosing> Closings;
+  for (const std::string &Id : Dispatcher_.takeWorkersToClose()) {
+    auto Closing = Dispatcher_.leaseClosing(Id);
+    // A task whose end is not recorded may start again only after the wait.
+    if (!Closing || (!AllRecorded && !Closing->Leases_))
+      continue;
+    if (Closing->Leases_)
+      Closing->Leases_->RunsKnown_ =
+          Closing->Leases_->RunsKnown_ && AllRecorded;
+    Closings.push_back(std::move(*Closing));
+  }
+  const Millis Expiry = Dispatcher_.latestLeaseEnd(now());
+  stop();
+  Recorder_.recordResignation(Closings, Expiry,
+                              [Self = shared_from_this(), Done] { Done(); });
+}
+
 void Leader::loseLeadership() {
   if (Stopped_)
     return;
@@ -152,6 +180,7 @@
     Recorder_.removeJobs(
         Dispatcher_.removeEndedJobs(now() - Settings_.StatusRetention_));
   }
+  closeLeaseRows();
   scheduleDecision();
   Ports_.Timers_.after(TickPeriod,
                        [Self = shared_from_this()] { Self->tick(); });
@@ -188,18 +217,20 @@
     return;
   ++OpenConfirmReads_;
   ConfirmSentAt_ = now();
-  Ports_.Store_.read(RowRange{LeaderTable, CellPart, LeaderKey, 1},
-                     [Self = shared_from_this(),
-                      SentAt = ConfirmSentAt_](Result<RowPage> Page) {
-                       --Self->OpenConfirmReads_;
-                       if (Self->Stopped_ || !Page)
-                         return;
-                       const auto &Rows = Page.value().Rows_;
-                       if (!Rows.empty() && Rows.front().Version_ !=
-                                                Self->LeaderRecord_.Version_)
-                         return Self->loseLeadership();
-                       Self->Recorder_.updateConfirmedAt(SentAt);
-                     });
+  Ports_.Store_.read(
+      RowRange{LeaderTable, CellPart, LeaderKey, 1},
+      [Self = shared_from_this(),
+       SentAt = ConfirmSentAt_](Result<RowPage> Page) {
+        --Self->OpenConfirmReads_;
+        if (Self->Stopped_ || !Page)
+          return;
+        Self->Recorder_.updateStoreClock(SentAt, Page.value().StoreClock_);
+        const auto &Rows = Page.value().Rows_;
+        if (!Rows.empty() &&
+            Rows.front().Version_ != Self->LeaderRecord_.Version_)
+          return Self->loseLeadership();
+        Self->Recorder_.updateConfirmedAt(SentAt);
+      });
 }
 
 void Leader::recordWorkerChanges() {
@@ -208,6 +239,27 @@
   pollWorkers();
 }
 
+// While the store fails, workers that come back could not be opened again, and
+// their leases would end.
+void Leader::closeLeaseRows() {
+  if (Recorder_.failingSince() > Millis{})
+    return;
+  Dispatcher_.closeLeaseRows(MinSilenceBeforeClosing, now());
+  const std::vector<std::string> Ids = Dispatcher_.takeWorkersToClose();
+  if (Ids.empty())
+    return;
+  Recorder_.collectChanges();
+  Recorder_.whenRecorded([Self = shared_from_this(), Ids] {
+    if (Self->Stopped_)
+      return;
+    std::vector<dispatch::LeaseClosing> Closings;
+    for (const std::string &Id : Ids)
+      if (auto Closing = Self->Dispatcher_.leaseClosing(Id))
+        Closings.push_back(std::move(*Closing));
+    Self->Recorder_.closeWorkers(Closings);
+  });
+}
+
 void Leader::pollWorkers() {
   for (const auto &[Id, Worker] : Dispatcher_.workers()) {
     PollState &State = PollStates_[Id];
@@ -280,6 +332,7 @@
     WorkersWithUnrecordedEnds_.erase(Id);
   }
   Dispatcher_.handlePollReply(Id, Reply.value(), SentAt, now());
+  Recorder_.recordWorkers(Dispatcher_.takeUnrecordedWorkers());
   for (const EndedTask &Ended : Reply.value().Ended_)
     State.LastListedEnd_ =
         std::max(State.LastListedEnd_, Ended.SequenceNumber_);
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -39,6 +39,9 @@
   void start();
   /// Stops sending orders. Callbacks that are called later do nothing.
   void stop();
+  /// Stops and tells the next leader, by way of the store, for which workers it
+  /// has to wait. Calls back when the store has answered.
+  void resign(const std::function<void()> &Done);
   bool active() const { return Loaded_ && !Stopped_; }
   const LeaderRecord &leaderRecord() const { return LeaderRecord_; }
   void setConfig(const CellConfig &Config);
@@ -78,12 +81,15 @@
   Millis now() const { return Ports_.Clock_.monotonic(); }
   bool mayIssueOrders() const;
   void loadTable(const std::string &Table, const std::string &From);
-  void loadPage(const std::string &Table, const RowPage &Page);
+  void loadPage(const std::string &Table, const RowPage &Page, Millis SentAt);
+  void loadWorkerRow(const StoredRow &Row, const StoreClockReading &Reading);
+  void loadResignation(const StoredRow &Row, const StoreClockReading &Reading);
   void finishLoad();
   void tick();
   void readRegistry();
   void confirmLeadership();
   void recordWorkerChanges();
+  void closeLeaseRows();
   void pollWorkers();
   void pollWorker(const std::string &Worker, bool Probe);
   void handlePollReply(const std::string &Worker, bool Probe, Millis SentAt,
--- a/cell/leader_load.cpp
+++ b/cell/leader_load.cpp
@@ -20,7 +20,8 @@
 void Leader::loadTable(const std::string &Table, const std::string &From) {
   Ports_.Store_.read(
       RowRange{Table, CellPart, From, LoadPageRows_},
-      [Self = shared_from_this(), Table, From](Result<RowPage> Page) {
+      [Self = shared_from_this(), Table, From,
+       SentAt = now()](Result<RowPage> Page) {
         if (Self->Stopped_)
           return;
         if (!Page) {
@@ -34,7 +35,7 @@
           });
           return;
         }
-        Self->loadPage(Table, Page.value());
+        Self->loadPage(Table, Page.value(), SentAt);
         if (Page.value().HasMore_ && !Page.value().Rows_.empty())
           return Self->loadTable(Table,
                                  Page.value().Rows_.back().Name_.Key_ + '\x01');
@@ -43,7 +44,9 @@
       });
 }
 
-void Leader::loadPage(const std::string &Table, const RowPage &Page) {
+void Leader::loadPage(const std::string &Table, const RowPage &Page,
+                      Millis SentAt) {
+  const StoreClockReading Reading{SentAt, now(), Page.StoreClock_};
   for (const StoredRow &Row : Page.Rows_) {
     const std::string &Id = Row.Name_.Key_;
     if (Table == JobsTable) {
@@ -53,12 +56,10 @@
       else
         Ports_.Log_.write(failureEvent(Spec.error(), Id));
     } else if (Table == WorkersTable) {
-      Recorder_.setWorkerRowVersion(Id, Row.Version_);
-      const auto Info = decodeWorkerRow(Row);
-      if (Info)
-        Dispatcher_.restoreWorker(Info.value());
-      else
-        Ports_.Log_.write(failureEvent(Info.error(), ""));
+      loadWorkerRow(Row, Reading);
+    } else if (Table == LeaderTable) {
+      if (Id == ResignationKey)
+        loadResignation(Row, Reading);
     } else {
       Recorder_.setProgressRowVersion(Id, Row.Version_);
       auto Progress = dispatch::decodeProgress(Row.Value_);
@@ -70,6 +71,36 @@
   }
 }
 
+void Leader::loadWorkerRow(const StoredRow &Row,
+                           const StoreClockReading &Reading) {
+  Recorder_.setWorkerRowVersion(Row.Name_.Key_, Row.Version_);
+  auto Decoded = decodeWorkerRow(Row);
+  if (!Decoded) {
+    Ports_.Log_.write(failureEvent(Decoded.error(), ""));
+    return;
+  }
+  WorkerRow &Worker = Decoded.value();
+  const bool IsClosed = Worker.Closed_ && Reading.StoreClock_ > Millis{} &&
+                        Worker.ClosedInEpoch_ >= LeaderRecord_.LeaseRowsSince_;
+  if (!IsClosed)
+    return Dispatcher_.restoreWorker(Worker.Info_);
+  Worker.Closed_->Expiry_ = latestLocalTime(Reading, Worker.Closed_->Expiry_);
+  Dispatcher_.restoreClosedWorker(Worker.Info_, *Worker.Closed_);
+}
+
+void Leader::loadResignation(const StoredRow &Row,
+                             const StoreClockReading &Reading) {
+  const auto Record = decodeResignation(Row);
+  if (!Record) {
+    Ports_.Log_.write(failureEvent(Record.error(), ""));
+    return;
+  }
+  const bool IsOfLastLeader = Record.value().Epoch_ == LeaderRecord_.Epoch_ - 1;
+  if (IsOfLastLeader && Reading.StoreClock_ > Millis{})
+    Dispatcher_.limitEarlierLeases(
+        latestLocalTime(Reading, Record.value().LeaseExpiry_));
+}
+
 void Leader::finishLoad() {
   for (const auto &[Id, Spec] : LoadedSpecs_)
     Dispatcher_.restoreJob(Spec, LoadedProgress_[Id], now());
@@ -82,6 +113,7 @@
       logEvent(Ports_, LogLevel::Error, Id, "load", "",
                "progress row of an unfinished job without a job row");
   }
+  Dispatcher_.finishRestore();
   const std::size_t JobCount = LoadedSpecs_.size();
   const std::size_t StateCount = LoadedProgress_.size();
   LoadedSpecs_.clear();
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -39,17 +39,22 @@
 constexpr std::size_t NodesPerHandOverAttempt = 3;
 constexpr Millis HandOverAttemptWindow{3000};
 constexpr Millis TakeLeadTimeout{800};
+// A leader that resigns waits no longer for the store before it asks another
+// node to take over.
+constexpr Millis ResignationTimeout{250};
 // Maximum of the random delay before this node takes over from a node that
 // denies its leadership, so that not all nodes write the leader row at once.
 constexpr int MaxJitterMillis = 120;
 
 std::string encodeLeaderRecord(const CellSettings &Settings, std::int64_t Epoch,
-                               const std::string &Incarnation) {
+                               const std::string &Incarnation,
+                               std::int64_t LeaseRowsSince) {
   Json::Value Row;
   Row["boot"] = Incarnation;
   Row["epoch"] = Json::Int64(Epoch);
   Row["node"] = Settings.Node_;
   Row["address"] = Settings.PeerListen_;
+  Row["lease_rows_since"] = Json::Int64(LeaseRowsSince);
   return writeJson(Row);
 }
 
@@ -60,6 +65,7 @@
   Record.Node_ = Value["node"].asString();
   Record.Address_ = Value["address"].asString();
   Record.Incarnation_ = Value["boot"].asString();
+  Record.LeaseRowsSince_ = Value["lease_rows_since"].asInt64();
   Record.Version_ = Row.Version_;
   return Record;
 }
@@ -299,11 +305,14 @@
     return;
   ElectionWriteOpen_ = true;
   const std::int64_t Epoch = LeaderRecord_.Epoch_ + 1;
+  const std::int64_t LeaseRowsSince =
+      LeaderRecord_.LeaseRowsSince_ > 0 ? LeaderRecord_.LeaseRowsSince_ : Epoch;
   RowTransaction Transaction;
   Transaction.Conditions_.push_back(
       RowCondition{leaderRow(), LeaderRecord_.Version_});
   Transaction.Puts_.push_back(
-      RowPut{leaderRow(), encodeLeaderRecord(Settings_, Epoch, Incarnation_)});
+      RowPut{leaderRow(), encodeLeaderRecord(Settings_, Epoch, Incarnation_,
+                                             LeaseRowsSince)});
   logEvent(
       Ports_, LogLevel::Info, "", "elect", LeaderRecord_.Address_,
       "taking over with epoch=" + std::to_string(Epoch) +
@@ -311,7 +320,7 @@
           " not_leading=" + std::to_string(ElectionInput_.DeniesLeadership_) +
           " silent_ms=" + std::to_string(ElectionInput_.LeaderSilence_.Value_));
   Ports_.Store_.transact(
-      Transaction, [Self = shared_from_this(), Epoch,
+      Transaction, [Self = shared_from_this(), Epoch, LeaseRowsSince,
                     ElectedByMinority = !ElectionInput_.MajorityReached_](
                        const Result<TransactionOutcome> &Outcome) {
         Self->ElectionWriteOpen_ = false;
@@ -329,7 +338,8 @@
           return Self->readLeaderRow();
         Self->becomeLeader(LeaderRecord{
             Epoch, Self->Settings_.Node_, Self->Settings_.PeerListen_,
-            Outcome.value().Version_, Self->Incarnation_, ElectedByMinority});
+            Outcome.value().Version_, Self->Incarnation_, ElectedByMinority,
+            LeaseRowsSince});
       });
 }
 
@@ -401,11 +411,21 @@
   Resigned_ = true;
   if (!isLeader())
     return Done();
-  Leader_->stop();
   const std::string Successor =
       strongestNode(PeerNodes_, livenessCutoff(), Random_());
-  Leader_.reset();
+  const auto Resigning = std::exchange(Leader_, nullptr);
   LeaderHeardAt_ = now();
+  const auto Finish = [Self = shared_from_this(), Successor, Done,
+                       Finished = std::make_shared<bool>(false)] {
+    if (!std::exchange(*Finished, true))
+      Self->askSuccessor(Successor, Done);
+  };
+  Ports_.Timers_.after(ResignationTimeout, Finish);
+  Resigning->resign(Finish);
+}
+
+void Member::askSuccessor(const std::string &Successor,
+                          const std::function<void()> &Done) {
   if (Successor.empty())
     return Done();
   Json::Value Params;
--- a/cell/member.h
+++ b/cell/member.h
@@ -89,6 +89,8 @@
   void followLeader(const LeaderRecord &Record);
   void askNodesToLead();
   void askNodeToLead(const std::string &Address);
+  void askSuccessor(const std::string &Successor,
+                    const std::function<void()> &Done);
   bool mayStandForElection() const;
   void tryCall(const std::shared_ptr<LeaderCall> &Call);
   void retryCall(const std::shared_ptr<LeaderCall> &Call, const Error &Failure);
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -21,24 +21,8 @@
 // Delay of the next transaction after one has failed.
 constexpr Millis RetryDelay{120};
 
-std::string encodeWorkerRow(const dispatch::WorkerInfo &Info) {
-  Json::Value Row;
-  Row["a"] = Info.Address_;
-  Row["s"] = Info.Service_;
-  return writeJson(Row);
-}
-
 } // namespace
 
-Result<dispatch::WorkerInfo> decodeWorkerRow(const StoredRow &Row) {
-  BOOST_OUTCOME_TRY(Value, parseJson(Row.Value_, "decode worker row"));
-  dispatch::WorkerInfo Info;
-  Info.Id_ = Row.Name_.Key_;
-  Info.Address_ = Value["a"].asString();
-  Info.Service_ = Value["s"].asString();
-  return Info;
-}
-
 Recorder::Recorder(const CellPorts &Ports, dispatch::Dispatcher &Dispatcher,
                    LeaderRecord Record, std::function<void()> OnLeadershipLost)
     : Ports_(Ports), Dispatcher_(Dispatcher), LeaderRecord_(std::move(Record)),
@@ -87,13 +71,85 @@
 
 void Recorder::recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers) {
   for (const dispatch::WorkerInfo &Worker : Workers) {
-    NewWorkers_[Worker.Id_] = Worker;
+    NewWorkers_[Worker.Id_] = WorkerRow{Worker, std::nullopt, 0};
     RemovedWorkers_.erase(Worker.Id_);
   }
   if (!Workers.empty())
     scheduleFlush(GroupDelay);
 }
 
+void Recorder::closeWorkers(
+    const std::vector<dispatch::LeaseClosing> &Closings) {
+  std::vector<std::string> Empty;
+  for (const dispatch::LeaseClosing &Closing : Closings) {
+    if (!Closing.Leases_) {
+      Empty.push_back(Closing.Info_.Id_);
+    } else if (auto Row = closedRow(Closing)) {
+      NewWorkers_[Closing.Info_.Id_] = std::move(*Row);
+      RemovedWorkers_.erase(Closing.Info_.Id_);
+    }
+  }
+  removeWorkers(Empty);
+  if (!NewWorkers_.empty())
+    scheduleFlush(GroupDelay);
+}
+
+std::optional<WorkerRow>
+Recorder::closedRow(const dispatch::LeaseClosing &Closing) const {
+  if (StoreClock_.StoreClock_ == Millis{})
+    return std::nullopt;
+  WorkerRow Row{Closing.Info_, Closing.Leases_, LeaderRecord_.Epoch_};
+  Row.Closed_->Expiry_ = latestStoreTime(StoreClock_, Row.Closed_->Expiry_);
+  return Row;
+}
+
+void Recorder::updateStoreClock(Millis SentAt, Millis StoreClock) {
+  if (StoreClock > Millis{})
+    StoreClock_ =
+        StoreClockReading{SentAt, Ports_.Clock_.monotonic(), StoreClock};
+}
+
+// Rows that do not fit into one transaction are written by several. A row whose
+// write fails stays open, so the next leader waits longer than it has to.
+void Recorder::recordResignation(
+    const std::vector<dispatch::LeaseClosing> &Closings, Millis Expiry,
+    const std::function<void()> &Done) {
+  if (StoreClock_.StoreClock_ == Millis{})
+    return Done();
+  const RowCondition LeaderCondition{leaderRow(), LeaderRecord_.Version_};
+  std::vector<RowTransaction> Transactions(1);
+  Transactions.back().Conditions_ = {LeaderCondition};
+  Transactions.back().Puts_ = {
+      RowPut{resignationRow(),
+             encodeResignation(Resignation{
+                 LeaderRecord_.Epoch_, latestStoreTime(StoreClock_, Expiry)})}};
+  std::size_t EntryCount = MaxEntries;
+  for (const dispatch::LeaseClosing &Closing : Closings) {
+    const std::string &Id = Closing.Info_.Id_;
+    if (isWorkerInFlight(Id))
+      continue;
+    if (EntryCount >= MaxEntries) {
+      Transactions.emplace_back().Conditions_ = {LeaderCondition};
+      EntryCount = 1;
+    }
+    RowTransaction &Transaction = Transactions.back();
+    Transaction.Conditions_.push_back(workerCondition(Id));
+    if (Closing.Leases_)
+      Transaction.Puts_.push_back(
+          RowPut{workerRow(Id), encodeWorkerRow(*closedRow(Closing))});
+    else
+      Transaction.Removes_.push_back(workerRow(Id));
+    EntryCount += 2;
+  }
+  const auto OpenCalls = std::make_shared<std::size_t>(Transactions.size());
+  for (const RowTransaction &Transaction : Transactions)
+    Ports_.Store_.transact(
+        Transaction, [OpenCalls, Done](const Result<TransactionOutcome> &) {
+          if (--*OpenCalls == 0)
+            Done();
+        });
+}
+
 void Recorder::removeWorkers(const std::vector<std::string> &Ids) {
   for (const std::string &Id : Ids) {
     RemovedWorkers_.insert(Id);
@@ -270,6 +326,7 @@
   if (!Outcome)
     return handleFailure(std::move(FinishedBatch), Outcome.error());
   FailingSince_ = Millis{};
+  updateStoreClock(FinishedBatch.SentAt_, Outcome.value().StoreClock_);
   if (!Outcome.value().Applied_)
     return handleConflict(std::move(FinishedBatch), Outcome.value().Current_);
   updateConfirmedAt(FinishedBatch.SentAt_);
@@ -283,9 +340,10 @@
   }
   for (const std::string &Id : WrittenBatch.RemovedJobs_)
     ProgressRowVersions_.erase(Id);
-  for (const auto &[Id, Info] : WrittenBatch.Workers_) {
+  for (const auto &[Id, Row] : WrittenBatch.Workers_) {
     WorkerRowVersions_[Id] = Version;
-    Dispatcher_.markWorkerRecorded(Id, Info.Address_);
+    if (!Row.Closed_)
+      Dispatcher_.markWorkerRecorded(Id, Row.Info_.Address_);
   }
   for (const std::string &Id : WrittenBatch.RemovedWorkers_)
     WorkerRowVersions_.erase(Id);
@@ -324,9 +382,9 @@
   JobsToRemove_.insert(FailedBatch.RemovedJobs_.begin(),
                        FailedBatch.RemovedJobs_.end());
   // What was queued since then is newer.
-  for (const auto &[Id, Info] : FailedBatch.Workers_)
+  for (const auto &[Id, Row] : FailedBatch.Workers_)
     if (RemovedWorkers_.count(Id) == 0)
-      NewWorkers_.try_emplace(Id, Info);
+      NewWorkers_.try_emplace(Id, Row);
   for (const std::string &Id : FailedBatch.RemovedWorkers_)
     if (NewWorkers_.count(Id) == 0)
       RemovedWorkers_.insert(Id);
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -2,6 +2,7 @@
 #define DAMASKGLADE_CELL_RECORDER_H
 
 #include "cell/context.h"
+#include "cell/worker_rows.h"
 #include "dispatch/dispatcher.h"
 
 #include <deque>
@@ -11,9 +12,6 @@
 
 namespace damaskglade::cell {
 
-/// Decodes a row of the workers table. Errors: invalid_field.
-Result<dispatch::WorkerInfo> decodeWorkerRow(const StoredRow &Row);
-
 /// Records the jobs and workers of a leader in the store with group commit:
 /// each transaction takes as many pending changes as fit. While the store is
 /// slow, several transactions with different rows are in flight. Each is
@@ -40,14 +38,27 @@
   }
   /// Removes the rows of jobs.
   void removeJobs(const std::vector<std::string> &Ids);
+  /// Writes open rows of workers.
   void recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers);
+  /// Closes or removes the rows of workers.
+  void closeWorkers(const std::vector<dispatch::LeaseClosing> &Closings);
   void removeWorkers(const std::vector<std::string> &Ids);
+  /// Records that the leader has stopped. Expiry, on this node's clock, is when
+  /// all leases of this and earlier leaders have expired. Calls back when the
+  /// store has answered, with or without success.
+  void recordResignation(const std::vector<dispatch::LeaseClosing> &Closings,
+                         Millis Expiry, const std::function<void()> &Done);
+  bool allRecorded() const {
+    return oldestUnrecordedChange() > LastChangeNumber_;
+  }
   /// When the store last confirmed the leadership of this node.
   Millis confirmedAt() const { return ConfirmedAt_; }
   /// Called when a request sent at this time has confirmed the leadership.
   void updateConfirmedAt(Millis SentAt) {
     ConfirmedAt_ = std::max(ConfirmedAt_, SentAt);
   }
+  /// Called when the store has told the time in a reply.
+  void updateStoreClock(Millis SentAt, Millis StoreClock);
   /// Start of the current store failure; zero while the store works.
   Millis failingSince() const { return FailingSince_; }
   void stop() { Stopped_ = true; }
@@ -78,7 +89,7 @@
     std::vector<NewJob> Jobs_;
     std::map<std::string, SentChange> Progress_; ///< By job.
     std::vector<std::string> RemovedJobs_;
-    std::map<std::string, dispatch::WorkerInfo> Workers_;
+    std::map<std::string, WorkerRow> Workers_;
     std::set<std::string> RemovedWorkers_;
   };
 
@@ -99,6 +110,9 @@
   bool isInFlight(const std::string &Id) const;
   bool isWorkerInFlight(const std::string &Id) const;
   RowCondition workerCondition(const std::string &Id) const;
+  /// The closed row; empty if the store has not told the time yet.
+  std::optional<WorkerRow>
+  closedRow(const dispatch::LeaseClosing &Closing) const;
   void addWorkers(Batch &NewBatch, RowTransaction &Transaction,
                   std::size_t &EntryCount);
   std::uint64_t oldestUnrecordedChange() const;
@@ -114,7 +128,8 @@
   std::map<std::string, std::int64_t> ProgressRowVersions_; ///< By job.
   std::map<std::string, std::int64_t> WorkerRowVersions_;   ///< By worker.
   std::set<std::string> JobsToRemove_;
-  std::map<std::string, dispatch::WorkerInfo> NewWorkers_;
+  /// Rows of workers to write.
+  std::map<std::string, WorkerRow> NewWorkers_;
   std::set<std::string> RemovedWorkers_;
   std::vector<Waiter> Waiters_;
   std::map<std::uint64_t, Batch> BatchesInFlight_; ///< By batch number.
@@ -123,6 +138,7 @@
   bool FlushScheduled_ = false;
   bool Stopped_ = false;
   Millis ConfirmedAt_{};
+  StoreClockReading StoreClock_; ///< The latest one.
   Millis FailingSince_{};
 };
 
--- /dev/null
+++ b/cell/worker_rows.cpp
@@ -0,0 +1,71 @@
+#include "cell/worker_rows.h"
+
+#include "core/codec.h"
+
+namespace damaskglade::cell {
+
+namespace {
+
+// A row with more runs than this does not list them.
+constexpr std::size_t MaxListedRuns = 200;
+
+} // namespace
+
+// The store read its clock after the request was sent.
+Millis latestStoreTime(const StoreClockReading &Reading, Millis LocalTime) {
+  return Reading.StoreClock_ + (LocalTime - Reading.SentAt_);
+}
+
+// The store read its clock before the reply arrived.
+Millis latestLocalTime(const StoreClockReading &Reading, Millis StoreTime) {
+  return Reading.ReceivedAt_ + (StoreTime - Reading.StoreClock_);
+}
+
+std::string encodeWorkerRow(const WorkerRow &Row) {
+  Json::Value Value;
+  Value["a"] = Row.Info_.Address_;
+  Value["s"] = Row.Info_.Service_;
+  if (Row.Closed_) {
+    Value["closed_in"] = Json::Int64(Row.ClosedInEpoch_);
+    Value["expiry"] = Json::Int64(Row.Closed_->Expiry_.Value_);
+    if (Row.Closed_->RunsKnown_ && Row.Closed_->Runs_.size() <= MaxListedRuns) {
+      Value["runs"] = Json::arrayValue;
+      for (const std::string &Task : Row.Closed_->Runs_)
+        Value["runs"].append(Task);
+    }
+  }
+  return writeJson(Value);
+}
+
+Result<WorkerRow> decodeWorkerRow(const StoredRow &Row) {
+  BOOST_OUTCOME_TRY(Value, parseJson(Row.Value_, "decode worker row"));
+  WorkerRow Decoded;
+  Decoded.Info_.Id_ = Row.Name_.Key_;
+  Decoded.Info_.Address_ = Value["a"].asString();
+  Decoded.Info_.Service_ = Value["s"].asString();
+  if (!Value.isMember("closed_in"))
+    return Decoded;
+  Decoded.ClosedInEpoch_ = Value["closed_in"].asInt64();
+  dispatch::ClosedLeases Leases;
+  Leases.Expiry_ = Millis{Value["expiry"].asInt64()};
+  Leases.RunsKnown_ = Value.isMember("runs");
+  for (const Json::Value &Task : Value["runs"])
+    Leases.Runs_.push_back(Task.asString());
+  Decoded.Closed_ = std::move(Leases);
+  return Decoded;
+}
+
+std::string encodeResignation(const Resignation &Record) {
+  Json::Value Value;
+  Value["epoch"] = Json::Int64(Record.Epoch_);
+  Value["expiry"] = Json::Int64(Record.LeaseExpiry_.Value_);
+  return writeJson(Value);
+}
+
+Result<Resignation> decodeResignation(const StoredRow &Row) {
+  BOOST_OUTCOME_TRY(Value, parseJson(Row.Value_, "decode resignation"));
+  return Resignation{Value["epoch"].asInt64(),
+                     Millis{Value["expiry"].asInt64()}};
+}
+
+} // namespace damaskglade::cell
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -163,16 +163,34 @@
   /// Applies a snapshot of the registry; workers missing from it get no new
   /// tasks.
   void setWorkers(const std::vector<WorkerInfo> &Workers, Millis Now);
-  /// Adds a worker that an earlier leader sent orders to, even if the registry
-  /// no longer lists it.
+  /// Adds a worker with an open row: earlier leaders may have started any task
+  /// there, even if the registry no longer lists it.
   void restoreWorker(const WorkerInfo &Info);
-  /// Workers that have to be stored. No task starts on a worker before that,
-  /// because a later leader has to know the worker and its address even if it
-  /// has left the registry by then.
+  /// Adds a worker whose row an earlier leader has closed.
+  void restoreClosedWorker(const WorkerInfo &Info, const ClosedLeases &Leases);
+  /// Called when the previous leader has told that all leases of earlier
+  /// leaders end by this time.
+  void limitEarlierLeases(Millis Expiry);
+  /// Called when all workers and jobs have been restored.
+  void finishRestore();
+  /// Workers whose row has to be stored as open. Before that, no task starts on
+  /// a worker and no lease is renewed there, because later leaders do not wait
+  /// for workers without an open row.
   std::vector<WorkerInfo> takeUnrecordedWorkers();
-  /// Called when the worker is stored with the given address; tasks may now
-  /// start on it.
+  /// Called when the worker has an open row with the given address; tasks may
+  /// now start on it.
   void markWorkerRecorded(const std::string &Id, const std::string &Address);
+  /// Decides which rows to close: those of workers that have been unreachable
+  /// for MinSilence, and of workers that are empty and get no tasks.
+  void closeLeaseRows(Millis MinSilence, Millis Now);
+  /// Workers whose row has to be closed or removed, once the ends that they
+  /// have reported are stored: a task whose end is lost would start again.
+  std::vector<std::string> takeWorkersToClose();
+  /// How to close the row of the worker; empty if it is to be open by now.
+  std::optional<LeaseClosing> leaseClosing(const std::string &Id) const;
+  /// Time by which all leases have ended that this and earlier leaders have
+  /// granted so far.
+  Millis latestLeaseEnd(Millis Now) const;
   /// Workers removed since the last call, whose stored rows can be deleted.
   std::vector<std::string> takeForgottenWorkers();
   /// Applies a poll reply, which lists the running and ended tasks of a worker.
@@ -190,8 +208,8 @@
   /// zero if the worker's clock is unknown.
   Millis leaseEnd(const Worker &W, Millis Now) const;
   /// The same for an order that is sent now, and remembers that it was. Zero
-  /// for workers that do not answer: their leases would never be seen to
-  /// expire.
+  /// for workers that do not answer, whose leases would never be seen to
+  /// expire, and for workers without an open row.
   Millis grantLease(const std::string &Id, Millis Now);
 
   /// Sets how many advice requests can be served at the same time.
@@ -313,8 +331,16 @@
                    const std::string &Cause, Millis Now);
   void stopStepRuns(JobRun &Job, int Step, const std::string &Cause,
                     Millis Now);
-  /// Time by which every lease that an earlier leader granted has expired.
-  Millis earlierLeaseExpiry() const;
+  /// Time by which a lease has expired that is granted at the given time.
+  Millis leaseExpiry(Millis GrantedAt) const;
+  /// Adds the worker of a row; null if it has restarted at another address.
+  Worker *restoreRow(const WorkerInfo &Info, LeaseRow Row);
+  static LeaseRow wantedLeaseRow(const Worker &W, Millis MinSilence,
+                                 Millis Now);
+  void setLeaseRow(Worker &W, LeaseRow Row);
+  /// Called when a worker was reached, or can no longer run tasks of earlier
+  /// leaders.
+  void forgetUnseenRuns(Worker &W);
   void updateClock(Worker &W, Millis Clock, Millis SentAt, Millis Now);
   void recordTaskDuration(Worker &W, const StepSpec &Step, const Run &Attempt,
                           Millis Now);
@@ -394,7 +420,8 @@
 
   const DispatchLimits Limits_;
   const std::int64_t Epoch_;
-  const Millis StartedAt_;
+  /// When every lease that an earlier leader granted has expired.
+  Millis EarlierLeaseExpiry_;
   std::map<std::string, QueuePolicy> Queues_;
   std::unordered_map<std::string, std::unique_ptr<JobRun>> Jobs_;
   /// Jobs that have not ended, or whose end is not stored, or that have runs.
@@ -420,10 +447,14 @@
   Actions PendingActions_;
   std::deque<Decision> Decisions_;
   std::vector<WorkerInfo> UnrecordedWorkers_;
+  std::vector<std::string> WorkersToClose_;
   std::vector<std::string> RemovedWorkers_;
   /// When the leases on all workers that were not polled yet have expired. They
   /// may run tasks of restored jobs until then. Zero if there are none.
   Millis RecoveryEnd_{};
+  /// Some worker not reached yet has an open row, so any task of restored jobs
+  /// may run there.
+  bool AnyTaskMayRunUnseen_ = false;
   Millis RecoveryLoggedAt_{};
   /// Workers that only urgent and long-running steps may use in this pass, so
   /// that capacity for a waiting gang builds up.
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -14,7 +14,8 @@
 
 Dispatcher::Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch,
                        Millis Now)
-    : Limits_(Limits), Epoch_(Epoch), StartedAt_(Now) {}
+    : Limits_(Limits), Epoch_(Epoch),
+      EarlierLeaseExpiry_(leaseExpiry(Now + Limits.LeaderGrace_)) {}
 
 void Dispatcher::setQueues(const std::map<std::string, QueuePolicy> &Queues) {
   // Policies of removed queues are kept for the jobs that are still in them.
@@ -279,7 +280,8 @@
 }
 
 bool Dispatcher::mayRunUnseen(const JobRun &Job, const TaskState &Task) const {
-  return Job.Restored_ && !Task.Located_ && RecoveryEnd_ > Millis{};
+  return Job.Restored_ && !Task.Located_ &&
+         (AnyTaskMayRunUnseen_ || Task.UnseenRuns_ > 0);
 }
 
 void Dispatcher::markDone(JobRun &Job, const TaskRef &Ref, Millis Now) {
--- /dev/null
+++ b/dispatch/dispatcher_leases.cpp
@@ -0,0 +1,261 @@
+// Leases on workers, and the rows that tell the next leader how long they last.
+
+#include "dispatch/dispatcher.h"
+
+#include <algorithm>
+
+namespace damaskglade::dispatch {
+
+namespace {
+
+// Worker clocks may run 2% slow, which lengthens a lease by as much on the
+// leader's clock.
+constexpr double ClockDriftFactor = 1.02;
+// Added to the calculated end of a lease before its runs count as ended. Covers
+// the difference of the clocks of two leaders over the length of a lease.
+constexpr Millis LeaseExpiryMargin{150};
+
+Millis withClockDrift(Millis Duration) {
+  return Millis{static_cast<std::int64_t>(static_cast<double>(Duration.Value_) *
+                                          ClockDriftFactor)};
+}
+
+} // namespace
+
+Millis Dispatcher::leaseExpiry(Millis GrantedAt) const {
+  return GrantedAt + withClockDrift(Limits_.Lease_) + LeaseExpiryMargin;
+}
+
+Millis Dispatcher::leaseEnd(const Worker &W, Millis Now) const {
+  if (W.WorkerClock_ == Millis{})
+    return Millis{};
+  return W.WorkerClock_ + (Now - W.ClockReadAt_) + Limits_.Lease_;
+}
+
+Millis Dispatcher::grantLease(const std::string &Id, Millis Now) {
+  const auto WorkerEntry = Workers_.find(Id);
+  if (WorkerEntry == Workers_.end() ||
+      WorkerEntry->second.Reachability_ != Reachability::Reachable ||
+      !WorkerEntry->second.Recorded_)
+    return Millis{};
+  Worker &W = WorkerEntry->second;
+  // The order may arrive although its reply is lost.
+  W.LeaseExpiry_ = std::max(W.LeaseExpiry_, leaseExpiry(Now));
+  return leaseEnd(W, Now);
+}
+
+void Dispatcher::updateClock(Worker &W, Millis Clock, Millis SentAt,
+                             Millis Now) {
+  if (Clock == Millis{})
+    return;
+  W.WorkerClock_ = Clock;
+  W.ClockReadAt_ = Now;
+  // The reply may be to an order that granted a full lease. The time from the
+  // order to its reply is added, so that Expiry is not before the lease ends.
+  const Millis Expiry =
+      Now + withClockDrift(Limits_.Lease_ + (Now - SentAt)) + LeaseExpiryMargin;
+  W.LeaseExpiry_ = std::max(W.LeaseExpiry_, Expiry);
+}
+
+Millis Dispatcher::latestLeaseEnd(Millis Now) const {
+  return std::max(EarlierLeaseExpiry_, leaseExpiry(Now));
+}
+
+void Dispatcher::limitEarlierLeases(Millis Expiry) {
+  EarlierLeaseExpiry_ = std::min(EarlierLeaseExpiry_, Expiry);
+}
+
+void Dispatcher::restoreWorker(const WorkerInfo &Info) {
+  restoreRow(Info, LeaseRow::Open);
+}
+
+void Dispatcher::restoreClosedWorker(const WorkerInfo &Info,
+                                     const ClosedLeases &Leases) {
+  Worker *W = restoreRow(Info, LeaseRow::Closed);
+  if (!W)
+    return;
+  W->LeaseExpiry_ = Leases.Expiry_;
+  W->UnseenRunsKnown_ = Leases.RunsKnown_;
+  for (const std::string &Name : Leases.Runs_)
+    if (const auto Ref = parseTaskName(Name))
+      W->UnseenRuns_.push_back(Ref.value());
+}
+
+// The registry may have been read before. A worker that it lists at another
+// address has restarted since its row was written, so nothing runs there.
+Worker *Dispatcher::restoreRow(const WorkerInfo &Info, LeaseRow Row) {
+  const bool Added = Workers_.count(Info.Id_) == 0;
+  Worker &W = ensureWorker(Info.Id_);
+  if (Added) {
+    W.Info_ = Info;
+    W.Registered_ = false;
+  }
+  if (W.Info_.Address_ != Info.Address_)
+    return nullptr;
+  W.LeaseRow_ = Row;
+  W.Recorded_ = Row == LeaseRow::Open;
+  W.LeaseExpiry_ = EarlierLeaseExpiry_;
+  return &W;
+}
+
+void Dispatcher::finishRestore() {
+  for (auto &[Id, W] : Workers_) {
+    if (W.LeaseRow_ == LeaseRow::Open && W.LeaseExpiry_ > Millis{})
+      W.LeaseExpiry_ = std::min(W.LeaseExpiry_, EarlierLeaseExpiry_);
+    for (const TaskRef &Ref : W.UnseenRuns_)
+      if (TaskState *Task = task(Ref))
+        ++Task->UnseenRuns_;
+  }
+}
+
+void Dispatcher::forgetUnseenRuns(Worker &W) {
+  for (const TaskRef &Ref : std::exchange(W.UnseenRuns_, {}))
+    if (TaskState *Task = task(Ref); Task && Task->UnseenRuns_ > 0)
+      --Task->UnseenRuns_;
+  W.UnseenRunsKnown_ = false;
+}
+
+std::vector<WorkerInfo> Dispatcher::takeUnrecordedWorkers() {
+  std::vector<WorkerInfo> Unrecorded = std::exchange(UnrecordedWorkers_, {});
+  std::erase_if(Unrecorded, [this](const WorkerInfo &Info) {
+    const Worker *W = findWorker(Info.Id_);
+    return !W || W->Recorded_ || W->LeaseRow_ != LeaseRow::Open;
+  });
+  return Unrecorded;
+}
+
+std::vector<std::string> Dispatcher::takeWorkersToClose() {
+  return std::exchange(WorkersToClose_, {});
+}
+
+void Dispatcher::markWorkerRecorded(const std::string &Id,
+                                    const std::string &Address) {
+  const auto WorkerEntry = Workers_.find(Id);
+  if (WorkerEntry != Workers_.end() &&
+      WorkerEntry->second.Info_.Address_ == Address)
+    WorkerEntry->second.Recorded_ =
+        WorkerEntry->second.LeaseRow_ == LeaseRow::Open;
+}
+
+LeaseRow Dispatcher::wantedLeaseRow(const Worker &W, Millis MinSilence,
+                                    Millis Now) {
+  const bool HasRuns = !W.Tasks_.empty() || !W.UnexpectedRuns_.empty();
+  const bool IsSilent =
+      W.UnreachableSince_ > Millis{} && Now >= W.UnreachableSince_ + MinSilence;
+  switch (W.Reachability_) {
+  case Reachability::Reachable: {
+    const bool MayGetTasks = W.Registered_ && !W.Info_.Draining_;
+    return HasRuns || MayGetTasks ? LeaseRow::Open : LeaseRow::None;
+  }
+  case Reachability::Unreachable:
+    if (!IsSilent)
+      return W.LeaseRow_;
+    return HasRuns ? LeaseRow::Closed : LeaseRow::None;
+  case Reachability::Unknown:
+    // A worker that has just joined is stored before it is reached.
+    if (W.LeaseRow_ == LeaseRow::Open && IsSilent && W.LeaseExpiry_ > Millis{})
+      return LeaseRow::Closed;
+    return W.LeaseRow_;
+  case Reachability::Expired:
+  case Reachability::Replaced:
+    return HasRuns ? W.LeaseRow_ : LeaseRow::None;
+  }
+  return W.LeaseRow_;
+}
+
+void Dispatcher::setLeaseRow(Worker &W, LeaseRow Row) {
+  if (W.LeaseRow_ == Row)
+    return;
+  W.LeaseRow_ = Row;
+  W.Recorded_ = false;
+  if (Row == LeaseRow::Open)
+    UnrecordedWorkers_.push_back(W.Info_);
+  else
+    WorkersToClose_.push_back(W.Info_.Id_);
+}
+
+void Dispatcher::closeLeaseRows(Millis MinSilence, Millis Now) {
+  for (auto &[Id, W] : Workers_)
+    setLeaseRow(W, wantedLeaseRow(W, MinSilence, Now));
+}
+
+std::optional<LeaseClosing>
+Dispatcher::leaseClosing(const std::string &Id) const {
+  const Worker *W = findWorker(Id);
+  if (!W || W->LeaseRow_ == LeaseRow::Open)
+    return std::nullopt;
+  LeaseClosing Closing{W->Info_, std::nullopt};
+  if (W->LeaseRow_ == LeaseRow::None)
+    return Closing;
+  ClosedLeases Leases;
+  Leases.Expiry_ = W->LeaseExpiry_;
+  Leases.RunsKnown_ = W->Reachability_ == Reachability::Unreachable;
+  if (Leases.RunsKnown_) {
+    for (const TaskRef &Ref : W->Tasks_)
+      Leases.Runs_.push_back(taskName(Ref));
+    for (const UnexpectedRun &UnexpectedEntry : W->UnexpectedRuns_)
+      Leases.Runs_.push_back(UnexpectedEntry.Task_);
+  }
+  Closing.Leases_ = std::move(Leases);
+  return Closing;
+}
+
+// Logs once a second how many tasks wait for workers that earlier leaders used.
+void Dispatcher::logRecovery(int UnseenWorkers, Millis Now) {
+  constexpr Millis LogPeriod{1000};
+  if (UnseenWorkers == 0 || Now < RecoveryLoggedAt_ + LogPeriod)
+    return;
+  RecoveryLoggedAt_ = Now;
+  int HeldTasks = 0;
+  int HeldLongRunningTasks = 0;
+  for (const auto &[Id, Job] : ActiveJobs_)
+    for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step)
+      for (const TaskState &Task : Job->Steps_[Step].Tasks_) {
+        if (!Job->Steps_[Step].Ready_ || Task.Done_ || Task.Run_ ||
+            !mayRunUnseen(*Job, Task))
+          continue;
+        ++HeldTasks;
+        HeldLongRunningTasks += Job->Spec_.Steps_[Step].LongRunning_ ? 1 : 0;
+      }
+  log("", "recover", "",
+      "tasks=" + std::to_string(HeldTasks) +
+          " long_running=" + std::to_string(HeldLongRunningTasks) +
+          " wait for workers=" + std::to_string(UnseenWorkers) +
+          " not reached yet, wait_ms=" +
+          std::to_string((RecoveryEnd_ - Now).Value_));
+}
+
+void Dispatcher::expireUnreachable(Millis Now) {
+  RecoveryEnd_ = Millis{};
+  AnyTaskMayRunUnseen_ = false;
+  bool AnyExpired = false;
+  int UnseenWorkers = 0;
+  for (auto &[Id, W] : Workers_) {
+    const bool IsUnknown = W.Reachability_ == Reachability::Unknown;
+    if (!IsUnknown && W.Reachability_ != Reachability::Unreachable)
+      continue;
+    // Earlier leaders have not used the worker.
+    if (IsUnknown && W.LeaseExpiry_ == Millis{})
+      continue;
+    if (Now > W.LeaseExpiry_) {
+      log("", "worker", Id,
+          IsUnknown ? "not reached yet, leases of earlier leaders have expired"
+                    : "unreachable until its leases expired, its runs are "
+                      "lost");
+      forgetUnseenRuns(W);
+      W.Reachability_ = Reachability::Expired;
+      AnyExpired = true;
+      dropLostRuns(W, "leases expired", nullptr, Now);
+    } else if (IsUnknown) {
+      RecoveryEnd_ = std::max(RecoveryEnd_, W.LeaseExpiry_);
+      AnyTaskMayRunUnseen_ = AnyTaskMayRunUnseen_ || !W.UnseenRunsKnown_;
+      ++UnseenWorkers;
+    }
+  }
+  logRecovery(UnseenWorkers, Now);
+  // The next leader would wait for them again if it found their rows.
+  if (AnyExpired)
+    removeGoneWorkers(Now);
+}
+
+} // namespace damaskglade::dispatch
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -4,21 +4,6 @@
 
 namespace damaskglade::dispatch {
 
-namespace {
-
-// Worker clocks may run 2% slow, which lengthens a lease by as much on the
-// leader's clock.
-constexpr double ClockDriftFactor = 1.02;
-// Added to the calculated end of a lease before its runs count as ended.
-constexpr Millis LeaseExpiryMargin{150};
-
-Millis withClockDrift(Millis Duration) {
-  return Millis{static_cast<std::int64_t>(static_cast<double>(Duration.Value_) *
-                                          ClockDriftFactor)};
-}
-
-} // namespace
-
 WorkerTarget Dispatcher::target(const Worker &W) const {
   return WorkerTarget{W.Info_.Id_, W.Info_.Address_, Epoch_};
 }
@@ -37,52 +22,6 @@
   return WorkerEntry->second;
 }
 
-Millis Dispatcher::leaseEnd(const Worker &W, Millis Now) const {
-  if (W.WorkerClock_ == Millis{})
-    return Millis{};
-  return W.WorkerClock_ + (Now - W.ClockReadAt_) + Limits_.Lease_;
-}
-
-Millis Dispatcher::grantLease(const std::string &Id, Millis Now) {
-  const auto WorkerEntry = Workers_.find(Id);
-  if (WorkerEntry == Workers_.end() ||
-      WorkerEntry->second.Reachability_ != Reachability::Reachable)
-    return Millis{};
-  Worker &W = WorkerEntry->second;
-  // The order may arrive although its reply is lost.
-  W.LeaseExpiry_ = std::max(
-      W.LeaseExpiry_, Now + withClockDrift(Limits_.Lease_) + LeaseExpiryMargin);
-  return leaseEnd(W, Now);
-}
-
-Millis Dispatcher::earlierLeaseExpiry() const {
-  return StartedAt_ + Limits_.LeaderGrace_ + withClockDrift(Limits_.Lease_) +
-         LeaseExpiryMargin;
-}
-
-void Dispatcher::restoreWorker(const WorkerInfo &Info) {
-  const bool Added = Workers_.count(Info.Id_) == 0;
-  Worker &W = ensureWorker(Info.Id_);
-  if (Added) {
-    W.Info_ = Info;
-    W.Registered_ = false;
-    W.LeaseExpiry_ = earlierLeaseExpiry();
-  }
-  W.Recorded_ = W.Info_.Address_ == Info.Address_;
-}
-
-void Dispatcher::markWorkerRecorded(const std::string &Id,
-                                    const std::string &Address) {
-  const auto WorkerEntry = Workers_.find(Id);
-  if (WorkerEntry != Workers_.end() &&
-      WorkerEntry->second.Info_.Address_ == Address)
-    WorkerEntry->second.Recorded_ = true;
-}
-
-std::vector<WorkerInfo> Dispatcher::takeUnrecordedWorkers() {
-  return std::exchange(UnrecordedWorkers_, {});
-}
-
 std::vector<std::string> Dispatcher::takeForgottenWorkers() {
   return std::exchange(RemovedWorkers_, {});
 }
@@ -98,12 +37,6 @@
     const bool Moved = !Added && W.Info_.Address_ != Info.Address_;
     if (Moved)
       handleMove(W, Info, Now);
-    if (Added || Moved) {
-      // Tasks that an earlier leader started may run until their leases end.
-      W.LeaseExpiry_ = earlierLeaseExpiry();
-      W.UnreachableSince_ = Now;
-      UnrecordedWorkers_.push_back(Info);
-    }
     const bool StartsDraining = Info.Draining_ && !W.Info_.Draining_ && !Added;
     // Replaces the whole entry, including the draining state.
     W.Info_ = Info;
@@ -111,6 +44,9 @@
     W.LargestCapacity_ =
         Moved ? Info.Capacity_ : largest(W.LargestCapacity_, Info.Capacity_);
     W.Registered_ = true;
+    // No leader has started a task on a process without an open row.
+    if ((Added || Moved) && !Info.Draining_)
+      setLeaseRow(W, LeaseRow::Open);
     if (StartsDraining)
       log("", "worker", Info.Id_, "draining");
   }
@@ -136,6 +72,7 @@
       ++WorkerEntry;
       continue;
     }
+    forgetUnseenRuns(WorkerEntry->second);
     RemovedWorkers_.push_back(WorkerEntry->first);
     WorkersByIndex_[static_cast<std::size_t>(W.Index_)] = nullptr;
     WorkerEntry = Workers_.erase(WorkerEntry);
@@ -224,10 +161,13 @@
 void Dispatcher::handleMove(Worker &W, const WorkerInfo &Info, Millis Now) {
   log("", "worker", Info.Id_, "has restarted at " + Info.Address_);
   dropCrashedRuns(W, "restart at another address", nullptr, Now);
+  forgetUnseenRuns(W);
   W.Reachability_ = Reachability::Unknown;
   W.MovedAt_ = Now;
   W.WorkerClock_ = Millis{};
-  W.Recorded_ = false;
+  W.LeaseExpiry_ = Millis{};
+  W.UnreachableSince_ = Millis{};
+  setLeaseRow(W, LeaseRow::None);
 }
 
 // Only one process can listen at an address, so the process of the worker has
@@ -245,6 +185,9 @@
       },
       Now);
   W.WorkerClock_ = Millis{};
+  forgetUnseenRuns(W);
+  if (W.UnreachableSince_ == Millis{})
+    W.UnreachableSince_ = Now;
   if (!W.Tasks_.empty()) {
     W.Reachability_ = Reachability::Unreachable;
     return;
@@ -253,85 +196,20 @@
   W.LeaseExpiry_ = Millis{};
 }
 
-void Dispatcher::updateClock(Worker &W, Millis Clock, Millis SentAt,
-                             Millis Now) {
-  if (Clock == Millis{})
-    return;
-  W.WorkerClock_ = Clock;
-  W.ClockReadAt_ = Now;
-  // The reply may be to an order that granted a full lease. The time from the
-  // order to its reply is added, so that Expiry is not before the lease ends.
-  const Millis Expiry =
-      Now + withClockDrift(Limits_.Lease_ + (Now - SentAt)) + LeaseExpiryMargin;
-  W.LeaseExpiry_ = std::max(W.LeaseExpiry_, Expiry);
-}
-
 void Dispatcher::handlePollFailure(const std::string &Id, const Error &Failure,
                                    Millis Now) {
   const auto WorkerEntry = Workers_.find(Id);
   if (WorkerEntry == Workers_.end())
     return;
   Worker &W = WorkerEntry->second;
+  if (W.UnreachableSince_ == Millis{})
+    W.UnreachableSince_ = Now;
   // A refused connection does not prove that the worker has stopped: some
   // network partitions refuse connections to workers that keep running.
   if (W.Reachability_ == Reachability::Reachable) {
     log("", "look at worker", Id, "unreachable: " + Failure.Message_);
     W.Reachability_ = Reachability::Unreachable;
-    W.UnreachableSince_ = Now;
-  }
-}
-
-// Logs once a second how many tasks wait for workers that earlier leaders used.
-void Dispatcher::logRecovery(int UnseenWorkers, Millis Now) {
-  constexpr Millis LogPeriod{1000};
-  if (UnseenWorkers == 0 || Now < RecoveryLoggedAt_ + LogPeriod)
-    return;
-  RecoveryLoggedAt_ = Now;
-  int HeldTasks = 0;
-  int HeldLongRunningTasks = 0;
-  for (const auto &[Id, Job] : ActiveJobs_)
-    for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step)
-      for (const TaskState &Task : Job->Steps_[Step].Tasks_) {
-        if (!Job->Steps_[Step].Ready_ || Task.Done_ || Task.Run_ ||
-            !mayRunUnseen(*Job, Task))
-          continue;
-        ++HeldTasks;
-        HeldLongRunningTasks += Job->Spec_.Steps_[Step].LongRunning_ ? 1 : 0;
-      }
-  log("", "recover", "",
-      "tasks=" + std::to_string(HeldTasks) +
-          " long_running=" + std::to_string(HeldLongRunningTasks) +
-          " wait for workers=" + std::to_string(UnseenWorkers) +
-          " not reached yet, wait_ms=" +
-          std::to_string((RecoveryEnd_ - Now).Value_));
-}
-
-void Dispatcher::expireUnreachable(Millis Now) {
-  RecoveryEnd_ = Millis{};
-  bool AnyExpired = false;
-  int UnseenWorkers = 0;
-  for (auto &[Id, W] : Workers_) {
-    if (W.Reachability_ != Reachability::Unknown &&
-        W.Reachability_ != Reachability::Unreachable)
-      continue;
-    if (Now > W.LeaseExpiry_) {
-      const bool WasReached = W.Reachability_ == Reachability::Unreachable;
-      log("", "worker", Id,
-          WasReached ? "unreachable until its leases expired, its runs are lost"
-                     : "not reached yet, leases of earlier leaders have "
-                       "expired");
-      W.Reachability_ = Reachability::Expired;
-      AnyExpired = true;
-      dropLostRuns(W, "leases expired", nullptr, Now);
-    } else if (W.Reachability_ == Reachability::Unknown) {
-      RecoveryEnd_ = std::max(RecoveryEnd_, W.LeaseExpiry_);
-      ++UnseenWorkers;
-    }
   }
-  logRecovery(UnseenWorkers, Now);
-  // The next leader would wait for them again if it found their rows.
-  if (AnyExpired)
-    removeGoneWorkers(Now);
 }
 
 void Dispatcher::handlePollReply(const std::string &Id, const PollReply &Reply,
@@ -369,7 +247,9 @@
   // granted by them no longer matter.
   if (W.Reachability_ == Reachability::Unknown)
     W.LeaseExpiry_ = Millis{};
+  forgetUnseenRuns(W);
   W.Reachability_ = Reachability::Reachable;
+  W.UnreachableSince_ = Millis{};
   updateClock(W, Reply.Clock_, SentAt, Now);
   for (const EndedTask &End : Reply.Ended_)
     handleEnd(W, End, Now);
@@ -377,6 +257,8 @@
     handleRunning(W, Entry, SentAt, Now);
   removeMissingRuns(W, Reply, SentAt, Now);
   stopStalledRuns(W, Now);
+  if (wantedLeaseRow(W, Millis{}, Now) == LeaseRow::Open)
+    setLeaseRow(W, LeaseRow::Open);
   WorkersToPace_.insert(Id);
 }
 
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/job.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,6 +33,30 @@
   Replaced,    ///< Another worker has its address; its process has ended.
 };
 
+/// What the store tells later leaders of the leases on a worker.
+enum class LeaseRow {
+  None,   ///< Nothing runs there.
+  Open,   ///< The leader may start tasks there and renew their leases.
+  Closed, ///< The leader gives no leases, and those that it gave end.
+};
+
+/// Content of a closed row: how long tasks may still run on a worker.
+struct ClosedLeases {
+  Millis Expiry_{};        ///< On the clock of the leader that has the value.
+  bool RunsKnown_ = false; ///< No tasks other than Runs_ can run there.
+  std::vector<std::string> Runs_; ///< Names of tasks.
+
+  friend bool operator==(const ClosedLeases &, const ClosedLeases &) = default;
+};
+
+/// A worker whose row has to be closed or removed.
+struct LeaseClosing {
+  WorkerInfo Info_;
+  std::optional<ClosedLeases> Leases_; ///< Empty: the row is removed.
+
+  friend bool operator==(const LeaseClosing &, const LeaseClosing &) = default;
+};
+
 /// Failures on a worker since its last completed task. A worker that fails the
 /// tasks of several jobs is quarantined: it gets no tasks for some seconds.
 struct WorkerHealth {
@@ -67,7 +92,8 @@
   /// Position in Dispatcher::WorkersByIndex_, not reused for another worker.
   int Index_ = 0;
   bool Registered_ = true; ///< Listed in the latest registry snapshot.
-  bool Recorded_ = false;  ///< Stored, so that later leaders know it.
+  LeaseRow LeaseRow_ = LeaseRow::None; ///< The row that the worker should have.
+  bool Recorded_ = false; ///< The store has an open row with its address.
   Reachability Reachability_ = Reachability::Unknown;
   /// Start time of the worker process, Unix milliseconds; changes on a restart.
   std::int64_t ProcessStart_ = 0;
@@ -88,6 +114,10 @@
   std::int64_t LastEnd_ = 0;
   std::set<TaskRef> Tasks_; ///< Tasks that have a run on this worker.
   std::vector<UnexpectedRun> UnexpectedRuns_;
+  /// Tasks that an earlier leader has left running here, until the worker is
+  /// reached. Meaningful if its row was closed with known runs.
+  std::vector<TaskRef> UnseenRuns_;
+  bool UnseenRunsKnown_ = false;
   int Fillers_ = 0;     ///< Number of filler runs (StepSpec::Filler_).
   int ServingRuns_ = 0; ///< Number of runs with a latency target.
   Millis MovedAt_{};    ///< When the registry gave another address for it.
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -56,6 +56,8 @@
   /// This leader has started the task or found it running, so no attempt of an
   /// earlier leader runs on a worker that was not polled yet.
   bool Located_ = false;
+  /// Workers not reached yet on which an earlier leader has left it running.
+  int UnseenRuns_ = 0;
 };
 
 /// The state of a step and of its tasks.
--- a/ports/row_store.h
+++ b/ports/row_store.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_PORTS_ROW_STORE_H
 #define DAMASKGLADE_PORTS_ROW_STORE_H
 
+#include "core/clock.h"
 #include "core/error.h"
 
 #include <cstdint>
@@ -54,6 +55,8 @@
   bool Applied_ = false;
   std::int64_t Version_ = 0;       ///< Version of the rows written, if applied.
   std::vector<StoredRow> Current_; ///< Rows of the conditions, if not applied.
+  /// The store's steady clock when it answered; zero if it was not sent.
+  Millis StoreClock_{};
 
   friend bool operator==(const TransactionOutcome &,
                          const TransactionOutcome &) = default;
@@ -73,6 +76,8 @@
   bool HasMore_ = false;
   std::int64_t Version_ = 0; ///< Newest version of the store.
   bool HistoryLost_ = false; ///< Feed only: changes were missed; read again.
+  /// The store's steady clock when it answered; zero if it was not sent.
+  Millis StoreClock_{};
 
   friend bool operator==(const RowPage &, const RowPage &) = default;
 };
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -12,6 +12,11 @@
 constexpr Millis StoreTimeout{1500};
 constexpr Millis WorkerTimeout{700};
 
+Error refused(const std::string &Step) {
+  return Error{
+      Reason::ConnectFailed, Effect::None, Step, "fake", "refused", {}};
+}
+
 Error timeout(const std::string &Step) {
   return Error{Reason::Timeout, Effect::Unknown, Step, "fake", "no answer", {}};
 }
@@ -67,8 +72,11 @@
     return;
   Loop_.after(StoreState_.Delay_, [this, Transaction, Done] {
     switch (StoreState_.StoreModes_[Node_]) {
-    case StoreMode::Healthy:
-      return Done(StoreState_.apply(Transaction));
+    case StoreMode::Healthy: {
+      TransactionOutcome Outcome = StoreState_.apply(Transaction);
+      Outcome.StoreClock_ = Loop_.monotonic() + StoreState_.ClockOffset_;
+      return Done(std::move(Outcome));
+    }
     case StoreMode::Rejects:
       return Done(Error{
           Reason::TableUnavailable, Effect::None, "write", "fake", "503", {}});
@@ -103,6 +111,7 @@
     constexpr std::size_t PageRows = 3;
     RowPage Page;
     Page.Version_ = StoreState_.Version_;
+    Page.StoreClock_ = Loop_.monotonic() + StoreState_.ClockOffset_;
     for (const auto &[Name, Row] : StoreState_.Rows_) {
       if (Name.Table_ != Range.Table_ || Name.Partition_ != Range.Partition_ ||
           Name.Key_ < Range.FirstKey_)
@@ -138,6 +147,15 @@
   return &State;
 }
 
+template <typename Handler>
+void FakeWorkerClient::fail(const std::string &Id, const std::string &Step,
+                            const Handler &Done) {
+  const bool Refuses = Fleet_.Workers_[Id].Refuses_ && IsReachable_(Id);
+  Loop_.after(Refuses ? WorkerDelay : WorkerTimeout, [Done, Refuses, Step] {
+    Done(Refuses ? refused(Step) : timeout(Step));
+  });
+}
+
 void FakeWorkerClient::end(FakeWorkerState &Worker, const std::string &Task,
                            TaskEnd Cause) {
   const std::int64_t Attempt = Worker.Running_[Task];
@@ -152,10 +170,8 @@
                              const StartOrder &Order, OrderHandler Done) {
   Loop_.after(WorkerDelay, [this, Worker, Order, Done] {
     FakeWorkerState *Target = findReachable(Worker);
-    if (!Target) {
-      Loop_.after(WorkerTimeout, [Done] { Done(timeout("start")); });
-      return;
-    }
+    if (!Target)
+      return fail(Worker.Worker_, "start", Done);
     OrderReply Reply{OrderOutcome::Done, Loop_.monotonic()};
     if (Worker.FencingToken_ < Target->HighestEpoch_)
       Reply.Outcome_ = OrderOutcome::Fenced;
@@ -198,10 +214,8 @@
                             std::int64_t Attempt, OrderHandler Done) {
   Loop_.after(WorkerDelay, [this, Worker, Task, Attempt, Done] {
     FakeWorkerState *Target = findReachable(Worker);
-    if (!Target) {
-      Loop_.after(WorkerTimeout, [Done] { Done(timeout("stop")); });
-      return;
-    }
+    if (!Target)
+      return fail(Worker.Worker_, "stop", Done);
     if (Worker.FencingToken_ < Target->HighestEpoch_)
       return Done(OrderReply{OrderOutcome::Fenced, Loop_.monotonic()});
     Target->HighestEpoch_ = Worker.FencingToken_;
@@ -219,10 +233,8 @@
                             std::function<void(Result<PollReply>)> Done) {
   Loop_.after(WorkerDelay, [this, Worker, Request, Done] {
     FakeWorkerState *Target = findReachable(Worker);
-    if (!Target) {
-      Loop_.after(WorkerTimeout, [Done] { Done(timeout("look")); });
-      return;
-    }
+    if (!Target)
+      return fail(Worker.Worker_, "look", Done);
     if (Worker.FencingToken_ < Target->HighestEpoch_) {
       PollReply FencedReply;
       FencedReply.Outcome_ = OrderOutcome::Fenced;
@@ -251,16 +263,15 @@
     const std::function<void(Result<PollReply>)> &Done) {
   const FakeWorkerState &Worker = Fleet_.Workers_[Id];
   constexpr Millis PollInterval{5};
-  if (Worker.Ended_.empty() && Loop_.monotonic() < Deadline) {
+  if (Worker.Ended_.empty() && Loop_.monotonic() < Deadline &&
+      !Worker.Refuses_) {
     Loop_.after(PollInterval, [this, Id, Deadline, Done] {
       sendPollReply(Id, Deadline, Done);
     });
     return;
   }
-  if (!Worker.Reachable_ || !IsReachable_(Id)) {
-    Loop_.after(WorkerTimeout, [Done] { Done(timeout("look")); });
-    return;
-  }
+  if (!Worker.Reachable_ || !IsReachable_(Id))
+    return fail(Id, "look", Done);
   PollReply Reply;
   Reply.Clock_ = Loop_.monotonic();
   Reply.ProcessStart_ = Worker.ProcessStart_;
@@ -518,6 +529,7 @@
 void FakeCell::removeWorker(const std::string &Id) {
   FakeWorkerState &Worker = Fleet_.Workers_.at(Id);
   Worker.Reachable_ = false;
+  Worker.Refuses_ = true;
   Worker.Running_.clear();
   ++Worker.ProcessStart_;
 }
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -47,7 +47,8 @@
   std::int64_t Version_ = 0;
   std::map<std::string, StoreMode> StoreModes_; ///< By node.
   int Writes_ = 0;
-  Millis Delay_{5};     ///< Delay of all replies.
+  Millis Delay_{5};            ///< Delay of all replies.
+  Millis ClockOffset_{-40000}; ///< From the clock of the nodes to the store's.
   int MaxPageRows_ = 0; ///< Reads of larger pages time out; zero: no limit.
   /// Nodes whose reads of the jobs table time out.
   std::set<std::string> NodesWithoutJobReads_;
@@ -84,6 +85,7 @@
   std::int64_t ProcessStart_ = 1; ///< Start time of the worker process.
   Millis LeaseEnd_{};
   bool Reachable_ = true;
+  bool Refuses_ = false; ///< The process has ended: connections are refused.
   bool LosesPollReplies_ = false;  ///< Polls take effect but time out.
   bool LosesStartReplies_ = false; ///< Starts take effect but time out.
   std::map<std::string, std::int64_t> Running_; ///< Attempt by task.
@@ -127,6 +129,10 @@
 
 private:
   FakeWorkerState *findReachable(const WorkerTarget &Worker);
+  /// Reports that the worker was not reached.
+  template <typename Handler>
+  void fail(const std::string &Id, const std::string &Step,
+            const Handler &Done);
   void end(FakeWorkerState &Worker, const std::string &Task, TaskEnd Cause);
   void sendPollReply(const std::string &Id, Millis Deadline,
                      const std::function<void(Result<PollReply>)> &Done);
--- a/tests/cell/recorder_test.cpp
+++ b/tests/cell/recorder_test.cpp
@@ -47,7 +47,7 @@
     const auto Row = State_.Rows_.find(workerRow(Id));
     return Row == State_.Rows_.end()
                ? "absent"
-               : decodeWorkerRow(Row->second).value().Address_;
+               : decodeWorkerRow(Row->second).value().Info_.Address_;
   }
   FakeStoreState State_;
   std::deque<Held> Held_;
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -109,4 +109,51 @@
   BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
 }
 
+// Guards against a task that runs again although its worker has reported its
+// end: the leader fails before it records the end, and the worker is empty.
+BOOST_AUTO_TEST_CASE(UnrecordedEndOnADrainedWorkerIsNotForgotten) {
+  FakeCell Cell(4, 2);
+  const std::string First = waitForLeader(Cell);
+  Cell.submit(First, jobId(1), 1, Millis{2000});
+  Cell.Loop_.run(Millis{500});
+  Cell.drainWorker(workerOf(Cell, jobId(1)));
+  Cell.Loop_.run(Millis{1000});
+  Cell.StoreState_.StoreModes_[First] = StoreMode::Rejects;
+  Cell.Loop_.run(Millis{900});
+  Cell.killNode(First);
+  Cell.Loop_.run(Millis{12000});
+  BOOST_TEST(Cell.Fleet_.Starts_[taskOf(jobId(1))] == 1);
+  BOOST_TEST(
+      (Cell.state(Cell.leader(), jobId(1)) == dispatch::JobState::Complete));
+}
+
+// Guards against reliance on rows that a leader of an earlier release, which
+// starts tasks without opening rows, may have left closed.
+BOOST_AUTO_TEST_CASE(ClosedRowsFromBeforeAnEarlierReleaseAreNotReliedOn) {
+  FakeCell Cell(4, 2);
+  const std::string First = waitForLeader(Cell);
+  Cell.submitLongRunning(First, jobId(1), 1);
+  Cell.Loop_.run(Millis{1000});
+  const std::string Worker = workerOf(Cell, jobId(1));
+  StoredRow &Row = Cell.StoreState_.Rows_[cell::workerRow(Worker)];
+  Row.Value_ = R"({"a":")" + Worker +
+               R"(","s":"desk","closed_in":1,"expiry":1,"runs":[]})";
+  StoredRow &LeaderRow = Cell.StoreState_.Rows_[cell::leaderRow()];
+  const std::size_t Field = LeaderRow.Value_.find("\"lease_rows_since\"");
+  BOOST_TEST_REQUIRE(Field != std::string::npos);
+  LeaderRow.Value_.replace(Field, 1, "\"old_");
+  for (const char *Node : {"n1", "n2", "n3", "n4"})
+    if (Node != First) {
+      Cell.killNode(Node);
+      Cell.startNode(Node);
+    }
+  Cell.Loop_.run(Millis{1500});
+  Cell.Fleet_.Workers_[Worker].Reachable_ = false;
+  Cell.killNode(First);
+  Cell.Loop_.run(Millis{6000});
+  BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
+  Cell.Loop_.run(Millis{6000});
+  BOOST_TEST(Cell.Fleet_.Starts_[taskOf(jobId(1))] == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/dispatch/lease_rows_test.cpp
@@ -0,0 +1,185 @@
+#include "tests/dispatch/fixture.h"
+
+using namespace damaskglade;
+using namespace damaskglade::dispatch;
+using namespace damaskglade::dispatch::testing;
+
+namespace {
+
+const Error Refused{Reason::ConnectFailed, Effect::None, "look", "w",
+                    "refused"};
+
+WorkerInfo drainingWorker(const std::string &Id) {
+  WorkerInfo Info = makeWorker(Id);
+  Info.Draining_ = true;
+  return Info;
+}
+
+/// How the rows are to be closed that planning would close now.
+std::vector<LeaseClosing> closeRows(DispatcherFixture &Fixture) {
+  Fixture.Dispatcher_.closeLeaseRows(Millis{}, Fixture.Now_);
+  std::vector<LeaseClosing> Closings;
+  for (const std::string &Id : Fixture.Dispatcher_.takeWorkersToClose())
+    if (const auto Closing = Fixture.Dispatcher_.leaseClosing(Id))
+      Closings.push_back(*Closing);
+  return Closings;
+}
+
+JobSpec restoreActiveJob(DispatcherFixture &Fixture, int Tasks) {
+  JobProgress Progress;
+  Progress.State_ = JobState::Active;
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(Tasks, 1000)});
+  Fixture.Dispatcher_.restoreJob(Job, Progress, Fixture.Now_);
+  return Job;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LeaseRows)
+
+// Guards against a wait for workers that no earlier leader has used.
+BOOST_AUTO_TEST_CASE(WorkerWithoutARowDelaysNoRestoredTask) {
+  DispatcherFixture Fixture(2);
+  restoreActiveJob(Fixture, 1);
+  Fixture.Dispatcher_.setWorkers({makeWorker("w1"), makeWorker("w2")},
+                                 Fixture.Now_);
+  Fixture.Dispatcher_.restoreWorker(makeWorker("w1"));
+  Fixture.Dispatcher_.finishRestore();
+  Fixture.pollWorker("w1");
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against a wait of tasks that cannot run on the worker.
+BOOST_AUTO_TEST_CASE(ClosedRowDelaysOnlyItsOwnRuns) {
+  DispatcherFixture Fixture(2);
+  const JobSpec Job = restoreActiveJob(Fixture, 2);
+  const Millis Expiry = Fixture.Now_ + Millis{5000};
+  Fixture.Dispatcher_.restoreClosedWorker(
+      makeWorker("gone"), ClosedLeases{Expiry, true, {taskNameOf(Job, 0, 1)}});
+  Fixture.Dispatcher_.finishRestore();
+  Fixture.addWorkers({makeWorker("w1")});
+  const Actions Early = Fixture.decideAndExecute();
+  BOOST_TEST_REQUIRE(Early.Starts_.size() == 1U);
+  BOOST_TEST(Early.Starts_.front().Order_.Task_ == taskNameOf(Job, 0, 0));
+  Fixture.advance(Expiry - Fixture.Now_ - Millis{2});
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.advance(Millis{2});
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ClosedRowWithoutKnownRunsDelaysAllTasks) {
+  DispatcherFixture Fixture(2);
+  restoreActiveJob(Fixture, 1);
+  const Millis Expiry = Fixture.Now_ + Millis{5000};
+  Fixture.Dispatcher_.restoreClosedWorker(makeWorker("gone"),
+                                          ClosedLeases{Expiry, false, {}});
+  Fixture.Dispatcher_.finishRestore();
+  Fixture.addWorkers({makeWorker("w1")});
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.advance(Expiry - Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against a task that never starts again because its worker was removed.
+BOOST_AUTO_TEST_CASE(ExpiredClosedRowOfAGoneWorkerReleasesItsRuns) {
+  DispatcherFixture Fixture(2);
+  const JobSpec Job = restoreActiveJob(Fixture, 1);
+  Fixture.Dispatcher_.restoreClosedWorker(
+      makeWorker("gone"),
+      ClosedLeases{Fixture.Now_ + Millis{10}, true, {taskNameOf(Job, 0, 0)}});
+  Fixture.Dispatcher_.finishRestore();
+  Fixture.advance(Millis{20});
+  Fixture.addWorkers({makeWorker("w1")});
+  BOOST_TEST(Fixture.Dispatcher_.takeForgottenWorkers().size() == 1U);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against a next leader that waits for a worker on which nothing runs.
+BOOST_AUTO_TEST_CASE(RowOfADrainedWorkerIsRemovedOnceItIsEmpty) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 1000)});
+  Fixture.submit(Job);
+  BOOST_TEST_REQUIRE(Fixture.decideAndExecute().Starts_.size() == 1U);
+  Fixture.addWorkers({drainingWorker("w1")});
+  BOOST_TEST(closeRows(Fixture).empty());
+  Fixture.endTask(taskNameOf(Job, 0, 0), TaskEnd::Done);
+  const auto Closings = closeRows(Fixture);
+  BOOST_TEST_REQUIRE(Closings.size() == 1U);
+  BOOST_TEST(!Closings.front().Leases_.has_value());
+  BOOST_TEST((Fixture.Dispatcher_.grantLease("w1", Fixture.Now_) == Millis{}));
+}
+
+BOOST_AUTO_TEST_CASE(RowOfAnUnreachableWorkerNamesItsRuns) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(2, 1000)});
+  Fixture.submit(Job);
+  Fixture.decideAndExecute();
+  Fixture.endTask(taskNameOf(Job, 0, 0), TaskEnd::Done);
+  Fixture.Dispatcher_.handlePollFailure("w1", Refused, Fixture.Now_);
+  const auto Closings = closeRows(Fixture);
+  BOOST_TEST_REQUIRE(Closings.size() == 1U);
+  BOOST_TEST_REQUIRE(Closings.front().Leases_.has_value());
+  const ClosedLeases &Leases = *Closings.front().Leases_;
+  BOOST_TEST(Leases.RunsKnown_);
+  BOOST_TEST_REQUIRE(Leases.Runs_.size() == 1U);
+  BOOST_TEST(Leases.Runs_.front() == taskNameOf(Job, 0, 1));
+  BOOST_TEST(
+      (Leases.Expiry_ == Fixture.Dispatcher_.findWorker("w1")->LeaseExpiry_));
+}
+
+// Guards against runs that outlast what the next leader reads in a closed row.
+BOOST_AUTO_TEST_CASE(WorkerThatIsBackGetsNothingBeforeItsRowIsOpen) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.Dispatcher_.handlePollFailure("w1", Refused, Fixture.Now_);
+  BOOST_TEST(closeRows(Fixture).size() == 1U);
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  Fixture.pollWorker("w1");
+  BOOST_TEST((Fixture.Dispatcher_.grantLease("w1", Fixture.Now_) == Millis{}));
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  BOOST_TEST_REQUIRE(Fixture.Dispatcher_.takeUnrecordedWorkers().size() == 1U);
+  Fixture.Dispatcher_.markWorkerRecorded("w1", "w1:1");
+  BOOST_TEST((Fixture.Dispatcher_.grantLease("w1", Fixture.Now_) > Millis{}));
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against a write of an open row that is confirmed after the decision to
+// close it.
+BOOST_AUTO_TEST_CASE(LateConfirmationOfAnOpenRowDoesNotReopenAWorker) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.Dispatcher_.handlePollFailure("w1", Refused, Fixture.Now_);
+  closeRows(Fixture);
+  Fixture.Dispatcher_.markWorkerRecorded("w1", "w1:1");
+  BOOST_TEST(!Fixture.Dispatcher_.findWorker("w1")->Recorded_);
+}
+
+// Guards against a wait for a worker that was never reached, passed on from
+// leader to leader.
+BOOST_AUTO_TEST_CASE(WaitOfThePreviousLeaderIsPassedOn) {
+  DispatcherFixture Fixture(2);
+  Fixture.Dispatcher_.restoreWorker(makeWorker("gone"));
+  Fixture.Dispatcher_.finishRestore();
+  const Millis Expiry = Fixture.Dispatcher_.findWorker("gone")->LeaseExpiry_;
+  Fixture.advance(Millis{1000});
+  Fixture.Dispatcher_.handlePollFailure("gone", Refused, Fixture.Now_);
+  const auto Closings = closeRows(Fixture);
+  BOOST_TEST_REQUIRE(Closings.size() == 1U);
+  BOOST_TEST_REQUIRE(Closings.front().Leases_.has_value());
+  BOOST_TEST((Closings.front().Leases_->Expiry_ == Expiry));
+  BOOST_TEST(!Closings.front().Leases_->RunsKnown_);
+}
+
+// Guards against a leader that relies on the end of the one before alone, while
+// the leader before that may still have granted leases.
+BOOST_AUTO_TEST_CASE(LeaseEndOfAShortTermCoversTheLeaderBefore) {
+  DispatcherFixture Fixture(2);
+  const Millis Started = Fixture.Now_;
+  const DispatchLimits Limits = DispatcherFixture::makeLimits();
+  BOOST_TEST((Fixture.Dispatcher_.latestLeaseEnd(Started + Millis{1}) >
+              Started + Limits.LeaderGrace_ + Limits.Lease_));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/platform_server.cpp
+++ b/tests/soak/platform_server.cpp
@@ -158,6 +158,7 @@
   }
   if (!Holds) {
     Out["ver"] = Json::Int64(Version_);
+    Out["nowMs"] = Json::Int64(Time_.monotonic().Value_);
     return WebReply{Conflict, writeJson(Out)};
   }
   ++Version_;
@@ -168,6 +169,7 @@
   wakeFeeds();
   Json::Value Done;
   Done["ver"] = Json::Int64(Version_);
+  Done["nowMs"] = Json::Int64(Time_.monotonic().Value_);
   return WebReply{Ok, writeJson(Done)};
 }
 
@@ -180,6 +182,7 @@
   Json::Value Out;
   Out["rows"] = Json::arrayValue;
   Out["ver"] = Json::Int64(Version_);
+  Out["nowMs"] = Json::Int64(Time_.monotonic().Value_);
   Out["hasMore"] = false;
   for (auto At =
            Rows_.lower_bound(Name{Text("table"), Text("part"), Text("from")});
