dispatch: Count a lease from the order that grants it, with the clock's error

Long-running tasks still waited for up to 2 s longer than a lease can run on a worker that was gone (LOST beside planned restarts).

Cause: the reply to a long poll counted as a new lease of full length, plus the time that the poll had waited. The lease had been granted by the order, and has been counted there since. On the other hand the error of the estimated worker clock was not counted: after 9 s without a reply a lease on a clock that is 2% slow outlasted its count.

A lease now counts from its order, and the estimate's error is added. A reply counts as a lease only where another leader can have granted one: from a worker that was not reachable before, or that has restarted.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -333,6 +333,9 @@
                     Millis Now);
   /// Time by which a lease has expired that is granted at the given time.
   Millis leaseExpiry(Millis GrantedAt) const;
+  /// Counts a lease that is granted now, or that another leader can have
+  /// granted until now.
+  void countLease(Worker &W, Millis Now) const;
   /// Adds the worker of a row; null if it has restarted at another address.
   Worker *restoreRow(const WorkerInfo &Info, LeaseRow Row);
   static LeaseRow wantedLeaseRow(const Worker &W, Millis MinSilence,
@@ -341,7 +344,7 @@
   /// Called when a worker was reached, or can no longer run tasks of earlier
   /// leaders.
   void forgetUnseenRuns(Worker &W);
-  void updateClock(Worker &W, Millis Clock, Millis SentAt, Millis Now);
+  static void updateClock(Worker &W, Millis Clock, Millis Now);
   void recordTaskDuration(Worker &W, const StepSpec &Step, const Run &Attempt,
                           Millis Now);
   void handleEnd(Worker &W, const EndedTask &End, Millis Now);
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -26,6 +26,15 @@
   return GrantedAt + withClockDrift(Limits_.Lease_) + LeaseExpiryMargin;
 }
 
+// The worker's clock is estimated from its last reply. A slow clock is behind
+// the estimate, so that the lease ends later.
+void Dispatcher::countLease(Worker &W, Millis Now) const {
+  const Millis ClockAge =
+      W.WorkerClock_ > Millis{} ? Now - W.ClockReadAt_ : Millis{};
+  const Millis EstimateError = withClockDrift(ClockAge) - ClockAge;
+  W.LeaseExpiry_ = std::max(W.LeaseExpiry_, leaseExpiry(Now) + EstimateError);
+}
+
 Millis Dispatcher::leaseEnd(const Worker &W, Millis Now) const {
   if (W.WorkerClock_ == Millis{})
     return Millis{};
@@ -40,23 +49,10 @@
     return Millis{};
   Worker &W = WorkerEntry->second;
   // The order may arrive although its reply is lost.
-  W.LeaseExpiry_ = std::max(W.LeaseExpiry_, leaseExpiry(Now));
+  countLease(W, Now);
   return leaseEnd(W, Now);
 }
 
-void Dispatcher::updateClock(Worker &W, Millis Clock, Millis SentAt,
-                             Millis Now) {
-  if (Clock == Millis{})
-    return;
-  W.WorkerClock_ = Clock;
-  W.ClockReadAt_ = Now;
-  // The reply may be to an order that granted a full lease. The time from the
-  // order to its reply is added, so that Expiry is not before the lease ends.
-  const Millis Expiry =
-      Now + withClockDrift(Limits_.Lease_ + (Now - SentAt)) + LeaseExpiryMargin;
-  W.LeaseExpiry_ = std::max(W.LeaseExpiry_, Expiry);
-}
-
 Millis Dispatcher::latestLeaseEnd(Millis Now) const {
   return std::max(EarlierLeaseExpiry_, leaseExpiry(Now));
 }
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -28,7 +28,7 @@
   const bool WrongWorker =
       Reply && Reply.value().Outcome_ == OrderOutcome::WrongWorker;
   if (WorkerEntry != Workers_.end() && Reply && !WrongWorker)
-    updateClock(WorkerEntry->second, Reply.value().Clock_, Now, Now);
+    updateClock(WorkerEntry->second, Reply.value().Clock_, Now);
   TaskState *Task = task(Order.Task_);
   if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Order_.Attempt_ ||
       Task->Run_->Worker_ != Id)
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -196,6 +196,13 @@
   W.LeaseExpiry_ = Millis{};
 }
 
+void Dispatcher::updateClock(Worker &W, Millis Clock, Millis Now) {
+  if (Clock == Millis{})
+    return;
+  W.WorkerClock_ = Clock;
+  W.ClockReadAt_ = Now;
+}
+
 void Dispatcher::handlePollFailure(const std::string &Id, const Error &Failure,
                                    Millis Now) {
   const auto WorkerEntry = Workers_.find(Id);
@@ -234,7 +241,9 @@
                       Now);
     return;
   }
-  if (W.ProcessStart_ != 0 && Reply.ProcessStart_ != W.ProcessStart_) {
+  const bool Restarted =
+      W.ProcessStart_ != 0 && Reply.ProcessStart_ != W.ProcessStart_;
+  if (Restarted) {
     log("", "look at worker", Id, "worker has restarted, its runs are lost");
     handleRestart(W, Reply, SentAt, Now);
     W.LastEnd_ = 0;
@@ -247,10 +256,13 @@
   // granted by them no longer matter.
   if (W.Reachability_ == Reachability::Unknown)
     W.LeaseExpiry_ = Millis{};
+  // Until this poll arrived, an earlier leader may have granted leases.
+  if (Restarted || W.Reachability_ != Reachability::Reachable)
+    countLease(W, Now);
   forgetUnseenRuns(W);
   W.Reachability_ = Reachability::Reachable;
   W.UnreachableSince_ = Millis{};
-  updateClock(W, Reply.Clock_, SentAt, Now);
+  updateClock(W, Reply.Clock_, Now);
   for (const EndedTask &End : Reply.Ended_)
     handleEnd(W, End, Now);
   for (const RunningEntry &Entry : Reply.Running_)
--- a/tests/dispatch/lease_rows_test.cpp
+++ b/tests/dispatch/lease_rows_test.cpp
@@ -182,4 +182,46 @@
               Started + Limits.LeaderGrace_ + Limits.Lease_));
 }
 
+// Guards against a wait that is longer by the time of a long poll.
+BOOST_AUTO_TEST_CASE(ReplyToALongPollDoesNotLengthenTheLease) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const Millis SentAt = Fixture.Now_;
+  Fixture.Dispatcher_.grantLease("w1", SentAt);
+  const Millis Expiry = Fixture.Dispatcher_.findWorker("w1")->LeaseExpiry_;
+  Fixture.advance(Millis{2000});
+  PollReply Reply;
+  Reply.Clock_ = Fixture.Now_ + Millis{50000};
+  Reply.ProcessStart_ = 1;
+  Fixture.Dispatcher_.handlePollReply("w1", Reply, SentAt, Fixture.Now_);
+  BOOST_TEST((Fixture.Dispatcher_.findWorker("w1")->LeaseExpiry_ == Expiry));
+}
+
+// Guards against a lease that ends late because the worker's clock has fallen
+// behind its estimate.
+BOOST_AUTO_TEST_CASE(LeaseOnASlowClockHasEndedWhenItIsCountedAsEnded) {
+  constexpr std::int64_t RatePerMille = 980;
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const Millis ReadAt = Fixture.Now_;
+  const Millis ClockThen = Fixture.Dispatcher_.findWorker("w1")->WorkerClock_;
+  Fixture.advance(Millis{9000});
+  const Millis LeaseEnd = Fixture.Dispatcher_.grantLease("w1", Fixture.Now_);
+  const Millis Expiry = Fixture.Dispatcher_.findWorker("w1")->LeaseExpiry_;
+  const Millis ClockAtExpiry =
+      ClockThen + Millis{(Expiry - ReadAt).Value_ * RatePerMille / 1000};
+  BOOST_TEST((ClockAtExpiry > LeaseEnd));
+}
+
+// Guards against leases of an earlier leader on a worker that this leader has
+// reached only once.
+BOOST_AUTO_TEST_CASE(FirstPollCountsTheLeasesOfEarlierLeaders) {
+  DispatcherFixture Fixture(2);
+  Fixture.Dispatcher_.restoreWorker(makeWorker("w1"));
+  Fixture.Dispatcher_.finishRestore();
+  Fixture.pollWorker("w1");
+  BOOST_TEST((Fixture.Dispatcher_.findWorker("w1")->LeaseExpiry_ >
+              Fixture.Now_ + DispatcherFixture::makeLimits().Lease_));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
