cell, dispatch: Tell the next leader which tasks run nowhere

A leader that resigns now also records the tasks that run nowhere and that it might have started itself, as ranges of indexes, long-running steps first. The next leader does not hold them back. The record counts only for the leader that directly follows.

TaskThatWaitedAtAPlannedRestartWaitsForNoWorker failed before the change. The unit tests of cell and dispatch pass.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -120,6 +120,7 @@
     stop();
     return Done();
   }
+  Dispatcher_.expireUnreachable(now());
   Dispatcher_.closeLeaseRows(Millis{}, now());
   const bool AllRecorded = Recorder_.allRecorded();
   std::vector<dispatch::LeaseClosing> Closings;
@@ -133,9 +134,11 @@
           Closing->Leases_->RunsKnown_ && AllRecorded;
     Closings.push_back(std::move(*Closing));
   }
-  const Millis Expiry = Dispatcher_.latestLeaseEnd(now());
+  const Resignation Record{LeaderRecord_.Epoch_,
+                           Dispatcher_.latestLeaseEnd(now()),
+                           Dispatcher_.waitingTasks(MaxWaitingRanges)};
   stop();
-  Recorder_.recordResignation(Closings, Expiry,
+  Recorder_.recordResignation(Record, Closings,
                               [Self = shared_from_this(), Done] { Done(); });
 }
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -112,6 +112,7 @@
   std::set<std::string> WorkersWithUnrecordedEnds_;
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
   std::map<std::string, dispatch::JobProgress> LoadedProgress_;
+  std::vector<dispatch::TaskRange> LoadedWaitingTasks_;
   int TablesLeftToLoad_ = 0;
   /// Rows per page when loading, reduced after a timeout. 200 job rows are
   /// 0.7 MB, which take 0.6 s on the slowest link.
--- a/cell/leader_load.cpp
+++ b/cell/leader_load.cpp
@@ -96,9 +96,11 @@
     return;
   }
   const bool IsOfLastLeader = Record.value().Epoch_ == LeaderRecord_.Epoch_ - 1;
-  if (IsOfLastLeader && Reading.StoreClock_ > Millis{})
-    Dispatcher_.limitEarlierLeases(
-        latestLocalTime(Reading, Record.value().LeaseExpiry_));
+  if (!IsOfLastLeader || Reading.StoreClock_ == Millis{})
+    return;
+  Dispatcher_.limitEarlierLeases(
+      latestLocalTime(Reading, Record.value().LeaseExpiry_));
+  LoadedWaitingTasks_ = Record.value().Waiting_;
 }
 
 void Leader::finishLoad() {
@@ -113,6 +115,9 @@
       logEvent(Ports_, LogLevel::Error, Id, "load", "",
                "progress row of an unfinished job without a job row");
   }
+  for (const dispatch::TaskRange &Range :
+       std::exchange(LoadedWaitingTasks_, {}))
+    Dispatcher_.markWaiting(Range);
   Dispatcher_.finishRestore();
   const std::size_t JobCount = LoadedSpecs_.size();
   const std::size_t StateCount = LoadedProgress_.size();
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -112,17 +112,16 @@
 // Rows that do not fit into one transaction are written by several. A row whose
 // write fails stays open, so the next leader waits longer than it has to.
 void Recorder::recordResignation(
-    const std::vector<dispatch::LeaseClosing> &Closings, Millis Expiry,
+    Resignation Record, const std::vector<dispatch::LeaseClosing> &Closings,
     const std::function<void()> &Done) {
   if (StoreClock_.StoreClock_ == Millis{})
     return Done();
+  Record.LeaseExpiry_ = latestStoreTime(StoreClock_, Record.LeaseExpiry_);
   const RowCondition LeaderCondition{leaderRow(), LeaderRecord_.Version_};
   std::vector<RowTransaction> Transactions(1);
   Transactions.back().Conditions_ = {LeaderCondition};
   Transactions.back().Puts_ = {
-      RowPut{resignationRow(),
-             encodeResignation(Resignation{
-                 LeaderRecord_.Epoch_, latestStoreTime(StoreClock_, Expiry)})}};
+      RowPut{resignationRow(), encodeResignation(Record)}};
   std::size_t EntryCount = MaxEntries;
   for (const dispatch::LeaseClosing &Closing : Closings) {
     const std::string &Id = Closing.Info_.Id_;
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -43,11 +43,11 @@
   /// Closes or removes the rows of workers.
   void closeWorkers(const std::vector<dispatch::LeaseClosing> &Closings);
   void removeWorkers(const std::vector<std::string> &Ids);
-  /// Records that the leader has stopped. Expiry, on this node's clock, is when
-  /// all leases of this and earlier leaders have expired. Calls back when the
-  /// store has answered, with or without success.
-  void recordResignation(const std::vector<dispatch::LeaseClosing> &Closings,
-                         Millis Expiry, const std::function<void()> &Done);
+  /// Records that the leader has stopped; Record has its times on this node's
+  /// clock. Calls back when the store has answered, with or without success.
+  void recordResignation(Resignation Record,
+                         const std::vector<dispatch::LeaseClosing> &Closings,
+                         const std::function<void()> &Done);
   bool allRecorded() const {
     return oldestUnrecordedChange() > LastChangeNumber_;
   }
--- a/cell/worker_rows.cpp
+++ b/cell/worker_rows.cpp
@@ -59,13 +59,27 @@
   Json::Value Value;
   Value["epoch"] = Json::Int64(Record.Epoch_);
   Value["expiry"] = Json::Int64(Record.LeaseExpiry_.Value_);
+  Value["waiting"] = Json::objectValue;
+  for (const dispatch::TaskRange &Range : Record.Waiting_)
+    for (const int Number : {Range.Step_, Range.First_, Range.Last_})
+      Value["waiting"][Range.Job_].append(Number);
   return writeJson(Value);
 }
 
 Result<Resignation> decodeResignation(const StoredRow &Row) {
   BOOST_OUTCOME_TRY(Value, parseJson(Row.Value_, "decode resignation"));
-  return Resignation{Value["epoch"].asInt64(),
-                     Millis{Value["expiry"].asInt64()}};
+  Resignation Record;
+  Record.Epoch_ = Value["epoch"].asInt64();
+  Record.LeaseExpiry_ = Millis{Value["expiry"].asInt64()};
+  const Json::Value &Waiting = Value["waiting"];
+  constexpr Json::ArrayIndex NumbersPerRange = 3;
+  for (const std::string &Job : Waiting.getMemberNames())
+    for (Json::ArrayIndex I = 0; I + NumbersPerRange <= Waiting[Job].size();
+         I += NumbersPerRange)
+      Record.Waiting_.push_back(dispatch::TaskRange{
+          Job, Waiting[Job][I].asInt(), Waiting[Job][I + 1].asInt(),
+          Waiting[Job][I + 2].asInt()});
+  return Record;
 }
 
 } // namespace damaskglade::cell
--- a/cell/worker_rows.h
+++ b/cell/worker_rows.h
@@ -3,6 +3,7 @@
 
 #include "cell/context.h"
 #include "dispatch/fleet.h"
+#include "dispatch/job_run.h"
 
 #include <optional>
 
@@ -50,10 +51,15 @@
   /// When all leases of this and earlier leaders have expired, on the store's
   /// clock.
   Millis LeaseExpiry_{};
+  /// Tasks that ran nowhere when the leader stopped.
+  std::vector<dispatch::TaskRange> Waiting_;
 
   friend bool operator==(const Resignation &, const Resignation &) = default;
 };
 
+/// The most ranges of tasks that fit into a row.
+inline constexpr std::size_t MaxWaitingRanges = 1500;
+
 std::string encodeResignation(const Resignation &Record);
 /// Errors: invalid_field.
 Result<Resignation> decodeResignation(const StoredRow &Row);
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -171,6 +171,12 @@
   /// Called when the previous leader has told that all leases of earlier
   /// leaders end by this time.
   void limitEarlierLeases(Millis Expiry);
+  /// Tasks that run nowhere and that this leader might have started, at most
+  /// MaxRanges; those of long-running steps first.
+  std::vector<TaskRange> waitingTasks(std::size_t MaxRanges) const;
+  /// Called for tasks of restored jobs that the previous leader has told to run
+  /// nowhere.
+  void markWaiting(const TaskRange &Range);
   /// Called when all workers and jobs have been restored.
   void finishRestore();
   /// Workers whose row has to be stored as open. Before that, no task starts on
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -104,6 +104,41 @@
   }
 }
 
+std::vector<TaskRange> Dispatcher::waitingTasks(std::size_t MaxRanges) const {
+  std::vector<TaskRange> Ranges;
+  const auto AddStep = [&](const JobRun &Job, int Step) {
+    const auto &Tasks = Job.Steps_[static_cast<std::size_t>(Step)].Tasks_;
+    bool Continues = false;
+    for (int Index = 0; Index < static_cast<int>(Tasks.size()); ++Index) {
+      const TaskState &Task = Tasks[static_cast<std::size_t>(Index)];
+      const bool Waits = !Task.Done_ && !Task.Run_ && !mayRunUnseen(Job, Task);
+      if (Waits && Continues)
+        Ranges.back().Last_ = Index;
+      else if (Waits && Ranges.size() < MaxRanges)
+        Ranges.push_back(TaskRange{Job.Spec_.Id_, Step, Index, Index});
+      else if (Waits)
+        return;
+      Continues = Waits;
+    }
+  };
+  for (const bool LongRunning : {true, false})
+    for (const auto &[Id, Job] : ActiveJobs_)
+      for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step)
+        if (!isTerminal(Job->State_) &&
+            Job->Spec_.Steps_[Step].LongRunning_ == LongRunning)
+          AddStep(*Job, static_cast<int>(Step));
+  return Ranges;
+}
+
+void Dispatcher::markWaiting(const TaskRange &Range) {
+  for (int Index = Range.First_; Index <= Range.Last_; ++Index) {
+    TaskState *Task = task(TaskRef{Range.Job_, Range.Step_, Index});
+    if (!Task)
+      return;
+    Task->Located_ = true;
+  }
+}
+
 void Dispatcher::forgetUnseenRuns(Worker &W) {
   for (const TaskRef &Ref : std::exchange(W.UnseenRuns_, {}))
     if (TaskState *Task = task(Ref); Task && Task->UnseenRuns_ > 0)
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -53,8 +53,9 @@
   std::string Checkpoint_;       ///< Latest one; passed to the next attempt.
   std::optional<Run> Run_;       ///< Empty if no worker holds the task.
   Millis RetryAt_{};             ///< Earliest time of the next attempt.
-  /// This leader has started the task or found it running, so no attempt of an
-  /// earlier leader runs on a worker that was not polled yet.
+  /// This leader has started the task or found it running, or the one before
+  /// has told that it ran nowhere. So no attempt of an earlier leader runs on a
+  /// worker that was not polled yet.
   bool Located_ = false;
   /// Workers not reached yet on which an earlier leader has left it running.
   int UnseenRuns_ = 0;
@@ -76,6 +77,16 @@
   bool ended() const { return DoneCount_ == static_cast<int>(Tasks_.size()); }
 };
 
+/// Tasks of a step with consecutive indexes.
+struct TaskRange {
+  std::string Job_;
+  int Step_ = 0;
+  int First_ = 0;
+  int Last_ = 0; ///< Inclusive.
+
+  friend bool operator==(const TaskRange &, const TaskRange &) = default;
+};
+
 /// A job and the state of its tasks.
 struct JobRun {
   JobSpec Spec_;
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -67,6 +67,25 @@
   BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
 }
 
+// Guards against a wait for a worker that is lost during the change of the
+// leader, by a task that ran elsewhere.
+BOOST_AUTO_TEST_CASE(TaskThatWaitedAtAPlannedRestartWaitsForNoWorker) {
+  FakeCell Cell(4, 3);
+  const std::string First = waitForLeader(Cell);
+  Cell.submitLongRunning(First, jobId(1), 1);
+  Cell.Loop_.run(Millis{1000});
+  const std::string Drained = workerOf(Cell, jobId(1));
+  Cell.drainWorker(Drained);
+  BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+      Millis{4000}, [&] { return !isRunning(Cell, jobId(1)); }));
+  Cell.Fleet_.Workers_[Drained == "w3" ? "w2" : "w3"].Reachable_ = false;
+  Cell.Loop_.run(Millis{2});
+  Cell.member(First).resign([] {});
+  BOOST_TEST(Cell.Loop_.runUntil(RestartLimit,
+                                 [&] { return isRunning(Cell, jobId(1)); }));
+  BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
+}
+
 // Guards against a wait that every change of the leader starts anew.
 BOOST_AUTO_TEST_CASE(WaitForAGoneWorkerIsNotRepeatedByFurtherRestarts) {
   FakeCell Cell(5, 3);
--- a/tests/dispatch/lease_rows_test.cpp
+++ b/tests/dispatch/lease_rows_test.cpp
@@ -182,6 +182,34 @@
               Started + Limits.LeaderGrace_ + Limits.Lease_));
 }
 
+// Guards against a wait for workers by tasks that the previous leader was free
+// to start, and against starts of those that it was not.
+BOOST_AUTO_TEST_CASE(OnlyTasksThatRunNowhereAreToldAsWaiting) {
+  DispatcherFixture First(2);
+  const JobSpec Job = restoreActiveJob(First, 3);
+  First.Dispatcher_.restoreClosedWorker(
+      makeWorker("gone"),
+      ClosedLeases{First.Now_ + Millis{5000}, true, {taskNameOf(Job, 0, 1)}});
+  First.Dispatcher_.finishRestore();
+  First.Dispatcher_.expireUnreachable(First.Now_);
+  constexpr std::size_t MaxRanges = 9;
+  const auto Ranges = First.Dispatcher_.waitingTasks(MaxRanges);
+  const std::vector<TaskRange> Expected{{Job.Id_, 0, 0, 0}, {Job.Id_, 0, 2, 2}};
+  BOOST_TEST((Ranges == Expected));
+  BOOST_TEST(First.Dispatcher_.waitingTasks(1).size() == 1U);
+  DispatcherFixture Second(3);
+  restoreActiveJob(Second, 3);
+  Second.Dispatcher_.restoreWorker(makeWorker("silent"));
+  for (const TaskRange &Range : Ranges)
+    Second.Dispatcher_.markWaiting(Range);
+  Second.Dispatcher_.finishRestore();
+  Second.addWorkers({makeWorker("w1")});
+  const Actions Planned = Second.decideAndExecute();
+  BOOST_TEST_REQUIRE(Planned.Starts_.size() == 2U);
+  for (const StartAction &Start : Planned.Starts_)
+    BOOST_TEST(Start.Order_.Task_ != taskNameOf(Job, 0, 1));
+}
+
 // Guards against a wait that is longer by the time of a long poll.
 BOOST_AUTO_TEST_CASE(ReplyToALongPollDoesNotLengthenTheLease) {
   DispatcherFixture Fixture;
