cell, dispatch: Renew leases at once when the row of a worker is open again

A worker that was back after a cut of 4 to 6 s lost its tasks, which had survived before: its row had been closed, and the poll that followed its return was a long poll without a lease, sent before the row was open again. An idle worker whose registry entry was missing for a moment got no tasks until its long poll ended.

The leader now polls a worker with tasks as soon as its open row is stored, and plans again. A reachable worker that is registered again is opened at once.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -83,8 +83,9 @@
       OnLeadershipLost_(std::move(OnLeadershipLost)),
       Dispatcher_(makeLimits(Settings, LeaderRecord_), LeaderRecord_.Epoch_,
                   Ports.Clock_.monotonic()),
-      Recorder_(Ports, Dispatcher_, LeaderRecord_,
-                [this] { loseLeadership(); }),
+      Recorder_(
+          Ports, Dispatcher_, LeaderRecord_, [this] { loseLeadership(); },
+          [this](const std::string &Id) { handleWorkerOpened(Id); }),
       AdviceBalancer_(Ports,
                       [this](const dispatch::AdviceQuestion &Question,
                              const Result<std::vector<AdvisedWorker>> &Reply) {
@@ -263,6 +264,16 @@
   });
 }
 
+// The open long poll of a worker that is back was sent before its row was open,
+// so it did not renew the leases.
+void Leader::handleWorkerOpened(const std::string &Id) {
+  const dispatch::Worker *Worker = Dispatcher_.findWorker(Id);
+  if (Worker && !Worker->Tasks_.empty() &&
+      Worker->Reachability_ == dispatch::Reachability::Reachable)
+    pollWorker(Id, true);
+  scheduleDecision();
+}
+
 void Leader::pollWorkers() {
   for (const auto &[Id, Worker] : Dispatcher_.workers()) {
     PollState &State = PollStates_[Id];
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -90,6 +90,7 @@
   void confirmLeadership();
   void recordWorkerChanges();
   void closeLeaseRows();
+  void handleWorkerOpened(const std::string &Id);
   void pollWorkers();
   void pollWorker(const std::string &Worker, bool Probe);
   void handlePollReply(const std::string &Worker, bool Probe, Millis SentAt,
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -24,9 +24,11 @@
 } // namespace
 
 Recorder::Recorder(const CellPorts &Ports, dispatch::Dispatcher &Dispatcher,
-                   LeaderRecord Record, std::function<void()> OnLeadershipLost)
+                   LeaderRecord Record, std::function<void()> OnLeadershipLost,
+                   std::function<void(const std::string &)> OnWorkerOpened)
     : Ports_(Ports), Dispatcher_(Dispatcher), LeaderRecord_(std::move(Record)),
       OnLeadershipLost_(std::move(OnLeadershipLost)),
+      OnWorkerOpened_(std::move(OnWorkerOpened)),
       ConfirmedAt_(Ports.Clock_.monotonic()) {}
 
 void Recorder::recordJob(const std::string &Id,
@@ -341,8 +343,10 @@
     ProgressRowVersions_.erase(Id);
   for (const auto &[Id, Row] : WrittenBatch.Workers_) {
     WorkerRowVersions_[Id] = Version;
-    if (!Row.Closed_)
-      Dispatcher_.markWorkerRecorded(Id, Row.Info_.Address_);
+    if (Row.Closed_)
+      continue;
+    Dispatcher_.markWorkerRecorded(Id, Row.Info_.Address_);
+    OnWorkerOpened_(Id);
   }
   for (const std::string &Id : WrittenBatch.RemovedWorkers_)
     WorkerRowVersions_.erase(Id);
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -18,8 +18,10 @@
 /// conditional on the leader row, so it fails once there is a later leader.
 class Recorder {
 public:
+  /// OnWorkerOpened is called when the open row of a worker is stored.
   Recorder(const CellPorts &Ports, dispatch::Dispatcher &Dispatcher,
-           LeaderRecord Record, std::function<void()> OnLeadershipLost);
+           LeaderRecord Record, std::function<void()> OnLeadershipLost,
+           std::function<void(const std::string &)> OnWorkerOpened);
 
   /// Records a new job; the callback gets the outcome. An error without effect
   /// means that the job is not recorded and never will be.
@@ -122,6 +124,7 @@
   dispatch::Dispatcher &Dispatcher_;
   const LeaderRecord LeaderRecord_;
   const std::function<void()> OnLeadershipLost_;
+  const std::function<void(const std::string &)> OnWorkerOpened_;
   std::deque<NewJob> NewJobs_;
   /// Number of the oldest unrecorded change, by job.
   std::map<std::string, std::uint64_t> DirtyJobs_;
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -45,7 +45,8 @@
         Moved ? Info.Capacity_ : largest(W.LargestCapacity_, Info.Capacity_);
     W.Registered_ = true;
     // No leader has started a task on a process without an open row.
-    if ((Added || Moved) && !Info.Draining_)
+    if (((Added || Moved) && !Info.Draining_) ||
+        wantedLeaseRow(W, Millis{}, Now) == LeaseRow::Open)
       setLeaseRow(W, LeaseRow::Open);
     if (StartsDraining)
       log("", "worker", Info.Id_, "draining");
--- a/tests/cell/recorder_test.cpp
+++ b/tests/cell/recorder_test.cpp
@@ -83,7 +83,9 @@
       : Rpc_(Http_), Ports_{Loop_,    Loop_,     Store_, Workers_, Advisor_,
                             Configs_, Registry_, Rpc_,   Log_,     Metrics_},
         Dispatcher_({}, 1, Loop_.monotonic()),
-        Recorder_(Ports_, Dispatcher_, LeaderRecord{}, [] {}) {}
+        Recorder_(
+            Ports_, Dispatcher_, LeaderRecord{}, [] {},
+            [](const std::string &) {}) {}
   static dispatch::WorkerInfo makeWorker(const std::string &Address) {
     dispatch::WorkerInfo Info;
     Info.Id_ = "w1";
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -128,6 +128,27 @@
   BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
 }
 
+// Guards against leases that end although their worker is back in time, because
+// its row has to be opened first.
+BOOST_AUTO_TEST_CASE(TaskOnAWorkerThatIsCutOffForLessThanItsLeaseGoesOn) {
+  constexpr Millis LongestPoll{2000};
+  constexpr Millis PhaseStep{250};
+  for (const Millis Cut : {Millis{4000}, Millis{5000}, Millis{5500}})
+    for (Millis Phase{}; Phase < LongestPoll; Phase = Phase + PhaseStep) {
+      FakeCell Cell(3, 2);
+      const std::string First = waitForLeader(Cell);
+      Cell.submit(First, jobId(1), 1, Millis{60000});
+      Cell.Loop_.run(Millis{3000} + Phase);
+      FakeWorkerState &Worker = Cell.Fleet_.Workers_[workerOf(Cell, jobId(1))];
+      Worker.Reachable_ = false;
+      Cell.Loop_.run(Cut);
+      Worker.Reachable_ = true;
+      Cell.Loop_.run(Millis{12000});
+      BOOST_TEST(Cell.Fleet_.Starts_[taskOf(jobId(1))] == 1);
+      BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
+    }
+}
+
 // Guards against a task that runs again although its worker has reported its
 // end: the leader fails before it records the end, and the worker is empty.
 BOOST_AUTO_TEST_CASE(UnrecordedEndOnADrainedWorkerIsNotForgotten) {
--- a/tests/dispatch/lease_rows_test.cpp
+++ b/tests/dispatch/lease_rows_test.cpp
@@ -145,6 +145,17 @@
   BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
 }
 
+// Guards against an idle worker that gets no tasks for the time of a long poll
+// after its registry entry was missing.
+BOOST_AUTO_TEST_CASE(IdleWorkerIsOpenedAgainOnceItIsRegistered) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.Dispatcher_.setWorkers({}, Fixture.Now_);
+  BOOST_TEST(closeRows(Fixture).size() == 1U);
+  Fixture.Dispatcher_.setWorkers({makeWorker("w1")}, Fixture.Now_);
+  BOOST_TEST(Fixture.Dispatcher_.takeUnrecordedWorkers().size() == 1U);
+}
+
 // Guards against a write of an open row that is confirmed after the decision to
 // close it.
 BOOST_AUTO_TEST_CASE(LateConfirmationOfAnOpenRowDoesNotReopenAWorker) {
