cell: Forget the versions of rows that a rejected transaction does not list

The reply to the removal of a row is lost; the retry conflicts, and a store whose reply omits rows that do not exist leaves the old version known. The retry then conflicts for ever, and with it the jobs and ends in the same transactions: nothing is accepted or recorded by that leader any more. Rows of workers are removed more often since they tell what the next leader waits for.

The versions of all rows in a rejected transaction are now taken from the reply, where a missing row does not exist.

--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -398,6 +398,13 @@
 // returns for the conditions show which.
 void Recorder::handleConflict(Batch RejectedBatch,
                               const std::vector<StoredRow> &CurrentRows) {
+  // The store may omit rows that do not exist.
+  for (const auto &[Id, Change] : RejectedBatch.Progress_)
+    ProgressRowVersions_.erase(Id);
+  for (const auto &[Id, Row] : RejectedBatch.Workers_)
+    WorkerRowVersions_.erase(Id);
+  for (const std::string &Id : RejectedBatch.RemovedWorkers_)
+    WorkerRowVersions_.erase(Id);
   std::set<std::string> PresentJobs;
   for (const StoredRow &Row : CurrentRows) {
     if (Row.Name_ == leaderRow() && Row.Version_ != LeaderRecord_.Version_) {
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -52,7 +52,8 @@
     if (Existing != Rows_.end())
       Row = Existing->second;
     Outcome.Applied_ = Outcome.Applied_ && Row.Version_ == Condition.Version_;
-    Outcome.Current_.push_back(Row);
+    if (Row.Version_ != 0 || !OmitsAbsentRows_)
+      Outcome.Current_.push_back(Row);
   }
   if (!Outcome.Applied_)
     return Outcome;
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -49,6 +49,8 @@
   int Writes_ = 0;
   Millis Delay_{5};            ///< Delay of all replies.
   Millis ClockOffset_{-40000}; ///< From the clock of the nodes to the store's.
+  /// Replies to transactions that were not applied omit absent rows.
+  bool OmitsAbsentRows_ = false;
   int MaxPageRows_ = 0; ///< Reads of larger pages time out; zero: no limit.
   /// Nodes whose reads of the jobs table time out.
   std::set<std::string> NodesWithoutJobReads_;
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -167,6 +167,27 @@
       (Cell.state(Cell.leader(), jobId(1)) == dispatch::JobState::Complete));
 }
 
+// Guards against a leader that stores nothing more, because it repeats a removal
+// that the store has carried out.
+BOOST_AUTO_TEST_CASE(LostReplyToARemovedRowDoesNotStopFurtherWrites) {
+  for (const bool OmitsAbsentRows : {false, true}) {
+    FakeCell Cell(3, 3);
+    Cell.StoreState_.OmitsAbsentRows_ = OmitsAbsentRows;
+    const std::string First = waitForLeader(Cell);
+    Cell.StoreState_.StoreModes_[First] = StoreMode::LosesReplies;
+    Cell.drainWorker("w1");
+    BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(Millis{3000}, [&] {
+      return Cell.StoreState_.Rows_.count(cell::workerRow("w1")) == 0;
+    }));
+    Cell.StoreState_.StoreModes_[First] = StoreMode::Healthy;
+    Cell.Loop_.run(Millis{2500});
+    BOOST_TEST_REQUIRE(!Cell.leader().empty());
+    Cell.submit(Cell.leader(), jobId(7), 1, Millis{500});
+    Cell.Loop_.run(Millis{3000});
+    BOOST_TEST(Cell.Fleet_.Starts_[taskOf(jobId(7))] == 1);
+  }
+}
+
 // Guards against reliance on rows that a leader of an earlier release, which
 // starts tasks without opening rows, may have left closed.
 BOOST_AUTO_TEST_CASE(ClosedRowsFromBeforeAnEarlierReleaseAreNotReliedOn) {
