cell: Ignore replies that arrive after their leader is gone

Recorded changes that waited held the leader in a cycle and hid it often.

Callbacks of the recorder and of the advice balancer now check that the object still exists, and stopping the recorder drops what waits, with its callbacks.

ReplyToALeaderThatIsGoneIsIgnored plays the case.

--- a/cell/advice_balancer.cpp
+++ b/cell/advice_balancer.cpp
@@ -83,9 +83,10 @@
   const std::string Step = dispatch::stepName(Question.Job_, Question.Step_);
   Ports_.Metrics_.count("advice_questions");
   const auto HandleReply =
-      [this, Question,
-       Address](const Result<std::vector<AdvisedWorker>> &Reply) {
-        handleAnswer(Question, Address, Reply);
+      [this, Question, Address, Alive = std::weak_ptr<bool>(Alive_)](
+          const Result<std::vector<AdvisedWorker>> &Reply) {
+        if (!Alive.expired())
+          handleAnswer(Question, Address, Reply);
       };
   if (Address.empty())
     return Ports_.Advisor_.ask(Step, Question.Workers_, Timeout, HandleReply);
--- a/cell/advice_balancer.h
+++ b/cell/advice_balancer.h
@@ -55,6 +55,8 @@
   const AnswerHandler OnAnswer_;
   std::vector<AdviceNode> Nodes_;
   bool Stopped_ = false;
+  /// Expires with the object, which callbacks may outlive.
+  std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
 };
 
 /// Handles the RPC "advice.ask", by which a leader has another node call the
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -160,6 +160,14 @@
     scheduleFlush(GroupDelay);
 }
 
+// The callbacks may hold the owner of this object.
+void Recorder::stop() {
+  Stopped_ = true;
+  NewJobs_.clear();
+  BatchesInFlight_.clear();
+  Waiters_.clear();
+}
+
 bool Recorder::queuesEmpty() const {
   return NewJobs_.empty() && DirtyJobs_.empty() && JobsToRemove_.empty() &&
          NewWorkers_.empty() && RemovedWorkers_.empty();
@@ -169,7 +177,9 @@
   if (FlushScheduled_ || Stopped_)
     return;
   FlushScheduled_ = true;
-  Ports_.Timers_.after(Delay, [this] {
+  Ports_.Timers_.after(Delay, [this, Alive = std::weak_ptr<bool>(Alive_)] {
+    if (Alive.expired())
+      return;
     FlushScheduled_ = false;
     flush();
   });
@@ -310,9 +320,10 @@
   const std::uint64_t BatchNumber = ++LastBatchNumber_;
   BatchesInFlight_.emplace(BatchNumber, std::move(NewBatch));
   Ports_.Store_.transact(
-      Transaction,
-      [this, BatchNumber](const Result<TransactionOutcome> &Outcome) {
-        handleOutcome(BatchNumber, Outcome);
+      Transaction, [this, BatchNumber, Alive = std::weak_ptr<bool>(Alive_)](
+                       const Result<TransactionOutcome> &Outcome) {
+        if (!Alive.expired())
+          handleOutcome(BatchNumber, Outcome);
       });
   if (!queuesEmpty())
     scheduleFlush(GroupDelay);
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <set>
 
 namespace damaskglade::cell {
@@ -63,7 +64,8 @@
   void updateStoreClock(Millis SentAt, Millis StoreClock);
   /// Start of the current store failure; zero while the store works.
   Millis failingSince() const { return FailingSince_; }
-  void stop() { Stopped_ = true; }
+  /// Drops all that is not recorded yet, with its callbacks.
+  void stop();
 
 private:
   /// A submitted job that is not recorded yet.
@@ -140,6 +142,8 @@
   std::uint64_t LastChangeNumber_ = 0;
   bool FlushScheduled_ = false;
   bool Stopped_ = false;
+  /// Expires with the object, which callbacks may outlive.
+  std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
   Millis ConfirmedAt_{};
   StoreClockReading StoreClock_; ///< The latest one.
   Millis FailingSince_{};
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -167,8 +167,8 @@
       (Cell.state(Cell.leader(), jobId(1)) == dispatch::JobState::Complete));
 }
 
-// Guards against a leader that stores nothing more, because it repeats a removal
-// that the store has carried out.
+// Guards against a leader that stores nothing more, because it repeats a
+// removal that the store has carried out.
 BOOST_AUTO_TEST_CASE(LostReplyToARemovedRowDoesNotStopFurtherWrites) {
   for (const bool OmitsAbsentRows : {false, true}) {
     FakeCell Cell(3, 3);
@@ -188,6 +188,24 @@
   }
 }
 
+// Guards against a reply of the store that arrives after its leader is gone. A
+// failure shows under AddressSanitizer, and otherwise often as a crash.
+BOOST_AUTO_TEST_CASE(ReplyToALeaderThatIsGoneIsIgnored) {
+  constexpr Millis ConfirmPeriod{500};
+  constexpr Millis PhaseStep{50};
+  for (Millis Phase{}; Phase < ConfirmPeriod; Phase = Phase + PhaseStep) {
+    FakeCell Cell(3, 2);
+    Cell.Fleet_.Workers_["w2"].Reachable_ = false;
+    const std::string First = waitForLeader(Cell);
+    Cell.Loop_.run(Phase);
+    Cell.setIsolated(First, true);
+    Cell.StoreState_.StoreModes_[First] = StoreMode::LosesReplies;
+    Cell.Fleet_.Workers_["w2"].Reachable_ = true;
+    Cell.Loop_.run(Millis{9000});
+    BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty());
+  }
+}
+
 // Guards against reliance on rows that a leader of an earlier release, which
 // starts tasks without opening rows, may have left closed.
 BOOST_AUTO_TEST_CASE(ClosedRowsFromBeforeAnEarlierReleaseAreNotReliedOn) {
