cell: Record reported ends before a leader resigns

The leader then removed no row and told no runs, so that the next one held back all tasks that it had not located; and what waited to be closed was dropped.

A leader that resigns now stops its orders, handles no further replies, records the ends that it has handled, then closes the rows of all workers that it does not use. Runs that were read from a closed row are passed on with it.

LeaderThatResignsUnderLoadTellsWhatRuns failed in two of three phases before the change. The unit tests of cell and dispatch pass.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -116,31 +116,31 @@
   PendingSubmissions_.clear();
 }
 
+// The ends that workers have reported are recorded first. No further ones are
+// handled meanwhile: workers list them again for the next leader.
 void Leader::resign(const std::function<void()> &Done) {
   if (!active()) {
     stop();
     return Done();
   }
+  Stopped_ = true;
+  AdviceBalancer_.stop();
+  Recorder_.collectChanges();
+  Recorder_.whenRecorded(
+      [Self = shared_from_this(), Done] { Self->recordResignation(Done); });
+}
+
+void Leader::recordResignation(const std::function<void()> &Done) {
   Dispatcher_.expireUnreachable(now());
   Dispatcher_.closeLeaseRows(Millis{}, now());
-  const bool AllRecorded = Recorder_.allRecorded();
   std::vector<dispatch::LeaseClosing> Closings;
-  for (const std::string &Id : Dispatcher_.takeWorkersToClose()) {
-    auto Closing = Dispatcher_.leaseClosing(Id);
-    // A task whose end is not recorded may start again only after the wait.
-    if (!Closing || (!AllRecorded && !Closing->Leases_))
-      continue;
-    if (Closing->Leases_)
-      Closing->Leases_->RunsKnown_ =
-          Closing->Leases_->RunsKnown_ && AllRecorded;
-    Closings.push_back(std::move(*Closing));
-  }
+  for (const auto &[Id, Worker] : Dispatcher_.workers())
+    if (auto Closing = Dispatcher_.leaseClosing(Id))
+      Closings.push_back(std::move(*Closing));
   const Resignation Record{LeaderRecord_.Epoch_,
                            Dispatcher_.latestLeaseEnd(now()),
                            Dispatcher_.waitingTasks(MaxWaitingRanges)};
-  stop();
-  Recorder_.recordResignation(Record, Closings,
-                              [Self = shared_from_this(), Done] { Done(); });
+  Recorder_.recordResignation(Record, Closings, Done);
 }
 
 void Leader::loseLeadership() {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -89,6 +89,7 @@
   void readRegistry();
   void confirmLeadership();
   void recordWorkerChanges();
+  void recordResignation(const std::function<void()> &Done);
   void closeLeaseRows();
   void handleWorkerOpened(const std::string &Id);
   void pollWorkers();
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -415,10 +415,12 @@
       strongestNode(PeerNodes_, livenessCutoff(), Random_());
   const auto Resigning = std::exchange(Leader_, nullptr);
   LeaderHeardAt_ = now();
-  const auto Finish = [Self = shared_from_this(), Successor, Done,
+  const auto Finish = [Self = shared_from_this(), Resigning, Successor, Done,
                        Finished = std::make_shared<bool>(false)] {
-    if (!std::exchange(*Finished, true))
-      Self->askSuccessor(Successor, Done);
+    if (std::exchange(*Finished, true))
+      return;
+    Resigning->stop();
+    Self->askSuccessor(Successor, Done);
   };
   Ports_.Timers_.after(ResignationTimeout, Finish);
   Resigning->resign(Finish);
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -72,9 +72,12 @@
     return;
   W->LeaseExpiry_ = Leases.Expiry_;
   W->UnseenRunsKnown_ = Leases.RunsKnown_;
-  for (const std::string &Name : Leases.Runs_)
-    if (const auto Ref = parseTaskName(Name))
+  for (const std::string &Name : Leases.Runs_) {
+    const auto Ref = parseTaskName(Name);
+    if (Ref)
       W->UnseenRuns_.push_back(Ref.value());
+    W->UnseenRunsKnown_ = W->UnseenRunsKnown_ && Ref.has_value();
+  }
 }
 
 // The registry may have been read before. A worker that it lists at another
@@ -220,13 +223,15 @@
     return Closing;
   ClosedLeases Leases;
   Leases.Expiry_ = W->LeaseExpiry_;
-  Leases.RunsKnown_ = W->Reachability_ == Reachability::Unreachable;
-  if (Leases.RunsKnown_) {
-    for (const TaskRef &Ref : W->Tasks_)
-      Leases.Runs_.push_back(taskName(Ref));
-    for (const UnexpectedRun &UnexpectedEntry : W->UnexpectedRuns_)
-      Leases.Runs_.push_back(UnexpectedEntry.Task_);
-  }
+  // This leader knows all runs of a worker that it has reached.
+  const bool WasReached = W->Reachability_ == Reachability::Unreachable;
+  Leases.RunsKnown_ = WasReached || W->UnseenRunsKnown_;
+  for (const TaskRef &Ref : W->Tasks_)
+    Leases.Runs_.push_back(taskName(Ref));
+  for (const TaskRef &Ref : W->UnseenRuns_)
+    Leases.Runs_.push_back(taskName(Ref));
+  for (const UnexpectedRun &UnexpectedEntry : W->UnexpectedRuns_)
+    Leases.Runs_.push_back(UnexpectedEntry.Task_);
   Closing.Leases_ = std::move(Leases);
   return Closing;
 }
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -1,3 +1,4 @@
+#include "cell/worker_rows.h"
 #include "tests/cell/fake_cell.h"
 
 #include <boost/test/unit_test.hpp>
@@ -188,6 +189,32 @@
   }
 }
 
+// Guards against a leader that passes on nothing because ends are always being
+// recorded.
+BOOST_AUTO_TEST_CASE(LeaderThatResignsUnderLoadTellsWhatRuns) {
+  constexpr int Jobs = 120;
+  for (const Millis Phase : {Millis{0}, Millis{17}, Millis{340}}) {
+    FakeCell Cell(3, 40);
+    const std::string First = waitForLeader(Cell);
+    Cell.submitLongRunning(First, jobId(1), 1);
+    Cell.Loop_.run(Millis{100});
+    for (int Job = 0; Job < Jobs; ++Job)
+      Cell.submit(First, jobId(Jobs + Job), 1, Millis{2000 + Job * 6});
+    Cell.Loop_.run(Millis{2000} + Phase);
+    const std::string Gone = workerOf(Cell, jobId(1));
+    Cell.removeWorker(Gone);
+    Cell.Loop_.run(Millis{200});
+    Cell.member(First).resign([] {});
+    Cell.Loop_.run(Millis{100});
+    const StoredRow &Row = Cell.StoreState_.Rows_.at(cell::workerRow(Gone));
+    const auto Decoded = cell::decodeWorkerRow(Row);
+    BOOST_TEST_REQUIRE(Decoded.has_value());
+    BOOST_TEST_REQUIRE(Decoded.value().Closed_.has_value());
+    BOOST_TEST(Decoded.value().Closed_->RunsKnown_);
+    BOOST_TEST(Cell.StoreState_.Rows_.count(cell::resignationRow()) == 1U);
+  }
+}
+
 // Guards against a reply of the store that arrives after its leader is gone. A
 // failure shows under AddressSanitizer, and otherwise often as a crash.
 BOOST_AUTO_TEST_CASE(ReplyToALeaderThatIsGoneIsIgnored) {
