dispatch: Count the longest lease on a worker that has restarted

A worker that restarts under its id starts its clock anew. An order with a lease end on the old clock reaches the new process as a lease of the longest length (10 s), while the leader counted 8.3 s. If the worker was cut off right after, its tasks could start elsewhere up to 1.9 s early.

After a restart the longest lease is counted, and a leader that resigns tells the latest end that it has counted for any worker.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -57,6 +57,7 @@
                                     const LeaderRecord &Record) {
   dispatch::DispatchLimits Limits;
   Limits.Lease_ = std::min(LeaseDuration, Settings.MaxLease_);
+  Limits.MaxLease_ = Settings.MaxLease_;
   // If only a minority elected this leader, the previous one may still be in
   // contact with a majority and send orders for longer.
   Limits.LeaderGrace_ =
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -23,6 +23,8 @@
 struct DispatchLimits {
   /// Length of a lease. A worker may run a task only until its lease ends.
   Millis Lease_{8000};
+  /// Workers cut longer leases to this length.
+  Millis MaxLease_{10000};
   /// How long a leader may grant leases while its leadership is not confirmed.
   Millis LeaderGrace_{2000};
   /// Workers end a gang member whose other members do not start for this long.
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -54,7 +54,10 @@
 }
 
 Millis Dispatcher::latestLeaseEnd(Millis Now) const {
-  return std::max(EarlierLeaseExpiry_, leaseExpiry(Now));
+  Millis Latest = std::max(EarlierLeaseExpiry_, leaseExpiry(Now));
+  for (const auto &[Id, W] : Workers_)
+    Latest = std::max(Latest, W.LeaseExpiry_);
+  return Latest;
 }
 
 void Dispatcher::limitEarlierLeases(Millis Expiry) {
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -257,9 +257,15 @@
   // granted by them no longer matter.
   if (W.Reachability_ == Reachability::Unknown)
     W.LeaseExpiry_ = Millis{};
-  // Until this poll arrived, an earlier leader may have granted leases.
-  if (Restarted || W.Reachability_ != Reachability::Reachable)
+  // Until its first poll, an earlier leader may have granted leases.
+  if (W.Reachability_ != Reachability::Reachable)
     countLease(W, Now);
+  // Orders with a lease end on the clock of the previous process may have
+  // reached the new one.
+  if (Restarted)
+    W.LeaseExpiry_ =
+        std::max(W.LeaseExpiry_,
+                 leaseExpiry(Now + (Limits_.MaxLease_ - Limits_.Lease_)));
   forgetUnseenRuns(W);
   W.Reachability_ = Reachability::Reachable;
   W.UnreachableSince_ = Millis{};
--- a/tests/dispatch/lease_rows_test.cpp
+++ b/tests/dispatch/lease_rows_test.cpp
@@ -252,6 +252,17 @@
   BOOST_TEST((ClockAtExpiry > LeaseEnd));
 }
 
+// Guards against a lease that a new process of the worker has got by an order
+// with a time on the clock of the process before.
+BOOST_AUTO_TEST_CASE(LeaseOnARestartedWorkerCountsAsTheLongest) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  constexpr std::int64_t NewProcess = 2;
+  Fixture.pollWorker("w1", {}, NewProcess);
+  BOOST_TEST((Fixture.Dispatcher_.findWorker("w1")->LeaseExpiry_ >
+              Fixture.Now_ + DispatcherFixture::makeLimits().MaxLease_));
+}
+
 // Guards against leases of an earlier leader on a worker that this leader has
 // reached only once.
 BOOST_AUTO_TEST_CASE(FirstPollCountsTheLeasesOfEarlierLeaders) {
