tests/cell: Let the explorer find running tasks told as waiting

A sixth fault: the resignation names tasks that run as tasks that run nowhere. It is found as a task in two places at once, like the five others.

--- a/tests/cell/takeover_explorer_test.cpp
+++ b/tests/cell/takeover_explorer_test.cpp
@@ -232,6 +232,20 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(RunningTasksToldAsWaitingAreFound) {
+  checkIsFound([](const FakeStoreState &, RowTransaction &Written) {
+    for (RowPut &Put : Written.Puts_) {
+      if (Put.Name_ != cell::resignationRow())
+        continue;
+      auto Record =
+          cell::decodeResignation(StoredRow{Put.Name_, Put.Value_, 0}).value();
+      Record.Waiting_ = {
+          dispatch::TaskRange{longRunningJob(), 0, 0, LongRunningTasks - 1}};
+      Put.Value_ = cell::encodeResignation(Record);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(EarlyEndInAResignationIsFound) {
   checkIsFound([](const FakeStoreState &, RowTransaction &Written) {
     for (RowPut &Put : Written.Puts_) {
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -11,7 +11,6 @@
 
 constexpr int NodeCount = 3;
 constexpr int WorkerCount = 3;
-constexpr int LongRunningTasks = 4;
 constexpr dispatch::Size SizeOfTwoTasks{1000, 8000, 0};
 constexpr int TasksPerWorker = 2;
 constexpr Millis ShortTaskDuration{3000};
@@ -124,7 +123,7 @@
 Violations TakeoverPlay::play(const Schedule &Events) {
   Cell_.Loop_.runUntil(ElectionTimeout,
                        [this] { return !Cell_.leader().empty(); });
-  Cell_.submitLongRunning("n1", jobId(1), LongRunningTasks);
+  Cell_.submitLongRunning("n1", longRunningJob(), LongRunningTasks);
   Cell_.submit("n1", jobId(2), 1, ShortTaskDuration);
   Cell_.Loop_.run(StartTime);
   Violations Found;
@@ -243,7 +242,7 @@
 std::vector<std::string> TakeoverPlay::missingTasks() const {
   std::vector<std::string> Missing;
   for (int Task = 0; Task < LongRunningTasks; ++Task) {
-    std::string Name = jobId(1) + ".0.0." + std::to_string(Task);
+    std::string Name = longRunningJob() + ".0.0." + std::to_string(Task);
     if (!Cell_.Fleet_.isRunning(Name, Cell_.Loop_.monotonic()))
       Missing.push_back(std::move(Name));
   }
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -13,6 +13,10 @@
 /// Events happen at this many points in time, numbered from zero.
 constexpr int PointCount = 8;
 
+/// The job with the long-running tasks of a play.
+inline std::string longRunningJob() { return jobId(1); }
+constexpr int LongRunningTasks = 4;
+
 enum class EventKind {
   KillLeader,         ///< Its node starts again later.
   StopLeader,         ///< A planned stop; the node starts again later.
