dispatch, docs: Name the wanted row of a worker and whether its open row is stored

Three states stood under two names (review): the row that a worker should have is WantedRow_, and OpenRowStored_ tells that the store has its open row. No change of behaviour; the unit tests of cell and dispatch pass.

--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -45,6 +45,7 @@
   void recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers);
   /// Closes or removes the rows of workers.
   void closeWorkers(const std::vector<dispatch::LeaseClosing> &Closings);
+  /// Removes the rows of workers whose leases have expired.
   void removeWorkers(const std::vector<std::string> &Ids);
   /// Records that the leader has stopped; Record has its times on this node's
   /// clock. Calls back when the store has answered, with or without success.
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -45,7 +45,7 @@
   const auto WorkerEntry = Workers_.find(Id);
   if (WorkerEntry == Workers_.end() ||
       WorkerEntry->second.Reachability_ != Reachability::Reachable ||
-      !WorkerEntry->second.Recorded_)
+      !WorkerEntry->second.OpenRowStored_)
     return Millis{};
   Worker &W = WorkerEntry->second;
   // The order may arrive although its reply is lost.
@@ -94,15 +94,15 @@
   }
   if (W.Info_.Address_ != Info.Address_)
     return nullptr;
-  W.LeaseRow_ = Row;
-  W.Recorded_ = Row == LeaseRow::Open;
+  W.WantedRow_ = Row;
+  W.OpenRowStored_ = Row == LeaseRow::Open;
   W.LeaseExpiry_ = EarlierLeaseExpiry_;
   return &W;
 }
 
 void Dispatcher::finishRestore() {
   for (auto &[Id, W] : Workers_) {
-    if (W.LeaseRow_ == LeaseRow::Open && W.LeaseExpiry_ > Millis{})
+    if (W.WantedRow_ == LeaseRow::Open && W.LeaseExpiry_ > Millis{})
       W.LeaseExpiry_ = std::min(W.LeaseExpiry_, EarlierLeaseExpiry_);
     for (const TaskRef &Ref : W.UnseenRuns_)
       if (TaskState *Task = task(Ref))
@@ -156,7 +156,7 @@
   std::vector<WorkerInfo> Unrecorded = std::exchange(UnrecordedWorkers_, {});
   std::erase_if(Unrecorded, [this](const WorkerInfo &Info) {
     const Worker *W = findWorker(Info.Id_);
-    return !W || W->Recorded_ || W->LeaseRow_ != LeaseRow::Open;
+    return !W || W->OpenRowStored_ || W->WantedRow_ != LeaseRow::Open;
   });
   return Unrecorded;
 }
@@ -170,8 +170,8 @@
   const auto WorkerEntry = Workers_.find(Id);
   if (WorkerEntry != Workers_.end() &&
       WorkerEntry->second.Info_.Address_ == Address)
-    WorkerEntry->second.Recorded_ =
-        WorkerEntry->second.LeaseRow_ == LeaseRow::Open;
+    WorkerEntry->second.OpenRowStored_ =
+        WorkerEntry->second.WantedRow_ == LeaseRow::Open;
 }
 
 LeaseRow Dispatcher::wantedLeaseRow(const Worker &W, Millis MinSilence,
@@ -186,25 +186,25 @@
   }
   case Reachability::Unreachable:
     if (!IsSilent)
-      return W.LeaseRow_;
+      return W.WantedRow_;
     return HasRuns ? LeaseRow::Closed : LeaseRow::None;
   case Reachability::Unknown:
     // A worker that has just joined is stored before it is reached.
-    if (W.LeaseRow_ == LeaseRow::Open && IsSilent && W.LeaseExpiry_ > Millis{})
+    if (W.WantedRow_ == LeaseRow::Open && IsSilent && W.LeaseExpiry_ > Millis{})
       return LeaseRow::Closed;
-    return W.LeaseRow_;
+    return W.WantedRow_;
   case Reachability::Expired:
   case Reachability::Replaced:
-    return HasRuns ? W.LeaseRow_ : LeaseRow::None;
+    return HasRuns ? W.WantedRow_ : LeaseRow::None;
   }
-  return W.LeaseRow_;
+  return W.WantedRow_;
 }
 
 void Dispatcher::setLeaseRow(Worker &W, LeaseRow Row) {
-  if (W.LeaseRow_ == Row)
+  if (W.WantedRow_ == Row)
     return;
-  W.LeaseRow_ = Row;
-  W.Recorded_ = false;
+  W.WantedRow_ = Row;
+  W.OpenRowStored_ = false;
   if (Row == LeaseRow::Open)
     UnrecordedWorkers_.push_back(W.Info_);
   else
@@ -219,10 +219,10 @@
 std::optional<LeaseClosing>
 Dispatcher::leaseClosing(const std::string &Id) const {
   const Worker *W = findWorker(Id);
-  if (!W || W->LeaseRow_ == LeaseRow::Open)
+  if (!W || W->WantedRow_ == LeaseRow::Open)
     return std::nullopt;
   LeaseClosing Closing{W->Info_, std::nullopt};
-  if (W->LeaseRow_ == LeaseRow::None)
+  if (W->WantedRow_ == LeaseRow::None)
     return Closing;
   ClosedLeases Leases;
   Leases.Expiry_ = W->LeaseExpiry_;
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -31,7 +31,7 @@
 
 bool acceptsWork(const Worker &W, Millis Now) {
   return W.Reachability_ == Reachability::Reachable && W.Registered_ &&
-         W.Recorded_ && !W.Info_.Draining_ &&
+         W.OpenRowStored_ && !W.Info_.Draining_ &&
          W.Health_.QuarantinedUntil_ <= Now;
 }
 
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -33,9 +33,10 @@
   Replaced,    ///< Another worker has its address; its process has ended.
 };
 
-/// What the store tells later leaders of the leases on a worker.
+/// The row of a worker in the store, which tells later leaders of the leases
+/// there.
 enum class LeaseRow {
-  None,   ///< Nothing runs there.
+  None,   ///< No row: nothing runs on the worker.
   Open,   ///< The leader may start tasks there and renew their leases.
   Closed, ///< The leader gives no leases, and those that it gave end.
 };
@@ -92,8 +93,9 @@
   /// Position in Dispatcher::WorkersByIndex_, not reused for another worker.
   int Index_ = 0;
   bool Registered_ = true; ///< Listed in the latest registry snapshot.
-  LeaseRow LeaseRow_ = LeaseRow::None; ///< The row that the worker should have.
-  bool Recorded_ = false; ///< The store has an open row with its address.
+  /// The row that the worker should have. The store may have an earlier one.
+  LeaseRow WantedRow_ = LeaseRow::None;
+  bool OpenRowStored_ = false; ///< The store has an open row with its address.
   Reachability Reachability_ = Reachability::Unknown;
   /// Start time of the worker process, Unix milliseconds; changes on a restart.
   std::int64_t ProcessStart_ = 0;
--- a/tests/cell/recorder_test.cpp
+++ b/tests/cell/recorder_test.cpp
@@ -98,7 +98,9 @@
     Recorder_.recordWorkers(Dispatcher_.takeUnrecordedWorkers());
     Recorder_.removeWorkers(Dispatcher_.takeForgottenWorkers());
   }
-  bool isRecorded() const { return Dispatcher_.findWorker("w1")->Recorded_; }
+  bool isRecorded() const {
+    return Dispatcher_.findWorker("w1")->OpenRowStored_;
+  }
   /// Another process answers at the address of the worker.
   void replaceWorker() {
     PollReply Rejection;
--- a/tests/dispatch/lease_rows_test.cpp
+++ b/tests/dispatch/lease_rows_test.cpp
@@ -28,7 +28,7 @@
 JobSpec restoreActiveJob(DispatcherFixture &Fixture, int Tasks) {
   JobProgress Progress;
   Progress.State_ = JobState::Active;
-  const JobSpec Job = makeJob("1", "urgent", {makeStep(Tasks, 1000)});
+  JobSpec Job = makeJob("1", "urgent", {makeStep(Tasks, 1000)});
   Fixture.Dispatcher_.restoreJob(Job, Progress, Fixture.Now_);
   return Job;
 }
@@ -164,7 +164,7 @@
   Fixture.Dispatcher_.handlePollFailure("w1", Refused, Fixture.Now_);
   closeRows(Fixture);
   Fixture.Dispatcher_.markWorkerRecorded("w1", "w1:1");
-  BOOST_TEST(!Fixture.Dispatcher_.findWorker("w1")->Recorded_);
+  BOOST_TEST(!Fixture.Dispatcher_.findWorker("w1")->OpenRowStored_);
 }
 
 // Guards against a wait for a worker that was never reached, passed on from
