--- a/tests/dispatch/advice_test.cpp
+++ b/tests/dispatch/advice_test.cpp
@@ -72,7 +72,6 @@
 BOOST_AUTO_TEST_CASE(NoWorkersAreChosenForRequestsThatNoNodeAccepts) {
   constexpr int Jobs = 50;
   constexpr int Accepted = 2;
-  constexpr Millis RetryDelay{150};
   const auto CountChecks = [](int Limit) {
     DispatcherFixture Fixture;
     LimitedQueue Queue(Limit);
@@ -85,7 +84,7 @@
                static_cast<std::size_t>(Limit));
     BOOST_TEST(Fixture.decideAndExecute().Questions_.empty());
     const auto Checks = Fixture.Dispatcher_.workerChecks();
-    Fixture.advance(RetryDelay);
+    Fixture.advance(AdviceRetryDelay);
     BOOST_TEST(Fixture.decideAndExecute().Questions_.size() ==
                static_cast<std::size_t>(Limit));
     return Checks;
