--- a/tests/cell/takeover_explorer_test.cpp
+++ b/tests/cell/takeover_explorer_test.cpp
@@ -239,8 +239,8 @@
         continue;
       auto Record =
           cell::decodeResignation(StoredRow{Put.Name_, Put.Value_, 0}).value();
-      Record.Waiting_ = {
-          dispatch::TaskRange{longRunningJob(), 0, 0, LongRunningTasks - 1}};
+      Record.Waiting_ = {dispatch::TaskRange{jobOfLongRunningTasks(), 0, 0,
+                                             LongRunningTasks - 1}};
       Put.Value_ = cell::encodeResignation(Record);
     }
   });
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -123,7 +123,7 @@
 Violations TakeoverPlay::play(const Schedule &Events) {
   Cell_.Loop_.runUntil(ElectionTimeout,
                        [this] { return !Cell_.leader().empty(); });
-  Cell_.submitLongRunning("n1", longRunningJob(), LongRunningTasks);
+  Cell_.submitLongRunning("n1", jobOfLongRunningTasks(), LongRunningTasks);
   Cell_.submit("n1", jobId(2), 1, ShortTaskDuration);
   Cell_.Loop_.run(StartTime);
   Violations Found;
@@ -242,7 +242,7 @@
 std::vector<std::string> TakeoverPlay::missingTasks() const {
   std::vector<std::string> Missing;
   for (int Task = 0; Task < LongRunningTasks; ++Task) {
-    std::string Name = longRunningJob() + ".0.0." + std::to_string(Task);
+    std::string Name = jobOfLongRunningTasks() + ".0.0." + std::to_string(Task);
     if (!Cell_.Fleet_.isRunning(Name, Cell_.Loop_.monotonic()))
       Missing.push_back(std::move(Name));
   }
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -14,7 +14,7 @@
 constexpr int PointCount = 8;
 
 /// The job with the long-running tasks of a play.
-inline std::string longRunningJob() { return jobId(1); }
+inline std::string jobOfLongRunningTasks() { return jobId(1); }
 constexpr int LongRunningTasks = 4;
 
 enum class EventKind {
