tests/soak: Overwrite registry entries of live workers

All entries were written by the workers that they describe. Now another writer overwrites one about once a second with one of eight odd ones (ports out of range, labels nested 900 deep, cpu 2^63-1, an unknown state, text that is not JSON); 1.5 to 3.5 s later the worker writes its own again. The generator is one apart, so the other faults draw the same numbers as before.

Entries of shrunk workers are left alone: nobody could know the smaller capacity, and the check of LIMIT assumes that it can be read.

--- a/tests/soak/platform_server.cpp
+++ b/tests/soak/platform_server.cpp
@@ -77,7 +77,11 @@
 
 void PlatformServer::put(const std::string &Table, const std::string &Key,
                          const Json::Value &Value) {
-  const std::string Text = writeJson(Value);
+  put(Table, Key, writeJson(Value));
+}
+
+void PlatformServer::put(const std::string &Table, const std::string &Key,
+                         const std::string &Text) {
   std::string Encoded(base64::encoded_size(Text.size()), '\0');
   Encoded.resize(base64::encode(Encoded.data(), Text.data(), Text.size()));
   Rows_[{Table, "", Key}] = Row{Encoded, ++Version_, false};
--- a/tests/soak/platform_server.h
+++ b/tests/soak/platform_server.h
@@ -37,6 +37,8 @@
   /// Writes a row of the operator or of a worker.
   void put(const std::string &Table, const std::string &Key,
            const Json::Value &Value);
+  void put(const std::string &Table, const std::string &Key,
+           const std::string &Text);
   void remove(const std::string &Table, const std::string &Key);
 
 private:
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -23,7 +23,7 @@
 
 Soak::Soak(SoakSettings Settings)
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
-      Platform_(Loop_, Time_, Settings_.Seed_) {
+      EntryRandom_(Settings_.Seed_), Platform_(Loop_, Time_, Settings_.Seed_) {
   std::filesystem::create_directories(Settings_.Folder_);
   const int Store = process_tests::findFreePorts(
       1 + Settings_.Workers_ + Settings_.Nodes_ * PortsOfNode);
@@ -111,7 +111,7 @@
   Loop_.after(Period, [this] { restartEnded(); });
 }
 
-void Soak::registerWorker(const WorkerServer &Each) {
+Json::Value Soak::entryOf(const WorkerServer &Each) const {
   Json::Value Entry;
   Entry["service"] = "desk";
   Entry["addr"] = local(Relay_->port(Each.name()));
@@ -120,7 +120,11 @@
   Entry["capacity"]["cpu"] = Json::Int64(Each.capacity());
   Entry["capacity"]["memMb"] = 64000;
   Entry["labels"].append("a");
-  Platform_.put("servers", Each.id(), Entry);
+  return Entry;
+}
+
+void Soak::registerWorker(const WorkerServer &Each) {
+  Platform_.put("servers", Each.id(), entryOf(Each));
 }
 
 void Soak::writeDesiredState() {
@@ -202,6 +206,7 @@
     submitLater();
     scheduleFault();
     shrinkLater();
+    overwriteEntryLater();
   });
   const Millis MoreTime = Settings_.DeadlyShare_ > 0 ? DeadlyCalm : Millis{};
   settle(StartedAt_ + Settings_.Length_ + SettleTime + MoreTime);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -53,10 +53,12 @@
   void addNodes(int FirstPort);
   void startNode(Node &Each);
   void restartEnded();
+  Json::Value entryOf(const WorkerServer &Each) const;
   void registerWorker(const WorkerServer &Each);
   void writeDesiredState();
   void scheduleFault();
   void injectFault();
+  void report(const std::string &What);
   void disturb(const std::string &What, const std::function<void()> &Begin,
                std::function<void()> End, std::size_t Longest = 2500);
   void faultNode(Node &Each);
@@ -67,6 +69,7 @@
   void takeDown(WorkerServer &Each);
   void bringUp(WorkerServer &Each);
   void shrinkLater();
+  void overwriteEntryLater();
   void changeCapacity(WorkerServer &Each, std::int64_t MilliCpus);
   void submitLater();
   void submit();
@@ -86,6 +89,7 @@
   const SoakSettings Settings_;
   const SystemClock Time_;
   std::minstd_rand Random_;
+  std::minstd_rand EntryRandom_; ///< Apart: keeps the other faults of a seed.
   drivers::EventLoop Loop_;
   Observer Watch_{Time_};
   PlatformServer Platform_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/soak/soak.h"
 
+#include "core/codec.h"
+
 #include <csignal>
 #include <cstdio>
 
@@ -14,6 +16,34 @@
 // An entry goes after three heartbeats of silence.
 constexpr Millis EntryTime = Heartbeat * 3;
 
+/// Makes a worker's entry one that names no worker to use.
+std::string makeOdd(Json::Value Entry, std::size_t Kind) {
+  static const std::vector<std::string> Ports = {"70000", "0", "-5",
+                                                 "99999999999999999999"};
+  if (Kind < Ports.size()) {
+    Entry["addr"] = "127.0.0.1:" + Ports[Kind];
+    return writeJson(Entry);
+  }
+  constexpr int Depth = 900;
+  switch (Kind - Ports.size()) {
+  case 0:
+    for (int Level = 0; Level < Depth; ++Level) {
+      Json::Value Outer(Json::arrayValue);
+      Outer.append(std::move(Entry["labels"]));
+      Entry["labels"] = std::move(Outer);
+    }
+    return writeJson(Entry);
+  case 1:
+    Entry["capacity"]["cpu"] = Json::Value::maxInt64;
+    return writeJson(Entry);
+  case 2:
+    Entry["state"] = "resting";
+    return writeJson(Entry);
+  default:
+    return "not JSON";
+  }
+}
+
 } // namespace
 
 void Soak::scheduleFault() {
@@ -26,16 +56,20 @@
   });
 }
 
-void Soak::disturb(const std::string &What, const std::function<void()> &Begin,
-                   std::function<void()> End, std::size_t Longest) {
-  if (Disturbances_[What] > 0)
-    return;
+void Soak::report(const std::string &What) {
   ++Faults_;
-  ++Disturbances_[What];
   std::printf("%6.2f s fault %s\n",
               static_cast<double>((Time_.monotonic() - StartedAt_).Value_) /
                   1000,
               What.c_str());
+}
+
+void Soak::disturb(const std::string &What, const std::function<void()> &Begin,
+                   std::function<void()> End, std::size_t Longest) {
+  if (Disturbances_[What] > 0)
+    return;
+  ++Disturbances_[What];
+  report(What);
   Begin();
   const auto Length = Millis{static_cast<std::int64_t>(300 + draw(Longest))};
   Loop_.after(Length, [this, What, End = std::move(End)] {
@@ -155,6 +189,33 @@
   });
 }
 
+// Another writer overwrites the entry of a worker, which writes it again later.
+void Soak::overwriteEntryLater() {
+  constexpr std::size_t MostGap = 2000;
+  constexpr std::size_t Kinds = 8;
+  const auto Draw = [this](std::size_t Below) {
+    return static_cast<std::int64_t>(EntryRandom_() % Below);
+  };
+  Loop_.after(Millis{Draw(MostGap)}, [this, Draw] {
+    if (faultsOver())
+      return;
+    overwriteEntryLater();
+    WorkerServer &Each = *Workers_[EntryRandom_() % Workers_.size()];
+    const std::size_t Kind = EntryRandom_() % Kinds;
+    // Starts must not exceed a smaller capacity, which nobody could know.
+    if (Each.isShrunk())
+      return;
+    report("odd entry " + Each.name() + " " + std::to_string(Kind));
+    Platform_.put("servers", Each.id(), makeOdd(entryOf(Each), Kind));
+    Loop_.after(Heartbeat + Millis{Draw(MostGap)},
+                [this, &Each, Id = Each.id()] {
+                  if (Id == Each.id())
+                    registerWorker(Each);
+                  Watch_.disturbed();
+                });
+  });
+}
+
 void Soak::injectFault() {
   static const std::vector<LinkState> Links = {
       LinkState::Cut, LinkState::Refuse, LinkState::Delayed, LinkState::OnlyIn,
