dispatch, cell: Bound the starts and the steps of a planning pass

Cause, first part: a planning pass places everything that fits and asks for advice for every waiting step behind it, so it grows with the backlog. The pause after a pass was limited to 50 ms, whatever the pass had taken: a leader with passes over 50 ms planned all the time.

Change: a pass ends at 64 starts; the steps behind those wait for the next one, with their advice. A pause is at least as long as the pass before it. The new bounds are half of the time for slow passes, and still 50 ms where the pass is shorter.

Without the two checks in dispatcher_plan.cpp PassOrdersABoundedNumberOfStarts fails (600 starts in a pass), FullPassAsksForNoAdviceForLaterSteps too.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -32,8 +32,8 @@
 constexpr Millis HandOverDelay{500};
 // Minimum time between planning passes, so that several events share one.
 constexpr Millis MinDecisionInterval{5};
-// Limit of the time between planning passes of an overloaded leader. Lookups
-// have less than 0.3 s of slack.
+// Limit of the time between planning passes of an overloaded leader, unless a
+// pass takes over half of it. Lookups have less than 0.3 s of slack.
 constexpr Millis MaxDecisionInterval{50};
 // A pass is followed by this many times its own duration without planning.
 constexpr std::int64_t DecisionPauseFactor = 3;
@@ -74,8 +74,10 @@
 }
 
 Millis decisionInterval(Millis LastPassDuration) {
-  return std::clamp(LastPassDuration * (DecisionPauseFactor + 1),
-                    MinDecisionInterval, MaxDecisionInterval);
+  constexpr std::int64_t LeastPauseFactor = 1;
+  return std::clamp(
+      LastPassDuration * (DecisionPauseFactor + 1), MinDecisionInterval,
+      std::max(MaxDecisionInterval, LastPassDuration * (LeastPauseFactor + 1)));
 }
 
 Leader::Leader(const CellPorts &Ports, const CellSettings &Settings,
@@ -406,12 +408,19 @@
   LastDecisionAt_ = now();
   // A leader that may have been replaced sends no orders, since the tasks could
   // run twice.
-  if (mayIssueOrders())
-    sendOrders(Dispatcher_.decide(now()));
+  bool MoreToPlace = false;
+  if (mayIssueOrders()) {
+    const dispatch::Actions Actions = Dispatcher_.decide(now());
+    MoreToPlace =
+        Actions.Starts_.size() >= dispatch::Dispatcher::MaxStartsPerPass;
+    sendOrders(Actions);
+  }
   Recorder_.removeWorkers(Dispatcher_.takeForgottenWorkers());
   Recorder_.collectChanges();
   logDecisions();
   LastDecisionDuration_ = now() - LastDecisionAt_;
+  if (MoreToPlace)
+    scheduleDecision();
 }
 
 void Leader::sendOrders(const dispatch::Actions &Actions) {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -24,8 +24,9 @@
 
 /// Time from the start of a planning pass to the start of the next one, given
 /// the duration of the first. Answers the load of a leader with too little
-/// processor time: planning may take a quarter of it, so that leases are
-/// renewed and callers are answered however many steps wait.
+/// processor time: planning may take a quarter of it, or half if passes are
+/// slow, so that leases are renewed and callers are answered however many steps
+/// wait.
 Millis decisionInterval(Millis LastPassDuration);
 
 /// Schedules the jobs of a cell during one epoch, that is, between two
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -115,6 +115,9 @@
   /// starting for this long, so that slow replies do not hide the cause of a
   /// crash.
   static constexpr Millis StartingTime{500};
+  /// Limit of the starts that a pass orders. The next pass goes on, so that
+  /// replies and calls are handled while a large backlog is placed.
+  static constexpr std::size_t MaxStartsPerPass = 64;
 
   Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
 
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -83,6 +83,9 @@
     const StepSpec &Spec =
         Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
     const bool CapacityExpected = HigherRankedMilliCpus < ExpectedMilliCpus;
+    // The steps that follow wait for the next pass, with their advice.
+    if (PendingActions_.Starts_.size() >= MaxStartsPerPass)
+      break;
     if (State.Ready_)
       placeStep(Ranked, Now);
     requestAdvice(Ranked, CapacityExpected, Now);
@@ -289,7 +292,8 @@
       AllCombinationsChecked = false;
       continue;
     }
-    if (!keepsReserve(Ranked, Spec))
+    if (!keepsReserve(Ranked, Spec) ||
+        PendingActions_.Starts_.size() >= MaxStartsPerPass)
       return;
     const std::int64_t Attempt = std::max(Task.LastAttempt_ + 1, FirstAttempt);
     if (isCrashSuspect(Task)) {
--- a/tests/dispatch/load_test.cpp
+++ b/tests/dispatch/load_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/dispatch/fixture.h"
 #include "tests/dispatch/played_load.h"
 
 #include <boost/test/unit_test.hpp>
@@ -100,6 +101,50 @@
   }
 }
 
+// Guards against an overloaded leader that neither answers callers nor renews
+// leases while it places a large backlog.
+BOOST_AUTO_TEST_CASE(PassOrdersABoundedNumberOfStarts) {
+  constexpr int Jobs = 20;
+  constexpr int Width = 30;
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1", 1000 * Jobs * Width)});
+  for (int Job = 0; Job < Jobs; ++Job)
+    Fixture.submit(
+        makeJob(std::to_string(Job), "urgent", {makeStep(Width, 500)}));
+  std::size_t Starts = 0;
+  std::size_t Passes = 0;
+  while (Starts < Jobs * Width && Passes < Jobs * Width) {
+    const std::size_t Ordered = Fixture.decideAndExecute().Starts_.size();
+    BOOST_TEST(Ordered <= Dispatcher::MaxStartsPerPass);
+    Starts += Ordered;
+    ++Passes;
+  }
+  BOOST_TEST(Starts == Jobs * Width);
+  BOOST_TEST(Passes <= Starts / Dispatcher::MaxStartsPerPass + 1);
+}
+
+// Guards against the time that a pass spends on the steps behind those that it
+// places: their advice would expire before their turn.
+BOOST_AUTO_TEST_CASE(FullPassAsksForNoAdviceForLaterSteps) {
+  DispatcherFixture Fixture;
+  QueuePolicy AdvisedPolicy;
+  AdvisedPolicy.Service_ = "desk";
+  AdvisedPolicy.Priority_ = 2;
+  AdvisedPolicy.NeedsAdvice_ = true;
+  AdvisedPolicy.TicketValid_ = Millis{2500};
+  QueuePolicy UrgentPolicy;
+  UrgentPolicy.Service_ = "desk";
+  Fixture.Dispatcher_.setQueues(
+      {{"urgent", UrgentPolicy}, {"advised", AdvisedPolicy}});
+  constexpr int Width = 2 * static_cast<int>(Dispatcher::MaxStartsPerPass);
+  Fixture.addWorkers({makeWorker("w1", 1000 * Width)});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(Width, 100)}));
+  Fixture.submit(makeJob("2", "advised", {makeStep(1, 100)}));
+  BOOST_TEST(Fixture.decideAndExecute().Questions_.empty());
+  Fixture.decideAndExecute();
+  BOOST_TEST(Fixture.decideAndExecute().Questions_.size() == 1U);
+}
+
 // Guards against long-running tasks that start seconds after the others of
 // their job, because each advice request waits for the one before.
 BOOST_AUTO_TEST_CASE(SpreadServiceStartsOnAnIdleFleet) {
