drivers/beast: Accept all waiting connections in one turn of the loop

Cause: an asynchronous accept takes one connection per turn of the event loop. A call that times out closes its connection, so the next call needs a new one, and at ten turns a second ten are accepted. The queue of new connections keeps the leader unreachable after the cause of the delay is gone.

Measured: WaitingConnectionsAreAcceptedTogether needs 53 turns for 50 callers on and fails; it passes now.

--- a/drivers/beast/event_loop.cpp
+++ b/drivers/beast/event_loop.cpp
@@ -13,6 +13,12 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
+namespace {
+
+constexpr int MaxAcceptsPerTurn = 64;
+
+} // namespace
+
 struct EventLoop::State {
   asio::io_context Loop_{1};
   std::shared_ptr<SessionRegistry> Registry_ =
@@ -27,12 +33,29 @@
                                            tcp::socket Socket) {
           if (!Acceptor.is_open())
             return;
-          if (!Failure)
+          if (!Failure) {
             serveConnection(std::move(Socket), Limits, Handler, Registry_);
+            acceptWaiting(Acceptor, Limits, Handler);
+          }
           accept(Acceptor, Limits, Handler);
         });
   }
 
+  // An asynchronous accept takes one connection per turn of the loop. When
+  // turns are long, callers whose calls have timed out would wait for each
+  // other.
+  void acceptWaiting(tcp::acceptor &Acceptor, const ListenerLimits &Limits,
+                     const WebHandler &Handler) {
+    for (int Accepted = 0; Accepted < MaxAcceptsPerTurn; ++Accepted) {
+      tcp::socket Socket(Loop_);
+      boost::system::error_code Failure;
+      Acceptor.accept(Socket, Failure);
+      if (Failure)
+        return;
+      serveConnection(std::move(Socket), Limits, Handler, Registry_);
+    }
+  }
+
   void waitForSignal(const std::function<void(int)> &Handler) {
     Signals_.async_wait(
         [this, Handler](boost::system::error_code Failure, int Number) {
@@ -67,6 +90,8 @@
       Acceptor.bind(Endpoint, Failure);
     if (!Failure)
       Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+    if (!Failure)
+      Acceptor.non_blocking(true, Failure);
   }
   if (Failure)
     return Error{Reason::ConnectFailed, Effect::None, "listen", Address,
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -1,10 +1,12 @@
 #include "drivers/beast/event_loop.h"
 #include "drivers/log/bounded_log.h"
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <thread>
 
 using namespace damaskglade;
 using namespace damaskglade::drivers;
@@ -138,6 +140,51 @@
   Kept.clear();
 }
 
+// Guards against callers that time out in the queue of new connections while
+// each turn of the loop takes long.
+BOOST_AUTO_TEST_CASE(WaitingConnectionsAreAcceptedTogether) {
+  EventLoop Server;
+  BOOST_TEST_REQUIRE(
+      Server
+          .listen(Address, ListenerLimits{},
+                  [](const WebRequest &, const WebReplier &Reply) {
+                    Reply(WebReply{});
+                  })
+          .has_value());
+  constexpr int Callers = 50;
+  std::atomic<int> Answered{0};
+  std::atomic<int> Failed{0};
+  std::thread Clients([&] {
+    EventLoop Loop;
+    const auto Client = Loop.makeClient();
+    for (int Caller = 0; Caller < Callers; ++Caller) {
+      WebCall Call = post("crates");
+      Call.Address_ = Address;
+      Call.Timeout_ = Millis{20000};
+      Client->call(Call, [&](const Result<WebReply> &Reply) {
+        Failed += Reply ? 0 : 1;
+        if (++Answered == Callers)
+          Loop.stop();
+      });
+    }
+    Loop.run();
+  });
+  int Turns = 0;
+  std::function<void()> CountTurn = [&] {
+    constexpr Millis TurnLength{20};
+    sleepFor(TurnLength);
+    ++Turns;
+    if (Answered == Callers)
+      return Server.stop();
+    Server.after(Millis{}, CountTurn);
+  };
+  Server.after(Millis{}, CountTurn);
+  Server.run();
+  Clients.join();
+  BOOST_TEST(Failed == 0);
+  BOOST_TEST(Turns < Callers / 2);
+}
+
 // Guards against a rejection of the second copy of a call that is taken for a
 // statement about the first one.
 BOOST_AUTO_TEST_CASE(RepeatedCallIsMarkedInItsReply) {
