drivers/beast: Give calls back the time that the event loop was late

Cause: deadlines are kept by the loop that is late. Once it comes to them, it has not read the replies, nor written on connections that are open by then, and takes its own delay for the silence of the peer.

Change: a deadline that is handled more than 20 ms late is extended once, by twice its delay and at most by the timeout of the call.

--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -47,16 +47,22 @@
     boost::asio::basic_stream_socket<tcp,
                                      boost::asio::io_context::executor_type>;
 
+// A loop that runs its timers this late has not read the replies that arrived
+// meanwhile.
+constexpr Millis LateLoopThreshold{20};
+
 /// Ends calls at their deadlines with a single timer. A timer per call would be
 /// armed and cancelled thousands of times a second by a leader.
 class DeadlineQueue : public std::enable_shared_from_this<DeadlineQueue> {
 public:
   using Clock = std::chrono::steady_clock;
-  using Entries = std::multimap<Clock::time_point, std::function<void()>>;
+  /// Receives how late the deadline is handled.
+  using DeadlineHandler = std::function<void(Millis Lateness)>;
+  using Entries = std::multimap<Clock::time_point, DeadlineHandler>;
 
   explicit DeadlineQueue(boost::asio::io_context &Loop) : Timer_(Loop) {}
 
-  Entries::iterator add(Millis Timeout, std::function<void()> OnDeadline) {
+  Entries::iterator add(Millis Timeout, DeadlineHandler OnDeadline) {
     const auto Entry = Entries_.emplace(
         Clock::now() + std::chrono::milliseconds(Timeout.Value_),
         std::move(OnDeadline));
@@ -89,7 +95,10 @@
     const auto Now = Clock::now();
     while (!Entries_.empty() && Entries_.begin()->first <= Now) {
       const auto Due = Entries_.extract(Entries_.begin());
-      Due.mapped()();
+      const auto Lateness =
+          std::chrono::duration_cast<std::chrono::milliseconds>(Now -
+                                                                Due.key());
+      Due.mapped()(Millis{Lateness.count()});
     }
     if (!Entries_.empty() && !Armed_)
       arm(Entries_.begin()->first);
@@ -135,13 +144,9 @@
     Done_ = std::move(Done);
     Sent_ = Reused;
     TimedOut_ = false;
+    MaxExtension_ = Call.Timeout_;
     Request_ = formatRequest(Call);
-    Deadline_ = Deadlines_->add(
-        Call.Timeout_,
-        [Connection = std::weak_ptr<class Connection>(shared_from_this())] {
-          if (const auto Self = Connection.lock())
-            Self->onDeadline();
-        });
+    setDeadline(Call.Timeout_);
     if (Reused)
       return write();
     const auto Endpoint = parseAddress(Call.Address_);
@@ -161,6 +166,15 @@
   bool usable() const { return Socket_.is_open() && !Broken_; }
 
 private:
+  void setDeadline(Millis Timeout) {
+    Deadline_ =
+        Deadlines_->add(Timeout, [Connection = std::weak_ptr<class Connection>(
+                                      shared_from_this())](Millis Lateness) {
+          if (const auto Self = Connection.lock())
+            Self->onDeadline(Lateness);
+        });
+  }
+
   void onConnected(beast::error_code Failure) {
     if (Failure || TimedOut_)
       return fail(Failure);
@@ -214,8 +228,15 @@
     finish(std::move(Reply));
   }
 
-  void onDeadline() {
+  // A late loop is no sign that the peer is silent. The call gets the time back
+  // that the loop was late: once, since a connection, a request and a reply
+  // take two further turns of the loop at most.
+  void onDeadline(Millis Lateness) {
+    constexpr std::int64_t TurnsLeft = 2;
     Deadline_.reset();
+    if (Lateness > LateLoopThreshold && MaxExtension_ > Millis{})
+      return setDeadline(std::min(Lateness * TurnsLeft,
+                                  std::exchange(MaxExtension_, Millis{})));
     TimedOut_ = true;
     close();
   }
@@ -260,6 +281,8 @@
   const std::shared_ptr<IdlePool> Pool_;
   const std::shared_ptr<DeadlineQueue> Deadlines_;
   std::optional<DeadlineQueue::Entries::iterator> Deadline_;
+  /// Limit of the time by which the deadline may still be extended.
+  Millis MaxExtension_{};
   std::string Address_;
   std::string Step_;
   WebReplyHandler Done_;
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -185,6 +185,31 @@
   BOOST_TEST(Turns < Callers / 2);
 }
 
+// Guards against a peer that counts as silent because this process was busy
+// while the reply arrived.
+BOOST_AUTO_TEST_CASE(LateLoopDoesNotEndCallsAtTheirDeadline) {
+  EventLoop Server;
+  BOOST_TEST_REQUIRE(
+      Server
+          .listen(Address, ListenerLimits{},
+                  [](const WebRequest &, const WebReplier &Reply) {
+                    Reply(WebReply{});
+                  })
+          .has_value());
+  std::thread ServerThread([&] { Server.run(); });
+  EventLoop Loop;
+  const auto Client = Loop.makeClient();
+  WebCall Call = post("crates");
+  constexpr Millis Timeout{100};
+  Call.Timeout_ = Timeout;
+  // Runs once the connection has been requested.
+  Loop.after(Millis{}, [] { sleepFor(Timeout * 2); });
+  const auto Reply = exchange(Loop, *Client, Call);
+  Server.after(Millis{}, [&] { Server.stop(); });
+  ServerThread.join();
+  BOOST_TEST(Reply.has_value());
+}
+
 // Guards against a rejection of the second copy of a call that is taken for a
 // statement about the first one.
 BOOST_AUTO_TEST_CASE(RepeatedCallIsMarkedInItsReply) {
