dispatch: Let waiting steps keep what they have examined in a full pass

Cause: a pass that ends at its limit of starts counted as a whole one. The steps that it had left out examined all workers again in the next pass, instead of those that have gained capacity.

Change: a full pass does not record the offered capacity, so what has been gained counts from the last whole pass. A step that is visited forgets what it has examined before, since it starts from another state of the fleet.

--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -77,6 +77,7 @@
   const std::int64_t ExpectedMilliCpus =
       std::max<std::int64_t>(FleetFreeCapacity_.MilliCpus_, 0) +
       FleetCapacity_.MilliCpus_ / FleetShareDivisor;
+  bool IsFull = false;
   for (const RankedStep &Ranked : rankedSteps(Now)) {
     const StepRun &State =
         Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
@@ -84,7 +85,8 @@
         Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
     const bool CapacityExpected = HigherRankedMilliCpus < ExpectedMilliCpus;
     // The steps that follow wait for the next pass, with their advice.
-    if (PendingActions_.Starts_.size() >= MaxStartsPerPass)
+    IsFull = PendingActions_.Starts_.size() >= MaxStartsPerPass;
+    if (IsFull)
       break;
     if (State.Ready_)
       placeStep(Ranked, Now);
@@ -94,7 +96,9 @@
     if (State.Ready_)
       HigherRankedMilliCpus += WaitingTasks * reservedSize(Spec).MilliCpus_;
   }
-  recordOfferedCapacity(Now);
+  // The steps that were left out have examined what was offered before.
+  if (!IsFull)
+    recordOfferedCapacity(Now);
   return std::exchange(PendingActions_, Actions{});
 }
 
@@ -260,13 +264,15 @@
   StepRun &State = Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const StepSpec &Spec =
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
+  const bool FoundNoCapacity =
+      std::exchange(State.NoCapacityPass_, 0) == PassNumber_ - 1;
   if (!keepsReserve(Ranked, Spec))
     return;
   // A step that found no capacity in the last pass examines only workers that
   // gained some since. Gangs and steps with a limit per worker examine all: the
   // limit may have kept a step from workers that had free capacity before.
-  const bool GainedCapacityOnly = State.NoCapacityPass_ == PassNumber_ - 1 &&
-                                  !Spec.Gang_ && Spec.MaxPerWorker_ == 0;
+  const bool GainedCapacityOnly =
+      FoundNoCapacity && !Spec.Gang_ && Spec.MaxPerWorker_ == 0;
   std::vector<Candidate> Candidates =
       findCandidates(Ranked, GainedCapacityOnly, Now);
   if (Candidates.empty() && !GainedCapacityOnly)
