cell: Poll the fleet in turns and reject jobs while the leader is late

What callers saw: a new leader of the large depot polled all 1,100 workers at once. A late leader accepted jobs that it could not serve.

Change: 32 workers are polled per turn of the event loop, so that pings and callers come in between. The leader measures how late its timers are. Both changes of that state are logged.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -50,6 +50,9 @@
 // The row of an unreachable worker is closed after this time, since many are
 // back before.
 constexpr Millis MinSilenceBeforeClosing{500};
+// So many workers are polled per turn of the event loop, so that callers and
+// pings of other nodes are answered while a new leader polls a large fleet.
+constexpr std::size_t PollsPerTurn = 32;
 // A worker counts as unreachable after this many failed polls in a row.
 constexpr int PollFailuresBeforeUnreachable = 2;
 
@@ -192,7 +195,19 @@
   closeLeaseRows();
   scheduleDecision();
   Ports_.Timers_.after(TickPeriod,
-                       [Self = shared_from_this()] { Self->tick(); });
+                       [Self = shared_from_this(), Due = now() + TickPeriod] {
+                         Self->recordLoopDelay(Self->now() - Due);
+                         Self->tick();
+                       });
+}
+
+void Leader::recordLoopDelay(Millis Delay) {
+  const bool WasLate = isLate(LoopDelay_);
+  LoopDelay_ = addDelay(LoopDelay_, Delay);
+  if (WasLate != isLate(LoopDelay_))
+    logEvent(Ports_, LogLevel::Warning, "", "lead", "",
+             std::string(WasLate ? "has caught up" : "has fallen behind") +
+                 ", delay_ms=" + std::to_string(Delay.Value_));
 }
 
 void Leader::readRegistry() {
@@ -282,9 +297,29 @@
 void Leader::pollWorkers() {
   for (const auto &[Id, Worker] : Dispatcher_.workers()) {
     PollState &State = PollStates_[Id];
-    if (!State.LongPollOpen_ && !State.PollScheduled_)
-      pollWorker(Id, false);
+    if (State.LongPollOpen_ || State.PollScheduled_)
+      continue;
+    State.PollScheduled_ = true;
+    WorkersToPoll_.push_back(Id);
+  }
+  if (!PollTurnScheduled_)
+    pollNextWorkers();
+}
+
+void Leader::pollNextWorkers() {
+  PollTurnScheduled_ = false;
+  for (std::size_t Count = 0; Count < PollsPerTurn && !WorkersToPoll_.empty();
+       ++Count) {
+    const std::string Id = std::move(WorkersToPoll_.front());
+    WorkersToPoll_.pop_front();
+    PollStates_[Id].PollScheduled_ = false;
+    pollWorker(Id, false);
   }
+  if (WorkersToPoll_.empty() || Stopped_)
+    return;
+  PollTurnScheduled_ = true;
+  Ports_.Timers_.after(
+      Millis{}, [Self = shared_from_this()] { Self->pollNextWorkers(); });
 }
 
 void Leader::schedulePoll(const std::string &Id, Millis Delay) {
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -3,9 +3,11 @@
 
 #include "cell/advice_balancer.h"
 #include "cell/context.h"
+#include "cell/loop_delay.h"
 #include "cell/recorder.h"
 #include "dispatch/dispatcher.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -70,7 +72,7 @@
   struct PollState {
     bool LongPollOpen_ = false;  ///< The regular poll is in flight.
     bool ProbeOpen_ = false;     ///< An extra poll without wait is in flight.
-    bool PollScheduled_ = false; ///< A timer will send the regular poll.
+    bool PollScheduled_ = false; ///< The regular poll will be sent.
     /// Highest sequence number of an ended task in the worker's poll replies.
     std::int64_t LastListedEnd_ = 0;
     /// Ended tasks of the worker are recorded up to this sequence number.
@@ -87,6 +89,7 @@
   void loadResignation(const StoredRow &Row, const StoreClockReading &Reading);
   void finishLoad();
   void tick();
+  void recordLoopDelay(Millis Delay);
   void readRegistry();
   void confirmLeadership();
   void recordWorkerChanges();
@@ -94,6 +97,7 @@
   void closeLeaseRows();
   void handleWorkerOpened(const std::string &Id);
   void pollWorkers();
+  void pollNextWorkers();
   void pollWorker(const std::string &Worker, bool Probe);
   void handlePollReply(const std::string &Worker, bool Probe, Millis SentAt,
                        const Result<PollReply> &Reply);
@@ -112,7 +116,9 @@
   Recorder Recorder_;
   AdviceBalancer AdviceBalancer_;
   std::map<std::string, PollState> PollStates_;
+  std::deque<std::string> WorkersToPoll_; ///< See pollNextWorkers().
   std::set<std::string> WorkersWithUnrecordedEnds_;
+  LoopDelay LoopDelay_;
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
   std::map<std::string, dispatch::JobProgress> LoadedProgress_;
   std::vector<dispatch::TaskRange> LoadedWaitingTasks_;
@@ -131,6 +137,7 @@
   bool RegistryReadOpen_ = false;
   int OpenConfirmReads_ = 0; ///< Reads of the leader row in flight.
   bool DecisionScheduled_ = false;
+  bool PollTurnScheduled_ = false;
   bool Loaded_ = false;
   bool Stopped_ = false;
 };
--- a/cell/leader_calls.cpp
+++ b/cell/leader_calls.cpp
@@ -28,6 +28,9 @@
   const Status FitStatus = Dispatcher_.checkFits(Spec);
   if (!FitStatus)
     return Reply(FitStatus.error());
+  if (shouldReject(LoopDelay_, Dispatcher_.priorityOf(Spec.Queue_)))
+    return Reply(Error{Reason::QueueFull, Effect::None, "submit", "",
+                       "the leader has fallen behind"});
   Dispatcher_.addJob(Spec, now());
   PendingSubmissions_[Spec.Id_].push_back(Reply);
   Recorder_.recordJob(
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -122,6 +122,8 @@
   Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
 
   void setQueues(const std::map<std::string, QueuePolicy> &Queues);
+  /// QueuePolicy::Priority_ of the queue.
+  int priorityOf(const std::string &Queue) const;
 
   // Jobs.
 
@@ -283,6 +285,7 @@
   /// The run of a task that has one.
   const Run &runOf(const TaskRef &Ref) const;
   const QueuePolicy &policyOf(const JobRun &Job) const;
+  const QueuePolicy &policyOf(const std::string &Queue) const;
   WorkerTarget target(const Worker &W) const;
   void markChanged(const std::string &Id) { ChangedJobs_.insert(Id); }
   void log(const std::string &Request, const std::string &Step,
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -47,11 +47,19 @@
 }
 
 const QueuePolicy &Dispatcher::policyOf(const JobRun &Job) const {
+  return policyOf(Job.Spec_.Queue_);
+}
+
+const QueuePolicy &Dispatcher::policyOf(const std::string &Queue) const {
   static const QueuePolicy Default;
-  const auto QueueEntry = Queues_.find(Job.Spec_.Queue_);
+  const auto QueueEntry = Queues_.find(Queue);
   return QueueEntry == Queues_.end() ? Default : QueueEntry->second;
 }
 
+int Dispatcher::priorityOf(const std::string &Queue) const {
+  return policyOf(Queue).Priority_;
+}
+
 void Dispatcher::log(const std::string &Request, const std::string &Step,
                      const std::string &Peer, const std::string &Text) {
   if (Decisions_.size() < MaxDecisions)
