tests/cell: Play cells with too little processor time

Without a speed all is as before.

LateLeaderTests plays 12 nodes and 200 workers, 300 jobs/s offered, 0.25 of a core per node, of which the leader needs 0.14. For 8 s all nodes then have 1/2 or 1/3 of what the leader needs. The leader must stay, and serve 0.8/2 or 0.8/3 of the 2,400 jobs; those offered 5 s after the slow time must all be served.

--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -115,8 +115,6 @@
       Loop_.after(StoreTimeout, [Done] { Done(timeout("read")); });
       return;
     }
-    // Pages are small, so that tests read tables of several pages.
-    constexpr std::size_t PageRows = 3;
     RowPage Page;
     Page.Version_ = StoreState_.Version_;
     Page.StoreClock_ = Loop_.monotonic() + StoreState_.ClockOffset_;
@@ -124,7 +122,7 @@
       if (Name.Table_ != Range.Table_ || Name.Partition_ != Range.Partition_ ||
           Name.Key_ < Range.FirstKey_)
         continue;
-      if (Page.Rows_.size() == PageRows) {
+      if (Page.Rows_.size() == StoreState_.PageRows_) {
         Page.HasMore_ = true;
         break;
       }
@@ -296,13 +294,14 @@
 /// Delivers calls to the RPC server of the addressed node.
 class FakeCell::PeerHttp : public WebClient {
 public:
-  PeerHttp(FakeCell &Cell, std::string From)
-      : Cell_(Cell), From_(std::move(From)) {}
+  PeerHttp(FakeCell &Cell, std::string From, FakeProcessor &Processor)
+      : Cell_(Cell), From_(std::move(From)), Processor_(Processor) {}
   void call(const WebCall &Call, WebReplyHandler Done) override;
 
 private:
   FakeCell &Cell_;
   const std::string From_;
+  FakeProcessor &Processor_; ///< Of the calling node.
 };
 
 namespace {
@@ -323,7 +322,8 @@
 
 class FakeRegistry : public WorkerRegistry {
 public:
-  FakeRegistry(FakeLoop &Loop, FakeFleet &Fleet) : Loop_(Loop), Fleet_(Fleet) {}
+  FakeRegistry(FakeLoop &Loop, FakeFleet &Fleet, FakeProcessor &Processor)
+      : Loop_(Loop), Fleet_(Fleet), Processor_(Processor) {}
   void list(std::function<void(Result<std::vector<dispatch::WorkerInfo>>)> Done)
       override {
     Loop_.after(RegistryDelay, [this, Done] {
@@ -331,13 +331,15 @@
       for (const auto &[Id, State] : Fleet_.Workers_)
         if (State.Reachable_)
           Infos.push_back(State.Info_);
-      Done(std::move(Infos));
+      Processor_.run(RowCost * static_cast<Micros>(Infos.size()),
+                     [Done, Infos] { Done(Infos); });
     });
   }
 
 private:
   FakeLoop &Loop_;
   FakeFleet &Fleet_;
+  FakeProcessor &Processor_;
 };
 
 CellConfig makeConfig() {
@@ -356,14 +358,19 @@
 
 struct FakeCell::Node {
   Node(FakeCell &Cell, const std::string &Name)
-      : Store_(Cell.Loop_, Cell.StoreState_, Name),
+      : Processor_(Cell.Loop_, Cell.Loop_),
+        Store_(Cell.Loop_, Cell.StoreState_, Name),
         Workers_(Cell.Loop_, Cell.Fleet_,
                  [&Cell, Name](const std::string &) {
                    return Cell.IsolatedNodes_.count(Name) == 0;
                  }),
-        Registry_(Cell.Loop_, Cell.Fleet_), Http_(Cell, Name),
-        Rpc_(Http_), Ports_{Cell.Loop_, Cell.Loop_, Store_, Workers_, Advisor_,
-                            Configs_,   Registry_,  Rpc_,   Log_,     Metrics_},
+        CostlyStore_(Processor_, Store_), CostlyWorkers_(Processor_, Workers_),
+        Registry_(Cell.Loop_, Cell.Fleet_, Processor_),
+        Http_(Cell, Name, Processor_),
+        Rpc_(Http_), Ports_{Processor_,     Processor_, CostlyStore_,
+                            CostlyWorkers_, Advisor_,   Configs_,
+                            Registry_,      Rpc_,       Log_,
+                            Metrics_},
         Member_(std::make_shared<cell::Member>(Ports_, makeSettings(Name))),
         Gateway_(Ports_, Member_) {
     Member_->addMethods(Server_);
@@ -379,8 +386,11 @@
     return Settings;
   }
 
+  FakeProcessor Processor_;
   FakeStore Store_;
   FakeWorkerClient Workers_;
+  CostlyStore CostlyStore_;
+  CostlyWorkers CostlyWorkers_;
   FakeAdvisor Advisor_;
   FakeConfigs Configs_;
   FakeRegistry Registry_;
@@ -396,35 +406,42 @@
 
 void FakeCell::PeerHttp::call(const WebCall &Call, WebReplyHandler Done) {
   const auto HasReplied = std::make_shared<bool>(false);
-  const WebReplyHandler Finish = [HasReplied,
+  const WebReplyHandler Finish = [this, HasReplied,
                                   Done](const Result<WebReply> &Reply) {
     if (std::exchange(*HasReplied, true))
       return;
-    Done(Reply);
+    Processor_.run(PeerReplyCost, [Done, Reply] { Done(Reply); });
   };
-  Cell_.Loop_.after(Call.Timeout_, [Finish] { Finish(timeout("peer")); });
-  Cell_.Loop_.after(PeerDelay, [this, Call, Finish] {
-    if (Cell_.IsolatedNodes_.count(From_) > 0 ||
-        Cell_.IsolatedNodes_.count(Call.Address_) > 0)
-      return;
-    const auto Peer = Cell_.Nodes_.find(Call.Address_);
-    if (Peer == Cell_.Nodes_.end())
-      return Finish(Error{Reason::ConnectFailed,
-                          Effect::None,
-                          "peer",
-                          Call.Address_,
-                          "refused",
-                          {}});
-    WebRequest Request;
-    Request.Body_ = Call.Body_;
-    Peer->second->Server_.handle(
-        Request, [this, Call, Finish](const WebReply &Reply) {
-          Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Reply] {
-            if (Cell_.IsolatedNodes_.count(From_) == 0 &&
-                Cell_.IsolatedNodes_.count(Call.Address_) == 0)
-              Finish(Reply);
-          });
-        });
+  Processor_.send(0, [this, Call, Finish] {
+    Cell_.Loop_.after(Call.Timeout_, [Finish] { Finish(timeout("peer")); });
+    Cell_.Loop_.after(PeerDelay, [this, Call, Finish] {
+      if (Cell_.IsolatedNodes_.count(From_) > 0 ||
+          Cell_.IsolatedNodes_.count(Call.Address_) > 0)
+        return;
+      const auto Peer = Cell_.Nodes_.find(Call.Address_);
+      if (Peer == Cell_.Nodes_.end())
+        return Finish(Error{Reason::ConnectFailed,
+                            Effect::None,
+                            "peer",
+                            Call.Address_,
+                            "refused",
+                            {}});
+      Node &Target = *Peer->second;
+      Target.Processor_.run(RequestCost, [this, Call, Finish, &Target] {
+        WebRequest Request;
+        Request.Body_ = Call.Body_;
+        Target.Server_.handle(
+            Request, [this, Call, Finish, &Target](const WebReply &Reply) {
+              Target.Processor_.send(0, [this, Call, Finish, Reply] {
+                Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Reply] {
+                  if (Cell_.IsolatedNodes_.count(From_) == 0 &&
+                      Cell_.IsolatedNodes_.count(Call.Address_) == 0)
+                    Finish(Reply);
+                });
+              });
+            });
+      });
+    });
   });
 }
 
@@ -484,13 +501,25 @@
   return *Nodes_.at(Name)->Member_;
 }
 
+FakeProcessor &FakeCell::processor(const std::string &Name) {
+  return Nodes_.at(Name)->Processor_;
+}
+
+void FakeCell::setSpeed(double Cores) {
+  for (const auto &[Name, NodePtr] : Nodes_)
+    NodePtr->Processor_.setSpeed(Cores);
+}
+
 std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
 FakeCell::call(const std::string &Name, const cell::CallerRequest &Request) {
   auto Answer = std::make_shared<std::optional<Result<cell::CallerAnswer>>>();
-  Nodes_.at(Name)->Gateway_.handle(
-      Request, [Answer](const Result<cell::CallerAnswer> &Reply) {
-        Answer->emplace(Reply);
-      });
+  Node &Target = *Nodes_.at(Name);
+  Target.Processor_.run(RequestCost, [&Target, Request, Answer] {
+    Target.Gateway_.handle(Request,
+                           [Answer](const Result<cell::CallerAnswer> &Reply) {
+                             Answer->emplace(Reply);
+                           });
+  });
   return Answer;
 }
 
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -3,6 +3,7 @@
 
 #include "cell/gateway.h"
 #include "cell/member.h"
+#include "tests/cell/fake_processor.h"
 
 #include <functional>
 #include <map>
@@ -51,6 +52,9 @@
   Millis ClockOffset_{-40000}; ///< From the clock of the nodes to the store's.
   /// Replies to transactions that were not applied omit absent rows.
   bool OmitsAbsentRows_ = false;
+  /// Rows per page at most. Pages are small, so that tests read tables of
+  /// several pages.
+  std::size_t PageRows_ = 3;
   int MaxPageRows_ = 0; ///< Reads of larger pages time out; zero: no limit.
   /// Nodes whose reads of the jobs table time out.
   std::set<std::string> NodesWithoutJobReads_;
@@ -178,6 +182,9 @@
   std::string leader() const;
   std::vector<std::string> leaders() const;
   cell::Member &member(const std::string &Name);
+  FakeProcessor &processor(const std::string &Name);
+  /// Sets the share of a core that each node may use.
+  void setSpeed(double Cores);
 
   /// Sends a caller's request to a node. The answer is stored in the result.
   std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
--- /dev/null
+++ b/tests/cell/late_leader_test.cpp
@@ -0,0 +1,122 @@
+// Cells whose nodes have too little processor time.
+
+#include "tests/cell/fake_cell.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskglade;
+using namespace damaskglade::fakes;
+
+namespace {
+
+constexpr int Nodes = 12;
+constexpr int Workers = 200;
+constexpr int JobsPerSecond = 300;
+constexpr Millis Second{1000};
+constexpr Millis TaskTime{100};
+// Share of a core that each node has before and after the slow time.
+constexpr double FullSpeed = 0.25;
+
+/// A cell that is offered a steady stream of jobs of one short task each.
+class BusyCell {
+public:
+  BusyCell() : Cell_(Nodes, Workers) {
+    constexpr std::size_t RowsPerPage = 200;
+    Cell_.StoreState_.PageRows_ = RowsPerPage;
+    Cell_.Loop_.run(Second * 3);
+    Cell_.setSpeed(FullSpeed);
+    offerJobs(Second);
+  }
+
+  /// Offers jobs to all nodes in turn.
+  void offerJobs(Millis Time) {
+    const Millis Interval{10};
+    const Millis End = Cell_.Loop_.monotonic() + Time;
+    while (Cell_.Loop_.monotonic() < End) {
+      for (int Count = 0; Count < JobsPerSecond / 100; ++Count) {
+        const int Job = ++Offered_;
+        Cell_.submit("n" + std::to_string(1 + Job % Nodes), jobId(Job), 1,
+                     TaskTime);
+      }
+      Cell_.Loop_.run(Interval);
+    }
+  }
+
+  /// Number of jobs whose end is recorded, as their worker has been told.
+  int served() const {
+    return static_cast<int>(Cell_.Fleet_.AcknowledgedTasks_.size());
+  }
+
+  bool isServed(int Job) const {
+    return Cell_.Fleet_.AcknowledgedTasks_.count(
+               dispatch::taskName(dispatch::TaskRef{jobId(Job), 0, 0})) > 0;
+  }
+
+  std::int64_t leaderRowVersion() {
+    return Cell_.StoreState_.Rows_[cell::leaderRow()].Version_;
+  }
+
+  /// Offers jobs and returns the share of a core that the leader used.
+  double measureLeader(Millis Time) {
+    constexpr double MicrosPerMilli = 1000;
+    const FakeProcessor &Processor = Cell_.processor(Cell_.leader());
+    const Micros Before = Processor.used();
+    offerJobs(Time);
+    return static_cast<double>(Processor.used() - Before) /
+           (static_cast<double>(Time.Value_) * MicrosPerMilli);
+  }
+
+  FakeCell Cell_;
+  int Offered_ = 0;
+};
+
+/// For some seconds the nodes have the processor time that the leader needs for
+/// the jobs offered, divided by Slowdown.
+void checkSlowTime(double Slowdown) {
+  BusyCell Busy;
+  const std::int64_t LeaderRowVersion = Busy.leaderRowVersion();
+  const double NeededSpeed = Busy.measureLeader(Second * 4);
+  BOOST_TEST_REQUIRE(NeededSpeed < FullSpeed * 2 / 3);
+  BOOST_TEST_REQUIRE(Busy.served() > Busy.Offered_ - JobsPerSecond / 3);
+
+  Busy.Cell_.setSpeed(NeededSpeed / Slowdown);
+  const int OfferedBefore = Busy.Offered_;
+  const int ServedBefore = Busy.served();
+  Busy.offerJobs(Second * 8);
+  const double Served = Busy.served() - ServedBefore;
+  const double Offered = Busy.Offered_ - OfferedBefore;
+  BOOST_TEST_MESSAGE("served " << Served << " of " << Offered
+                               << " jobs while slow");
+  BOOST_TEST(Busy.leaderRowVersion() == LeaderRowVersion);
+  // Half of the processor time serves about half of the jobs.
+  constexpr double Efficiency = 0.8;
+  BOOST_TEST(Served / Offered >= Efficiency / Slowdown);
+
+  Busy.Cell_.setSpeed(FullSpeed);
+  Busy.offerJobs(Second * 5);
+  const int FirstJob = Busy.Offered_ + 1;
+  Busy.offerJobs(Second * 2);
+  Busy.Cell_.Loop_.run(Second);
+  int NotServed = 0;
+  for (int Job = FirstJob; Job <= Busy.Offered_; ++Job)
+    NotServed += Busy.isServed(Job) ? 0 : 1;
+  BOOST_TEST(NotServed == 0);
+  BOOST_TEST(Busy.Cell_.Fleet_.ConcurrentRuns_.empty());
+  BOOST_TEST(Busy.Cell_.Fleet_.StartedAfterAcknowledgement_.empty());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LateLeaderTests)
+
+// Guards against a leader with half of the processor time that it needs which
+// serves hardly a job, since it records hardly an end.
+BOOST_AUTO_TEST_CASE(HalfOfTheProcessorServesHalfOfTheJobs) {
+  checkSlowTime(2);
+}
+
+// Guards against a leader that is replaced since it answers pings late, by one
+// that is as late.
+BOOST_AUTO_TEST_CASE(ThirdOfTheProcessorKeepsTheLeader) { checkSlowTime(3); }
+
+BOOST_AUTO_TEST_SUITE_END()
