cell: Send the next transaction at once if the last one was full

What callers saw: with half of the processor time that the leader needs, hardly a job was served.

Cause: one transaction of at most 96 entries was in flight. Each waits for several turns of the loop, so that a late leader recorded 5 to 10 a second, while 2,000 entries a second were due (estimate). Ends that are not recorded are listed again and again, and no step after them starts.

Change: while changes are left that a full transaction does not hold, up to six are in flight, as with a slow store.

--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -186,14 +186,16 @@
 }
 
 // Normally one transaction at a time is sent, so that each takes as many
-// changes as possible. If the store is slow, several are in flight.
+// changes as possible. If the store is slow, or if changes are left that a full
+// transaction does not hold, several are in flight.
 bool Recorder::canFlush() const {
   if (BatchesInFlight_.empty())
     return true;
   const Millis LastSentAt = BatchesInFlight_.rbegin()->second.SentAt_;
   return BatchesInFlight_.size() < MaxBatchesInFlight &&
          FailingSince_ == Millis{} &&
-         Ports_.Clock_.monotonic() >= LastSentAt + SlowStoreThreshold;
+         (LastBatchFull_ ||
+          Ports_.Clock_.monotonic() >= LastSentAt + SlowStoreThreshold);
 }
 
 bool Recorder::isInFlight(const std::string &Id) const {
@@ -312,10 +314,22 @@
     return;
   if (!canFlush())
     return scheduleFlush(GroupDelay);
+  bool Sent = true;
+  while (Sent && !queuesEmpty() && canFlush())
+    Sent = sendBatch();
+  // Otherwise all changed jobs are also in transactions in flight.
+  if (Sent && !queuesEmpty())
+    scheduleFlush(GroupDelay);
+}
+
+bool Recorder::sendBatch() {
   Batch NewBatch;
   const RowTransaction Transaction = buildTransaction(NewBatch);
   if (Transaction.Puts_.empty() && Transaction.Removes_.empty())
-    return; // All changed jobs are also in transactions in flight.
+    return false;
+  LastBatchFull_ = Transaction.Conditions_.size() + Transaction.Puts_.size() +
+                       Transaction.Removes_.size() >=
+                   MaxEntries;
   NewBatch.SentAt_ = Ports_.Clock_.monotonic();
   const std::uint64_t BatchNumber = ++LastBatchNumber_;
   BatchesInFlight_.emplace(BatchNumber, std::move(NewBatch));
@@ -325,8 +339,7 @@
         if (!Alive.expired())
           handleOutcome(BatchNumber, Outcome);
       });
-  if (!queuesEmpty())
-    scheduleFlush(GroupDelay);
+  return true;
 }
 
 void Recorder::handleOutcome(std::uint64_t BatchNumber,
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -101,6 +101,8 @@
   void scheduleFlush(Millis Delay);
   bool canFlush() const;
   void flush();
+  /// Sends the next transaction. False if there is nothing that it could hold.
+  bool sendBatch();
   RowTransaction buildTransaction(Batch &NewBatch);
   void addProgress(Batch &NewBatch, RowTransaction &Transaction,
                    std::size_t &EntryCount);
@@ -142,6 +144,7 @@
   std::uint64_t LastBatchNumber_ = 0;
   std::uint64_t LastChangeNumber_ = 0;
   bool FlushScheduled_ = false;
+  bool LastBatchFull_ = false; ///< The last transaction took all it can hold.
   bool Stopped_ = false;
   /// Expires with the object, which callbacks may outlive.
   std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
