cell: Let weak nodes nominate stronger ones, and share pings of a late leader

What callers saw: once the leader of the large depot was late, nodes of 0.12 cores took over, one after the other. They needed up to 7 s to load all rows at a third of their speed and were replaced meanwhile.

Cause: a node that finds the leader to have failed takes over itself, and after 0.9 s the weak nodes, ten times as many, do so first. Every reply to a ping listed all nodes.

Change: a weak node asks the strongest of the nodes that it has reached to take over, up to three one after the other, then leads itself. Retries of calls and leader checks share a ping. Replies carry the list of nodes only if the sender has another one, by its digest; nodes of earlier releases send none and get the list.

--- a/cell/candidate.cpp
+++ b/cell/candidate.cpp
@@ -62,8 +62,8 @@
 }
 
 std::string strongerNode(const PeerNodes &Nodes, double OwnCpu,
-                         Millis HeardSince) {
-  const std::string Strongest = strongestNode(Nodes, HeardSince, 0);
+                         Millis HeardSince, unsigned long Rotation) {
+  const std::string Strongest = strongestNode(Nodes, HeardSince, Rotation);
   const bool IsStronger = !Strongest.empty() &&
                           Nodes.at(Strongest).Cpu_ > OwnCpu * StrongerCpuRatio;
   return IsStronger ? Strongest : "";
--- a/cell/candidate.h
+++ b/cell/candidate.h
@@ -31,9 +31,10 @@
 double strongestCpu(const PeerNodes &Nodes, Millis HeardSince);
 
 /// Address of a node heard since the given time that has clearly more CPU
-/// capacity than this one, or empty.
+/// capacity than this one, or empty. Rotation selects among nodes with the same
+/// capacity.
 std::string strongerNode(const PeerNodes &Nodes, double OwnCpu,
-                         Millis HeardSince);
+                         Millis HeardSince, unsigned long Rotation);
 
 /// Addresses of the nodes heard since the given time, by falling CPU capacity.
 /// Different values of Rotation give different orders of nodes with the same
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -1,6 +1,7 @@
 #include "cell/member.h"
 
 #include "core/codec.h"
+#include "core/job.h"
 
 #include <algorithm>
 
@@ -33,6 +34,9 @@
 // Interval at which a leader asks a stronger node to take over. That node needs
 // about half a second to load all rows.
 constexpr Millis StrongerNodeHandOverInterval{3000};
+// A node that finds the leader to have failed asks this many stronger nodes to
+// take over, one after the other, before it does so itself.
+constexpr std::size_t MaxNominations = 3;
 // The first attempt to hand over asks this many nodes, and each further attempt
 // this many more. An attempt that follows the last one only after the window
 // counts as a first attempt.
@@ -117,11 +121,12 @@
 void Member::tick() {
   scheduleTick(PingPeriod);
   if (isLeader()) {
+    updateNodeList();
     Leader_->setNodes(liveNodes(), inContactWithMajority());
     if (Leader_->shouldHandOver() && now() > LastHandOverAt_ + HandOverInterval)
       askNodesToLead();
     const std::string StrongerAddress =
-        strongerNode(PeerNodes_, Settings_.Cpu_, livenessCutoff());
+        strongerNode(PeerNodes_, Settings_.Cpu_, livenessCutoff(), 0);
     if (!StrongerAddress.empty() && Leader_->active() &&
         now() > LastHandOverAt_ + StrongerNodeHandOverInterval)
       askNodeToLead(StrongerAddress);
@@ -142,6 +147,14 @@
   return Addresses;
 }
 
+void Member::updateNodeList() {
+  Json::Value Nodes(Json::arrayValue);
+  for (const std::string &Address : liveNodes())
+    Nodes.append(Address);
+  NodeListDigest_ = digestOf(writeJson(Nodes));
+  NodeList_ = std::move(Nodes);
+}
+
 // The known nodes are this node and those that have pinged it within the
 // retention time. Nodes that have left the cell for good are thus no longer
 // counted after that time.
@@ -158,10 +171,13 @@
   Params["address"] = Settings_.PeerListen_;
   Params["epoch"] = Json::Int64(LeaderRecord_.Epoch_);
   Params["cpu"] = Settings_.Cpu_;
+  Params["nodes_digest"] = ReportedNodesDigest_;
   const std::string Address = LeaderRecord_.Address_;
+  ++OpenPings_;
   Ports_.Peers_.call(
       Address, "node.ping", Params, PingTimeout,
       [Self = shared_from_this(), Address](const Result<Json::Value> &Reply) {
+        --Self->OpenPings_;
         Self->handlePingReply(Reply, Address);
       });
 }
@@ -174,10 +190,14 @@
   if (Reply && Reply.value()["leads"].asBool()) {
     LeaderHeardAt_ = now();
     LeaderSuspectedAt_ = Millis{};
+    Nominations_ = 0;
     StrongestCpu_ = Reply.value()["strongest_cpu"].asDouble();
+    if (!Reply.value().isMember("nodes"))
+      return;
     ReportedNodes_.clear();
     for (const Json::Value &Node : Reply.value()["nodes"])
       ReportedNodes_.insert(Node.asString());
+    ReportedNodesDigest_ = Reply.value()["nodes_digest"].asString();
     return;
   }
   if (LeaderSuspectedAt_ == Millis{})
@@ -261,6 +281,7 @@
     std::size_t KnownNodes_ = 1;   ///< Includes this node.
     std::size_t ReachedNodes_ = 1; ///< Includes this node.
     bool LeaderReached_ = false;
+    PeerNodes Candidates_; ///< The reached nodes.
   };
   const auto Poll = std::make_shared<ElectionPoll>();
   const auto HandleReply = [Self = shared_from_this(), Poll,
@@ -271,6 +292,10 @@
         Poll->ReachedNodes_ * 2 > Poll->KnownNodes_;
     Self->ElectionInput_.LeaderReachedByOther_ = Poll->LeaderReached_;
     Self->ElectionInput_.LeaderSilence_ = Self->now() - Self->LeaderHeardAt_;
+    if (shouldTakeOver(Self->ElectionInput_) &&
+        Epoch == Self->LeaderRecord_.Epoch_ &&
+        Self->nominateStrongerNode(Poll->Candidates_))
+      return;
     if (shouldTakeOver(Self->ElectionInput_))
       Self->takeOver(Epoch);
     else
@@ -288,17 +313,33 @@
       continue;
     ++Poll->OpenRequests_;
     ++Poll->KnownNodes_;
-    Ports_.Peers_.call(Address, "node.hears", Params, NodePollTimeout,
-                       [Poll, HandleReply](const Result<Json::Value> &Reply) {
-                         Poll->ReachedNodes_ += Reply ? 1 : 0;
-                         if (Reply && Reply.value()["hears"].asBool())
-                           Poll->LeaderReached_ = true;
-                         HandleReply();
-                       });
+    Ports_.Peers_.call(
+        Address, "node.hears", Params, NodePollTimeout,
+        [Poll, HandleReply, Address](const Result<Json::Value> &Reply) {
+          if (Reply) {
+            ++Poll->ReachedNodes_;
+            Poll->Candidates_[Address].Cpu_ = Reply.value()["cpu"].asDouble();
+          }
+          if (Reply && Reply.value()["hears"].asBool())
+            Poll->LeaderReached_ = true;
+          HandleReply();
+        });
   }
   HandleReply();
 }
 
+// A weak node would need so long to load all rows that it is replaced in turn.
+// It leads only if the stronger nodes that it reaches do not take over.
+bool Member::nominateStrongerNode(const PeerNodes &Candidates) {
+  const std::string Address =
+      strongerNode(Candidates, Settings_.Cpu_, Millis{}, Nominations_);
+  if (Address.empty() || Nominations_ >= MaxNominations)
+    return false;
+  ++Nominations_;
+  askNodeToLead(Address);
+  return true;
+}
+
 void Member::takeOver(std::int64_t ObservedEpoch) {
   if (ElectionWriteOpen_ || isLeader() || Resigned_ ||
       ObservedEpoch != LeaderRecord_.Epoch_)
@@ -356,6 +397,7 @@
           Self->readLeaderRow();
         });
       });
+  updateNodeList();
   Leader_->setNodes(liveNodes(), inContactWithMajority());
   if (Config_)
     Leader_->setConfig(*Config_);
@@ -366,6 +408,8 @@
   LeaderRecord_ = Record;
   LeaderHeardAt_ = now();
   LeaderSuspectedAt_ = Millis{};
+  ReportedNodesDigest_.clear();
+  Nominations_ = 0;
   ElectionInput_ = ElectionInput{};
   logEvent(Ports_, LogLevel::Info, "", "follow", Record.Address_,
            "epoch=" + std::to_string(Record.Epoch_));
--- a/cell/member.h
+++ b/cell/member.h
@@ -81,6 +81,9 @@
   void readLeaderRow();
   void considerElection();
   void pollOtherNodes();
+  /// Asks the strongest of the given nodes to take over if it has clearly more
+  /// CPU capacity than this one. False if this node is to take over itself.
+  bool nominateStrongerNode(const PeerNodes &Candidates);
   /// Makes this node the leader in a new epoch, unless the epoch is no longer
   /// ObservedEpoch.
   void takeOver(std::int64_t ObservedEpoch);
@@ -98,6 +101,9 @@
                   const RpcReply &Reply);
   void handlePing(const Json::Value &Params, const RpcReply &Reply);
   void handleLeaderCheck(const Json::Value &Params, const RpcReply &Reply);
+  void answerLeaderCheck(const RpcReply &Reply, bool LeaderReached) const;
+  /// Lists the live nodes for the replies to pings.
+  void updateNodeList();
   std::vector<std::string> liveNodes() const;
   Millis livenessCutoff() const;
 
@@ -110,6 +116,14 @@
   PeerNodes PeerNodes_; ///< Nodes that have pinged this one.
   /// Addresses of the live nodes, as last reported by the leader.
   std::set<std::string> ReportedNodes_;
+  std::string ReportedNodesDigest_; ///< Of that report; see handlePing().
+  Json::Value NodeList_{Json::arrayValue}; ///< See updateNodeList().
+  std::string NodeListDigest_;
+  int OpenPings_ = 0; ///< Pings to the leader in flight.
+  /// Nodes that wait for the reply of the leader to a ping of this node.
+  std::vector<RpcReply> LeaderChecks_;
+  /// Nodes that this one has asked to take over since the leader was heard.
+  std::size_t Nominations_ = 0;
   ElectionInput ElectionInput_;
   Millis LeaderHeardAt_{};
   Millis NodesPolledAt_{}; ///< Last poll of the other nodes.
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -32,9 +32,12 @@
   Body["epoch"] = Json::Int64(LeaderRecord_.Epoch_);
   Body["strongest_cpu"] =
       std::max(Settings_.Cpu_, strongestCpu(PeerNodes_, livenessCutoff()));
-  Body["nodes"] = Json::arrayValue;
-  for (const std::string &Node : liveNodes())
-    Body["nodes"].append(Node);
+  // The list of a large cell costs more than the rest of the reply, and seldom
+  // changes.
+  if (Params["nodes_digest"].asString() != NodeListDigest_) {
+    Body["nodes"] = NodeList_;
+    Body["nodes_digest"] = NodeListDigest_;
+  }
   Reply(std::move(Body));
 }
 
@@ -42,25 +45,37 @@
 // this, since an earlier reply does not show that it is still running.
 void Member::handleLeaderCheck(const Json::Value &Params,
                                const RpcReply &Reply) {
-  const auto SendReply = [Reply](bool LeaderReached) {
-    Json::Value Body;
-    Body["hears"] = LeaderReached;
-    Reply(std::move(Body));
-  };
   if (isLeader() || LeaderRecord_.Epoch_ > Params["epoch"].asInt64())
-    return SendReply(true);
+    return answerLeaderCheck(Reply, true);
   if (LeaderRecord_.Epoch_ < Params["epoch"].asInt64())
-    return SendReply(false);
+    return answerLeaderCheck(Reply, false);
+  // All nodes ask each other when a leader is late. They share a ping, since
+  // one for each question would keep the leader late.
+  LeaderChecks_.push_back(Reply);
+  if (LeaderChecks_.size() > 1)
+    return;
   Json::Value PingParams;
   PingParams["address"] = Settings_.PeerListen_;
   PingParams["cpu"] = Settings_.Cpu_;
+  PingParams["nodes_digest"] = ReportedNodesDigest_;
   Ports_.Peers_.call(
       LeaderRecord_.Address_, "node.ping", PingParams, LeaderCheckTimeout,
-      [SendReply](const Result<Json::Value> &PingReply) {
-        SendReply(PingReply && PingReply.value()["leads"].asBool());
+      [Self = shared_from_this()](const Result<Json::Value> &PingReply) {
+        const bool LeaderReached =
+            PingReply && PingReply.value()["leads"].asBool();
+        for (const RpcReply &Waiting : std::exchange(Self->LeaderChecks_, {}))
+          Self->answerLeaderCheck(Waiting, LeaderReached);
       });
 }
 
+void Member::answerLeaderCheck(const RpcReply &Reply,
+                               bool LeaderReached) const {
+  Json::Value Body;
+  Body["hears"] = LeaderReached;
+  Body["cpu"] = Settings_.Cpu_;
+  Reply(std::move(Body));
+}
+
 void Member::addMethods(RpcServer &Server) {
   const auto Self = shared_from_this();
   Server.add("node.ping",
@@ -152,7 +167,8 @@
     FinalError.Effect_ = Call->MayHaveEffect_ ? Effect::Unknown : Effect::None;
     return Call->Reply_(FinalError);
   }
-  if (!isLeader() && Failure.Reason_ != Reason::NotReady)
+  // One ping serves all calls that fail.
+  if (!isLeader() && Failure.Reason_ != Reason::NotReady && OpenPings_ == 0)
     ping();
   Ports_.Timers_.after(CallRetryDelay, [Self = shared_from_this(), Call] {
     Self->tryCall(Call);
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -371,7 +371,8 @@
                             CostlyWorkers_, Advisor_,   Configs_,
                             Registry_,      Rpc_,       Log_,
                             Metrics_},
-        Member_(std::make_shared<cell::Member>(Ports_, makeSettings(Name))),
+        Member_(
+            std::make_shared<cell::Member>(Ports_, makeSettings(Cell, Name))),
         Gateway_(Ports_, Member_) {
     Member_->addMethods(Server_);
     Member_->setConfig(makeConfig());
@@ -379,10 +380,14 @@
     Member_->start();
   }
 
-  static cell::CellSettings makeSettings(const std::string &Name) {
+  static cell::CellSettings makeSettings(const FakeCell &Cell,
+                                         const std::string &Name) {
     cell::CellSettings Settings;
     Settings.Node_ = Name;
     Settings.PeerListen_ = Name;
+    const auto Cpu = Cell.NodeCpus_.find(Name);
+    if (Cpu != Cell.NodeCpus_.end())
+      Settings.Cpu_ = Cpu->second;
     return Settings;
   }
 
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -207,6 +207,9 @@
   FakeLoop Loop_;
   FakeStoreState StoreState_;
   FakeFleet Fleet_;
+  /// CPU capacity of the nodes that do not have the default, from their start
+  /// on.
+  std::map<std::string, double> NodeCpus_;
 
 private:
   struct Node;
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -1,4 +1,5 @@
 #include "cell/advice_balancer.h"
+#include "cell/loop_delay.h"
 #include "cell/member.h"
 
 #include <algorithm>
@@ -89,12 +90,48 @@
   BOOST_TEST((candidacyDelay(0.12, 0.12) == Millis{}));
 }
 
+// Guards against jobs that are rejected because of a single burst of work.
+BOOST_AUTO_TEST_CASE(OnlyStandingLoopDelayCounts) {
+  LoopDelay Delay;
+  BOOST_TEST((standingDelay(Delay) == Millis{}));
+  for (const Millis Sample : {Millis{400}, Millis{300}})
+    Delay = addDelay(Delay, Sample);
+  BOOST_TEST((standingDelay(Delay) == Millis{}));
+  Delay = addDelay(Delay, Millis{500});
+  BOOST_TEST((standingDelay(Delay) == Millis{300}));
+  Delay = addDelay(Delay, Millis{600});
+  BOOST_TEST((standingDelay(Delay) == Millis{300}));
+  Delay = addDelay(Delay, Millis{700});
+  BOOST_TEST((standingDelay(Delay) == Millis{500}));
+  // A timer that runs early is not late.
+  Delay = addDelay(Delay, Millis{-1});
+  BOOST_TEST((standingDelay(Delay) == Millis{}));
+}
+
+BOOST_AUTO_TEST_CASE(LateLeaderRejectsUrgentJobsLast) {
+  const auto StandingAt = [](Millis Time) {
+    LoopDelay Delay;
+    for (std::size_t Count = 0; Count < LoopDelay::SampleCount; ++Count)
+      Delay = addDelay(Delay, Time);
+    return Delay;
+  };
+  constexpr int Urgent = 0;
+  constexpr int Batch = 1;
+  BOOST_TEST(!shouldReject(LoopDelay{}, Batch));
+  BOOST_TEST(!shouldReject(StandingAt(Millis{50}), Batch));
+  BOOST_TEST(!isLate(StandingAt(Millis{50})));
+  BOOST_TEST(shouldReject(StandingAt(Millis{51}), Batch));
+  BOOST_TEST(isLate(StandingAt(Millis{51})));
+  BOOST_TEST(!shouldReject(StandingAt(Millis{150}), Urgent));
+  BOOST_TEST(shouldReject(StandingAt(Millis{151}), Urgent));
+}
+
 BOOST_AUTO_TEST_CASE(HandOverSelectsLiveStrongerNode) {
   const PeerNodes Nodes = {{"a", {Millis{100}, 0.12}},
                            {"b", {Millis{100}, 0.5}},
                            {"c", {Millis{10}, 1.0}}};
-  BOOST_TEST(strongerNode(Nodes, 0.12, Millis{50}) == "b");
-  BOOST_TEST(strongerNode(Nodes, 0.5, Millis{50}).empty());
+  BOOST_TEST(strongerNode(Nodes, 0.12, Millis{50}, 0) == "b");
+  BOOST_TEST(strongerNode(Nodes, 0.5, Millis{50}, 0).empty());
   BOOST_TEST(strongestNode(Nodes, Millis{50}, 7) == "b");
   BOOST_TEST(strongestNode(Nodes, Millis{200}, 7).empty());
 }
@@ -147,7 +184,7 @@
     BOOST_TEST(Nodes.at(Addresses[0]).Cpu_ == 0.5);
     BOOST_TEST(Nodes.at(Addresses[1]).Cpu_ == 0.5);
   }
-  BOOST_TEST(nodesByStrength(Nodes, Millis{50}).front() !=
+  BOOST_TEST(nodesByStrength(Nodes, Millis{50}, 0).front() !=
              nodesByStrength(Nodes, Millis{50}, 2).front());
 }
 
