--- a/cell/leader.h
+++ b/cell/leader.h
@@ -3,9 +3,11 @@
 
 #include "cell/advice_balancer.h"
 #include "cell/context.h"
+#include "cell/loop_delay.h"
 #include "cell/recorder.h"
 #include "dispatch/dispatcher.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -24,8 +26,9 @@
 
 /// Time from the start of a planning pass to the start of the next one, given
 /// the duration of the first. Answers the load of a leader with too little
-/// processor time: planning may take a quarter of it, so that leases are
-/// renewed and callers are answered however many steps wait.
+/// processor time: planning may take a quarter of it, or half if passes are
+/// slow, so that leases are renewed and callers are answered however many steps
+/// wait.
 Millis decisionInterval(Millis LastPassDuration);
 
 /// Schedules the jobs of a cell during one epoch, that is, between two
@@ -69,7 +72,7 @@
   struct PollState {
     bool LongPollOpen_ = false;  ///< The regular poll is in flight.
     bool ProbeOpen_ = false;     ///< An extra poll without wait is in flight.
-    bool PollScheduled_ = false; ///< A timer will send the regular poll.
+    bool PollScheduled_ = false; ///< The regular poll will be sent.
     /// Highest sequence number of an ended task in the worker's poll replies.
     std::int64_t LastListedEnd_ = 0;
     /// Ended tasks of the worker are recorded up to this sequence number.
@@ -86,6 +89,7 @@
   void loadResignation(const StoredRow &Row, const StoreClockReading &Reading);
   void finishLoad();
   void tick();
+  void recordLoopDelay(Millis Delay);
   void readRegistry();
   /// Returns the ids of the entries.
   std::set<std::string>
@@ -96,6 +100,7 @@
   void closeLeaseRows();
   void handleWorkerOpened(const std::string &Id);
   void pollWorkers();
+  void pollNextWorkers();
   void pollWorker(const std::string &Worker, bool Probe);
   void handlePollReply(const std::string &Worker, bool Probe, Millis SentAt,
                        const Result<PollReply> &Reply);
@@ -114,8 +119,10 @@
   Recorder Recorder_;
   AdviceBalancer AdviceBalancer_;
   std::map<std::string, PollState> PollStates_;
+  std::deque<std::string> WorkersToPoll_; ///< See pollNextWorkers().
   std::set<std::string> WorkersWithUnrecordedEnds_;
   std::set<std::string> UnusableEntries_; ///< In the latest registry snapshot.
+  LoopDelay LoopDelay_;
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
   std::map<std::string, dispatch::JobProgress> LoadedProgress_;
   std::vector<dispatch::TaskRange> LoadedWaitingTasks_;
@@ -134,6 +141,7 @@
   bool RegistryReadOpen_ = false;
   int OpenConfirmReads_ = 0; ///< Reads of the leader row in flight.
   bool DecisionScheduled_ = false;
+  bool PollTurnScheduled_ = false;
   bool Loaded_ = false;
   bool Stopped_ = false;
 };
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -115,10 +115,15 @@
   /// starting for this long, so that slow replies do not hide the cause of a
   /// crash.
   static constexpr Millis StartingTime{500};
+  /// Limit of the starts that a pass orders. The next pass goes on, so that
+  /// replies and calls are handled while a large backlog is placed.
+  static constexpr std::size_t MaxStartsPerPass = 64;
 
   Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
 
   void setQueues(const std::map<std::string, QueuePolicy> &Queues);
+  /// QueuePolicy::Priority_ of the queue.
+  int priorityOf(const std::string &Queue) const;
 
   // Jobs.
 
@@ -281,6 +286,7 @@
   /// The run of a task that has one.
   const Run &runOf(const TaskRef &Ref) const;
   const QueuePolicy &policyOf(const JobRun &Job) const;
+  const QueuePolicy &policyOf(const std::string &Queue) const;
   WorkerTarget target(const Worker &W) const;
   void markChanged(const std::string &Id) { ChangedJobs_.insert(Id); }
   void log(const std::string &Request, const std::string &Step,
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -77,12 +77,17 @@
   const std::int64_t ExpectedMilliCpus =
       std::max<std::int64_t>(FleetFreeCapacity_.MilliCpus_, 0) +
       FleetCapacity_.MilliCpus_ / FleetShareDivisor;
+  bool IsFull = false;
   for (const RankedStep &Ranked : rankedSteps(Now)) {
     const StepRun &State =
         Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
     const StepSpec &Spec =
         Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
     const bool CapacityExpected = HigherRankedMilliCpus < ExpectedMilliCpus;
+    // The steps that follow wait for the next pass, with their advice.
+    IsFull = PendingActions_.Starts_.size() >= MaxStartsPerPass;
+    if (IsFull)
+      break;
     if (State.Ready_)
       placeStep(Ranked, Now);
     requestAdvice(Ranked, CapacityExpected, Now);
@@ -91,7 +96,9 @@
     if (State.Ready_)
       HigherRankedMilliCpus += WaitingTasks * reservedSize(Spec).MilliCpus_;
   }
-  recordOfferedCapacity(Now);
+  // The steps that were left out have examined what was offered before.
+  if (!IsFull)
+    recordOfferedCapacity(Now);
   return std::exchange(PendingActions_, Actions{});
 }
 
@@ -257,13 +264,15 @@
   StepRun &State = Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const StepSpec &Spec =
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
+  const bool FoundNoCapacity =
+      std::exchange(State.NoCapacityPass_, 0) == PassNumber_ - 1;
   if (!keepsReserve(Ranked, Spec))
     return;
   // A step that found no capacity in the last pass examines only workers that
   // gained some since. Gangs and steps with a limit per worker examine all: the
   // limit may have kept a step from workers that had free capacity before.
-  const bool GainedCapacityOnly = State.NoCapacityPass_ == PassNumber_ - 1 &&
-                                  !Spec.Gang_ && Spec.MaxPerWorker_ == 0;
+  const bool GainedCapacityOnly =
+      FoundNoCapacity && !Spec.Gang_ && Spec.MaxPerWorker_ == 0;
   std::vector<Candidate> Candidates =
       findCandidates(Ranked, GainedCapacityOnly, Now);
   if (Candidates.empty() && !GainedCapacityOnly)
@@ -289,7 +298,8 @@
       AllCombinationsChecked = false;
       continue;
     }
-    if (!keepsReserve(Ranked, Spec))
+    if (!keepsReserve(Ranked, Spec) ||
+        PendingActions_.Starts_.size() >= MaxStartsPerPass)
       return;
     const std::int64_t Attempt = std::max(Task.LastAttempt_ + 1, FirstAttempt);
     if (isCrashSuspect(Task)) {
