cell: Nominate only with a majority, and answer leader checks by epoch

Cause: a node that is asked to take over counts as elected by a majority, so a nomination by a node that reaches a minority only would have made the new leader wait too short for leases of the old one. A new leader told an empty list of nodes until its next tick; followers with an empty list count themselves as a majority. Checks about a new leader could get the answer of a ping to the one before.

Change: only a node that reaches a majority nominates; the list is made anew when a node joins; checks that wait are answered when a later leader is known, and the reply of a ping to an earlier one is dropped.

Measured: test_cell passes; no test shows these cases failing before.

--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -294,7 +294,9 @@
         Poll->ReachedNodes_ * 2 > Poll->KnownNodes_;
     Self->ElectionInput_.LeaderReachedByOther_ = Poll->LeaderReached_;
     Self->ElectionInput_.LeaderSilence_ = Self->now() - Self->LeaderHeardAt_;
+    // A node that is asked to take over counts as elected by a majority.
     if (shouldTakeOver(Self->ElectionInput_) &&
+        Self->ElectionInput_.MajorityReached_ &&
         Epoch == Self->LeaderRecord_.Epoch_ &&
         Self->nominateStrongerNode(Poll->Candidates_))
       return;
@@ -388,6 +390,7 @@
 
 void Member::becomeLeader(const LeaderRecord &Record) {
   LeaderRecord_ = Record;
+  answerWaitingChecks(true);
   LeadingSince_ = now();
   Leader_ = std::make_shared<Leader>(
       Ports_, Settings_, Record, [Self = shared_from_this()] {
@@ -412,6 +415,7 @@
   LeaderSuspectedAt_ = Millis{};
   ReportedNodesDigest_.clear();
   Nominations_ = 0;
+  answerWaitingChecks(true);
   ElectionInput_ = ElectionInput{};
   logEvent(Ports_, LogLevel::Info, "", "follow", Record.Address_,
            "epoch=" + std::to_string(Record.Epoch_));
--- a/cell/member.h
+++ b/cell/member.h
@@ -101,6 +101,7 @@
                   const RpcReply &Reply);
   void handlePing(const Json::Value &Params, const RpcReply &Reply);
   void handleLeaderCheck(const Json::Value &Params, const RpcReply &Reply);
+  void answerWaitingChecks(bool LeaderReached);
   void answerLeaderCheck(const RpcReply &Reply, bool LeaderReached) const;
   /// Lists the live nodes for the replies to pings.
   void updateNodeList();
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -22,8 +22,11 @@
 } // namespace
 
 void Member::handlePing(const Json::Value &Params, const RpcReply &Reply) {
-  PeerNodes_[Params["address"].asString()] =
-      PeerNode{now(), Params["cpu"].asDouble()};
+  PeerNode &Sender = PeerNodes_[Params["address"].asString()];
+  const bool WasLive = Sender.HeardAt_ >= livenessCutoff();
+  Sender = PeerNode{now(), Params["cpu"].asDouble()};
+  if (!WasLive && isLeader())
+    updateNodeList();
   Json::Value Body;
   const bool CanLead =
       isLeader() && (Leader_->active() || now() < LeadingSince_ + LoadTimeout);
@@ -58,14 +61,21 @@
   PingParams["address"] = Settings_.PeerListen_;
   PingParams["cpu"] = Settings_.Cpu_;
   PingParams["nodes_digest"] = ReportedNodesDigest_;
-  Ports_.Peers_.call(
-      LeaderRecord_.Address_, "node.ping", PingParams, LeaderCheckTimeout,
-      [Self = shared_from_this()](const Result<Json::Value> &PingReply) {
-        const bool LeaderReached =
-            PingReply && PingReply.value()["leads"].asBool();
-        for (const RpcReply &Waiting : std::exchange(Self->LeaderChecks_, {}))
-          Self->answerLeaderCheck(Waiting, LeaderReached);
-      });
+  Ports_.Peers_.call(LeaderRecord_.Address_, "node.ping", PingParams,
+                     LeaderCheckTimeout,
+                     [Self = shared_from_this(), Epoch = LeaderRecord_.Epoch_](
+                         const Result<Json::Value> &PingReply) {
+                       // The checks that wait by now are about a later leader.
+                       if (Epoch != Self->LeaderRecord_.Epoch_)
+                         return;
+                       Self->answerWaitingChecks(
+                           PingReply && PingReply.value()["leads"].asBool());
+                     });
+}
+
+void Member::answerWaitingChecks(bool LeaderReached) {
+  for (const RpcReply &Waiting : std::exchange(LeaderChecks_, {}))
+    answerLeaderCheck(Waiting, LeaderReached);
 }
 
 void Member::answerLeaderCheck(const RpcReply &Reply,
