--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -176,7 +176,7 @@
   for (const char *Body :
        {R"({"rows":[{"table":"t","part":"","key":"k","value":"","ver":{}}]})",
         R"({"rows":[7]})", R"({"ver":{},"rows":[]})", R"({"nowMs":"x"})",
-        R"({"ver":1e300})"}) {
+        R"({"ver":1e300})", "not JSON", R"({"ver":)"}) {
     FakeHttp Http;
     Http.queueReply(200, Body);
     Http.queueReply(200, Body);
