dispatch: Use the entry of the process that answers, and examine workers anew

Cause: an entry with another service at the same address was ignored for good if a poll had shown the restart of its process first. A change of policies after a full planning pass left waiting steps with what they had examined under the old ones.

Change: an entry that lists the start time of the process that answers is used if it is new; a change of policies advances the number of passes by two.

Measured: EntryOfTheProcessThatAnswersIsUsed and the others of test_dispatch pass; the new case was not run against the code before, and the second part has no test.

--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -23,7 +23,9 @@
     Queues_[Name] = Policy;
   CheckAttempts_ = true;
   // Other workers may suit now, although none has gained capacity.
-  ++PassNumber_;
+  // Neither the last pass nor a full one that is not finished counts as having
+  // examined the workers under the new policies.
+  PassNumber_ += 2;
 }
 
 JobRun *Dispatcher::job(const std::string &Id) {
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -38,8 +38,12 @@
 // later one has a later start time, if the entries of the worker have any.
 bool Dispatcher::mayHaveMoved(const Worker &W, const WorkerInfo &Info) {
   const bool HasNoTimes = Info.ProcessStart_ == 0 && W.Info_.ProcessStart_ == 0;
+  // A restart at the same address may show in a poll before it does here.
+  const bool IsOfPolledProcess = W.Info_.Address_ == Info.Address_ &&
+                                 Info.ProcessStart_ == W.ProcessStart_ &&
+                                 Info.ProcessStart_ != W.Info_.ProcessStart_;
   return W.Reachability_ != Reachability::Reachable || HasNoTimes ||
-         Info.ProcessStart_ > W.ProcessStart_;
+         IsOfPolledProcess || Info.ProcessStart_ > W.ProcessStart_;
 }
 
 void Dispatcher::setWorkers(const std::vector<WorkerInfo> &Workers, Millis Now,
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -256,6 +256,21 @@
              "elsewhere:1");
 }
 
+// Guards against a restarted worker whose entry is ignored because a poll has
+// shown the restart first.
+BOOST_AUTO_TEST_CASE(EntryOfTheProcessThatAnswersIsUsed) {
+  DispatcherFixture Fixture;
+  WorkerInfo Entry = makeWorker("w1");
+  Entry.ProcessStart_ = 7;
+  Fixture.addWorkers({Entry});
+  Fixture.pollWorker("w1", {}, 7);
+  Fixture.pollWorker("w1", {}, 8);
+  Entry.ProcessStart_ = 8;
+  Entry.Service_ = "other";
+  Fixture.Dispatcher_.setWorkers({Entry}, Fixture.Now_);
+  BOOST_TEST(Fixture.Dispatcher_.findWorker("w1")->Info_.Service_ == "other");
+}
+
 // Guards against restored jobs that wait for a worker which joined another
 // address after all leases of earlier leaders had expired.
 BOOST_AUTO_TEST_CASE(MovedWorkerDoesNotBlockRestoredJobs) {
