tests: Satisfy the linter in two new cases

The linter's compiler does not let a lambda read an automatic constant without a capture, and asks for products in the wider type. Checks and bounds are unchanged.

--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -200,7 +200,7 @@
   EventLoop Loop;
   const auto Client = Loop.makeClient();
   WebCall Call = post("crates");
-  constexpr Millis Timeout{100};
+  static constexpr Millis Timeout{100};
   Call.Timeout_ = Timeout;
   // Runs once the connection has been requested.
   Loop.after(Millis{}, [] { sleepFor(Timeout * 2); });
--- a/tests/dispatch/load_test.cpp
+++ b/tests/dispatch/load_test.cpp
@@ -106,20 +106,21 @@
 BOOST_AUTO_TEST_CASE(PassOrdersABoundedNumberOfStarts) {
   constexpr int Jobs = 20;
   constexpr int Width = 30;
+  constexpr std::size_t Tasks = std::size_t{Jobs} * Width;
   DispatcherFixture Fixture;
-  Fixture.addWorkers({makeWorker("w1", 1000 * Jobs * Width)});
+  Fixture.addWorkers({makeWorker("w1", std::int64_t{1000} * Jobs * Width)});
   for (int Job = 0; Job < Jobs; ++Job)
     Fixture.submit(
         makeJob(std::to_string(Job), "urgent", {makeStep(Width, 500)}));
   std::size_t Starts = 0;
   std::size_t Passes = 0;
-  while (Starts < Jobs * Width && Passes < Jobs * Width) {
+  while (Starts < Tasks && Passes < Tasks) {
     const std::size_t Ordered = Fixture.decideAndExecute().Starts_.size();
     BOOST_TEST(Ordered <= Dispatcher::MaxStartsPerPass);
     Starts += Ordered;
     ++Passes;
   }
-  BOOST_TEST(Starts == Jobs * Width);
+  BOOST_TEST(Starts == Tasks);
   BOOST_TEST(Passes <= Starts / Dispatcher::MaxStartsPerPass + 1);
 }
 
@@ -137,7 +138,7 @@
   Fixture.Dispatcher_.setQueues(
       {{"urgent", UrgentPolicy}, {"advised", AdvisedPolicy}});
   constexpr int Width = 2 * static_cast<int>(Dispatcher::MaxStartsPerPass);
-  Fixture.addWorkers({makeWorker("w1", 1000 * Width)});
+  Fixture.addWorkers({makeWorker("w1", std::int64_t{1000} * Width)});
   Fixture.submit(makeJob("1", "urgent", {makeStep(Width, 100)}));
   Fixture.submit(makeJob("2", "advised", {makeStep(1, 100)}));
   BOOST_TEST(Fixture.decideAndExecute().Questions_.empty());
