cell: Add calls between nodes with binary parameters

Cause: a call between nodes is a tree of JSON values on both sides.

Change: methods may take their parameters as bytes, under a target of their own. A call that the HTTP client has sent twice and that was rejected counts as of unknown effect, since the first copy may have been carried out.

--- a/cell/rpc.cpp
+++ b/cell/rpc.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr int Ok = 200; // HTTP status
+constexpr const char *Target = "/rpc";
+// Followed by the name of the method.
+constexpr const char *BinaryTarget = "/rpc/";
 
 Result<Json::Value> decodeReply(const WebReply &Reply,
                                 const std::string &Method,
@@ -20,6 +23,9 @@
   if (!Body.isMember("error"))
     return Body["result"];
   Error Failure = decodeError(Body["error"]["data"]);
+  // The first copy of the call may have been carried out.
+  if (Reply.Resent_)
+    Failure.Effect_ = Effect::Unknown;
   if (Failure.Peer_.empty())
     Failure.Peer_ = Address;
   return Failure;
@@ -36,10 +42,26 @@
   Body["params"] = Params;
   WebCall Call;
   Call.Address_ = Address;
-  Call.Method_ = "POST";
-  Call.Target_ = "/rpc";
+  Call.Target_ = Target;
   Call.Body_ = writeJson(Body);
   Call.Timeout_ = Timeout;
+  send(std::move(Call), Method, std::move(Done));
+}
+
+void RpcClient::callBinary(const std::string &Address,
+                           const std::string &Method, std::string Params,
+                           Millis Timeout, RpcReply Done) {
+  WebCall Call;
+  Call.Address_ = Address;
+  Call.Target_ = BinaryTarget + Method;
+  Call.Body_ = std::move(Params);
+  Call.Timeout_ = Timeout;
+  send(std::move(Call), Method, std::move(Done));
+}
+
+void RpcClient::send(WebCall Call, const std::string &Method, RpcReply Done) {
+  Call.Method_ = "POST";
+  const std::string Address = Call.Address_;
   Http_.call(Call,
              [Method, Address, Done = std::move(Done)](Result<WebReply> Reply) {
                if (!Reply)
@@ -52,6 +74,10 @@
   Methods_[Name] = std::move(Method);
 }
 
+void RpcServer::addBinary(const std::string &Name, BinaryMethod Method) {
+  BinaryMethods_[BinaryTarget + Name] = std::move(Method);
+}
+
 void RpcServer::handle(const WebRequest &Request,
                        const WebReplier &Reply) const {
   const auto Send = [Reply](Result<Json::Value> Outcome) {
@@ -68,6 +94,9 @@
     }
     Reply(WebReply{Ok, writeJson(Body)});
   };
+  const auto Binary = BinaryMethods_.find(Request.Target_);
+  if (Binary != BinaryMethods_.end())
+    return Binary->second(Request.Body_, Send);
   const auto ParsedBody = parseJson(Request.Body_, "decode peer call");
   if (!ParsedBody)
     return Send(ParsedBody.error());
--- a/cell/rpc.h
+++ b/cell/rpc.h
@@ -14,6 +14,8 @@
 using RpcReply = std::function<void(Result<Json::Value>)>;
 /// Handles one call. It may reply after it has returned.
 using RpcMethod = std::function<void(const Json::Value &Params, RpcReply)>;
+/// The same for a method whose parameters are binary.
+using BinaryMethod = std::function<void(const std::string &Params, RpcReply)>;
 
 /// Makes JSON-RPC 2.0 calls to other nodes. A failed call yields the error that
 /// the peer reported, or that of the connection.
@@ -22,8 +24,13 @@
   explicit RpcClient(WebClient &Http) : Http_(Http) {}
   void call(const std::string &Address, const std::string &Method,
             const Json::Value &Params, Millis Timeout, RpcReply Done);
+  /// Calls a method whose parameters are binary, for frequent messages.
+  void callBinary(const std::string &Address, const std::string &Method,
+                  std::string Params, Millis Timeout, RpcReply Done);
 
 private:
+  void send(WebCall Call, const std::string &Method, RpcReply Done);
+
   WebClient &Http_;
 };
 
@@ -31,10 +38,12 @@
 class RpcServer {
 public:
   void add(const std::string &Name, RpcMethod Method);
+  void addBinary(const std::string &Name, BinaryMethod Method);
   void handle(const WebRequest &Request, const WebReplier &Reply) const;
 
 private:
   std::map<std::string, RpcMethod> Methods_;
+  std::map<std::string, BinaryMethod> BinaryMethods_; ///< By target.
 };
 
 } // namespace damaskglade::cell
