cell: Pass the leader's calls to workers through relays

Cause: the leader polls all workers and sends all orders itself.

Change: a leader with 400 workers or more passes calls in batches to relays, one for 300 workers in each zone (docs/platform.md). To the leader a call is answered, fails or has no reply, as before. A batch carries the epoch, the process of the relay that it is for and the time until which orders may be sent. Small fleets are called directly, as before.

The explorer plays its schedules with relays and with faults of relays.

--- a/cell/candidate.h
+++ b/cell/candidate.h
@@ -14,6 +14,7 @@
   Millis HeardAt_{};
   /// Processors that the node may use, times their relative speed.
   double Cpu_ = 0;
+  std::string Zone_; ///< Its availability zone.
 
   friend bool operator==(const PeerNode &, const PeerNode &) = default;
 };
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -92,6 +92,9 @@
       Recorder_(
           Ports, Dispatcher_, LeaderRecord_, [this] { loseLeadership(); },
           [this](const std::string &Id) { handleWorkerOpened(Id); }),
+      Workers_(std::make_shared<RelayedWorkers>(
+          Ports, Settings.PeerListen_, LeaderRecord_.Epoch_,
+          [this] { return mayActUntil(); }, [this] { confirmLeadership(); })),
       AdviceBalancer_(Ports,
                       [this](const dispatch::AdviceQuestion &Question,
                              const Result<std::vector<AdvisedWorker>> &Reply) {
@@ -116,6 +119,7 @@
   Stopped_ = true;
   Recorder_.stop();
   AdviceBalancer_.stop();
+  Workers_->close();
   for (const auto &[Id, Replies] : PendingSubmissions_)
     for (const RpcReply &Reply : Replies)
       Reply(
@@ -132,6 +136,7 @@
     return Done();
   }
   Stopped_ = true;
+  Workers_->flush();
   AdviceBalancer_.stop();
   Recorder_.collectChanges();
   Recorder_.whenRecorded(
@@ -166,11 +171,18 @@
   scheduleDecision();
 }
 
-bool Leader::mayIssueOrders() const {
-  const Millis UnconfirmedFor = now() - Recorder_.confirmedAt();
-  return UnconfirmedFor < UnconfirmedLimit ||
-         (UnconfirmedFor < MajorityUnconfirmedLimit &&
-          now() < MajorityHeardAt_ + MajorityTimeout);
+Millis Leader::mayActUntil() const {
+  const Millis Confirmed = Recorder_.confirmedAt() + UnconfirmedLimit;
+  const Millis InMajority =
+      std::min(Recorder_.confirmedAt() + MajorityUnconfirmedLimit,
+               MajorityHeardAt_ + MajorityTimeout);
+  return std::max(Confirmed, InMajority);
+}
+
+void Leader::chooseRelays(const PeerNodes &Nodes, Millis HeardSince) {
+  Workers_->setRelays(cell::chooseRelays(Nodes, HeardSince, Settings_.Cpu_,
+                                         Settings_.RelayMinWorkers_,
+                                         WorkersByZone_));
 }
 
 bool Leader::shouldHandOver() const {
@@ -227,6 +239,7 @@
         Self->Dispatcher_.setWorkers(
             Snapshot.value().Workers_, Self->now(),
             Self->reportUnusableEntries(Snapshot.value().UnusableEntries_));
+        Self->locateWorkers();
         if (Self->Loaded_)
           Self->recordWorkerChanges();
         else if (Self->Dispatcher_.workers().empty())
@@ -235,6 +248,16 @@
       });
 }
 
+void Leader::locateWorkers() {
+  std::unordered_map<std::string, std::string> Zones;
+  WorkersByZone_.clear();
+  for (const auto &[Id, Worker] : Dispatcher_.workers()) {
+    Zones.emplace(Id, Worker.Info_.Zone_);
+    ++WorkersByZone_[Worker.Info_.Zone_];
+  }
+  Workers_->setZones(std::move(Zones));
+}
+
 // Each entry is counted and logged when it becomes unusable.
 std::set<std::string> Leader::reportUnusableEntries(
     const std::map<std::string, Error> &UnusableEntries) {
@@ -323,6 +346,21 @@
     pollNextWorkers();
 }
 
+void Leader::pollInTurn(const std::string &Id) {
+  PollState &State = PollStates_[Id];
+  if (State.LongPollOpen_ || std::exchange(State.PollScheduled_, true))
+    return;
+  WorkersToPoll_.push_back(Id);
+  schedulePollTurn();
+}
+
+void Leader::schedulePollTurn() {
+  if (std::exchange(PollTurnScheduled_, true))
+    return;
+  Ports_.Timers_.after(
+      Millis{}, [Self = shared_from_this()] { Self->pollNextWorkers(); });
+}
+
 void Leader::pollNextWorkers() {
   PollTurnScheduled_ = false;
   for (std::size_t Count = 0; Count < PollsPerTurn && !WorkersToPoll_.empty();
@@ -332,11 +370,8 @@
     PollStates_[Id].PollScheduled_ = false;
     pollWorker(Id, false);
   }
-  if (WorkersToPoll_.empty() || Stopped_)
-    return;
-  PollTurnScheduled_ = true;
-  Ports_.Timers_.after(
-      Millis{}, [Self = shared_from_this()] { Self->pollNextWorkers(); });
+  if (!WorkersToPoll_.empty() && !Stopped_)
+    schedulePollTurn();
 }
 
 void Leader::schedulePoll(const std::string &Id, Millis Delay) {
@@ -371,12 +406,12 @@
   if (IsReachable && !Probe && State.LastListedEnd_ == State.LastRecordedEnd_)
     PollOrder.Wait_ = Dispatcher_.pollTimeout(Id, now());
   const Millis SentAt = now();
-  Ports_.Workers_.poll(
-      WorkerTarget{Id, Worker->Info_.Address_, LeaderRecord_.Epoch_}, PollOrder,
-      [Self = shared_from_this(), Id, Probe,
-       SentAt](const Result<PollReply> &Reply) {
-        Self->handlePollReply(Id, Probe, SentAt, Reply);
-      });
+  Workers_->poll(WorkerTarget{Id, Worker->Info_.Address_, LeaderRecord_.Epoch_},
+                 PollOrder,
+                 [Self = shared_from_this(), Id, Probe,
+                  SentAt](const Result<PollReply> &Reply) {
+                   Self->handlePollReply(Id, Probe, SentAt, Reply);
+                 });
 }
 
 void Leader::handlePollReply(const std::string &Id, bool Probe, Millis SentAt,
@@ -385,6 +420,12 @@
     return;
   PollState &State = PollStates_[Id];
   (Probe ? State.ProbeOpen_ : State.LongPollOpen_) = false;
+  // A relay that has failed says nothing about the worker.
+  if (!Reply && Reply.error().Reason_ == Reason::NotReady) {
+    if (!Probe)
+      pollInTurn(Id);
+    return;
+  }
   if (!Reply) {
     ++State.FailuresInRow_;
     if (State.FailuresInRow_ >= PollFailuresBeforeUnreachable ||
@@ -477,7 +518,7 @@
 
 void Leader::sendOrders(const dispatch::Actions &Actions) {
   for (const dispatch::StartAction &Start : Actions.Starts_)
-    Ports_.Workers_.start(
+    Workers_->start(
         Start.Target_, Start.Order_,
         [Self = shared_from_this(), Start](const Result<OrderReply> &Reply) {
           if (Self->Stopped_)
@@ -501,7 +542,7 @@
             Self->scheduleDecision();
         });
   for (const dispatch::StopAction &Stop : Actions.Stops_)
-    Ports_.Workers_.stop(
+    Workers_->stop(
         Stop.Target_, Stop.Task_, Stop.Attempt_,
         [Self = shared_from_this(), Stop](const Result<OrderReply> &Reply) {
           if (Self->Stopped_)
@@ -517,7 +558,7 @@
           });
         });
   for (const dispatch::PaceAction &Pace : Actions.Paces_)
-    Ports_.Workers_.pace(
+    Workers_->pace(
         Pace.Target_, Pace.Task_, Pace.Attempt_, Pace.Percent_,
         [Self = shared_from_this(), Pace](const Result<OrderReply> &Reply) {
           if (!Self->Stopped_)
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -5,6 +5,7 @@
 #include "cell/context.h"
 #include "cell/loop_delay.h"
 #include "cell/recorder.h"
+#include "cell/relayed_workers.h"
 #include "dispatch/dispatcher.h"
 
 #include <deque>
@@ -38,6 +39,9 @@
 public:
   Leader(const CellPorts &Ports, const CellSettings &Settings,
          LeaderRecord Record, std::function<void()> OnLeadershipLost);
+  ~Leader() { Workers_->close(); }
+  Leader(const Leader &) = delete;
+  Leader &operator=(const Leader &) = delete;
 
   void start();
   /// Stops sending orders. Callbacks that are called later do nothing.
@@ -56,6 +60,12 @@
     if (Majority)
       MajorityHeardAt_ = now();
   }
+  /// Chooses relays among the nodes that were heard since the given time.
+  void chooseRelays(const PeerNodes &Nodes, Millis HeardSince);
+  /// Takes replies of workers from a relay.
+  void handleRelayReplies(const std::string &Params, const RpcReply &Reply) {
+    Workers_->handleReplies(Params, Reply);
+  }
   /// Whether another node should lead because this one cannot write to the
   /// store.
   bool shouldHandOver() const;
@@ -82,7 +92,9 @@
   };
 
   Millis now() const { return Ports_.Clock_.monotonic(); }
-  bool mayIssueOrders() const;
+  /// Until when this node may give orders, as far as it knows.
+  Millis mayActUntil() const;
+  bool mayIssueOrders() const { return now() < mayActUntil(); }
   void loadTable(const std::string &Table, const std::string &From);
   void loadPage(const std::string &Table, const RowPage &Page, Millis SentAt);
   void loadWorkerRow(const StoredRow &Row, const StoreClockReading &Reading);
@@ -91,6 +103,7 @@
   void tick();
   void recordLoopDelay(Millis Delay);
   void readRegistry();
+  void locateWorkers();
   /// Returns the ids of the entries.
   std::set<std::string>
   reportUnusableEntries(const std::map<std::string, Error> &UnusableEntries);
@@ -100,6 +113,9 @@
   void closeLeaseRows();
   void handleWorkerOpened(const std::string &Id);
   void pollWorkers();
+  /// Polls the worker soon, in turn with others.
+  void pollInTurn(const std::string &Id);
+  void schedulePollTurn();
   void pollNextWorkers();
   void pollWorker(const std::string &Worker, bool Probe);
   void handlePollReply(const std::string &Worker, bool Probe, Millis SentAt,
@@ -117,6 +133,8 @@
   const std::function<void()> OnLeadershipLost_;
   dispatch::Dispatcher Dispatcher_;
   Recorder Recorder_;
+  const std::shared_ptr<RelayedWorkers> Workers_;
+  std::map<std::string, std::size_t> WorkersByZone_; ///< Numbers of workers.
   AdviceBalancer AdviceBalancer_;
   std::map<std::string, PollState> PollStates_;
   std::deque<std::string> WorkersToPoll_; ///< See pollNextWorkers().
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -92,6 +92,8 @@
     : Ports_(Ports), Settings_(std::move(Settings)),
       Incarnation_(Settings_.PeerListen_ + '/' +
                    std::to_string(Ports.Clock_.wall().Value_)),
+      Relay_(
+          std::make_shared<Relay>(Ports, Settings_.PeerListen_, Incarnation_)),
       Random_(static_cast<unsigned>(
           std::hash<std::string>()(Settings_.PeerListen_))) {}
 
@@ -123,8 +125,7 @@
 void Member::tick() {
   scheduleTick(PingPeriod);
   if (isLeader()) {
-    updateNodeList();
-    Leader_->setNodes(liveNodes(), inContactWithMajority());
+    updateLeader();
     if (Leader_->shouldHandOver() && now() > LastHandOverAt_ + HandOverInterval)
       askNodesToLead();
     const std::string StrongerAddress =
@@ -157,6 +158,12 @@
   NodeList_ = std::move(Nodes);
 }
 
+void Member::updateLeader() {
+  updateNodeList();
+  Leader_->setNodes(liveNodes(), inContactWithMajority());
+  Leader_->chooseRelays(PeerNodes_, livenessCutoff());
+}
+
 // The known nodes are this node and those that have pinged it within the
 // retention time. Nodes that have left the cell for good are thus no longer
 // counted after that time.
@@ -173,6 +180,7 @@
   Params["address"] = Settings_.PeerListen_;
   Params["epoch"] = Json::Int64(LeaderRecord_.Epoch_);
   Params["cpu"] = Settings_.Cpu_;
+  Params["zone"] = Settings_.Zone_;
   Params["nodes_digest"] = ReportedNodesDigest_;
   const std::string Address = LeaderRecord_.Address_;
   ++OpenPings_;
@@ -390,6 +398,7 @@
 
 void Member::becomeLeader(const LeaderRecord &Record) {
   LeaderRecord_ = Record;
+  Relay_->noteLeader(Record.Epoch_);
   answerWaitingChecks(true);
   LeadingSince_ = now();
   Leader_ = std::make_shared<Leader>(
@@ -402,8 +411,7 @@
           Self->readLeaderRow();
         });
       });
-  updateNodeList();
-  Leader_->setNodes(liveNodes(), inContactWithMajority());
+  updateLeader();
   if (Config_)
     Leader_->setConfig(*Config_);
   Leader_->start();
@@ -411,6 +419,7 @@
 
 void Member::followLeader(const LeaderRecord &Record) {
   LeaderRecord_ = Record;
+  Relay_->noteLeader(Record.Epoch_);
   LeaderHeardAt_ = now();
   LeaderSuspectedAt_ = Millis{};
   ReportedNodesDigest_.clear();
@@ -459,6 +468,7 @@
 
 void Member::resign(const std::function<void()> &Done) {
   Resigned_ = true;
+  Relay_->close();
   if (!isLeader())
     return Done();
   const std::string Successor =
--- a/cell/member.h
+++ b/cell/member.h
@@ -4,6 +4,7 @@
 #include "cell/candidate.h"
 #include "cell/context.h"
 #include "cell/leader.h"
+#include "cell/relay.h"
 
 #include <memory>
 #include <optional>
@@ -105,6 +106,8 @@
   void answerLeaderCheck(const RpcReply &Reply, bool LeaderReached) const;
   /// Lists the live nodes for the replies to pings.
   void updateNodeList();
+  /// Tells the leader object which nodes are live.
+  void updateLeader();
   std::vector<std::string> liveNodes() const;
   Millis livenessCutoff() const;
 
@@ -113,6 +116,7 @@
   const std::string Incarnation_;  ///< Identifies this process.
   LeaderRecord LeaderRecord_;      ///< Last known leader row.
   std::shared_ptr<Leader> Leader_; ///< Null unless this node leads.
+  const std::shared_ptr<Relay> Relay_;
   std::optional<CellConfig> Config_;
   PeerNodes PeerNodes_; ///< Nodes that have pinged this one.
   /// Addresses of the live nodes, as last reported by the leader.
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -24,7 +24,7 @@
 void Member::handlePing(const Json::Value &Params, const RpcReply &Reply) {
   PeerNode &Sender = PeerNodes_[Params["address"].asString()];
   const bool WasLive = Sender.HeardAt_ >= livenessCutoff();
-  Sender = PeerNode{now(), Params["cpu"].asDouble()};
+  Sender = PeerNode{now(), Params["cpu"].asDouble(), Params["zone"].asString()};
   if (!WasLive && isLeader())
     updateNodeList();
   Json::Value Body;
@@ -60,6 +60,7 @@
   Json::Value PingParams;
   PingParams["address"] = Settings_.PeerListen_;
   PingParams["cpu"] = Settings_.Cpu_;
+  PingParams["zone"] = Settings_.Zone_;
   PingParams["nodes_digest"] = ReportedNodesDigest_;
   Ports_.Peers_.call(LeaderRecord_.Address_, "node.ping", PingParams,
                      LeaderCheckTimeout,
@@ -106,6 +107,21 @@
              [Self](const Json::Value &Params, const RpcReply &Reply) {
                serveAdvice(Self->Ports_, Params, Reply);
              });
+  Server.addBinary("relay.calls",
+                   [Self](const std::string &Params, const RpcReply &Reply) {
+                     Self->Relay_->handleCalls(Params, Reply);
+                   });
+  Server.addBinary("relay.replies",
+                   [Self](const std::string &Params, const RpcReply &Reply) {
+                     if (!Self->isLeader())
+                       return Reply(Error{Reason::NotOwner,
+                                          Effect::None,
+                                          "relay replies",
+                                          "",
+                                          "this node is not the leader",
+                                          {}});
+                     Self->Leader_->handleRelayReplies(Params, Reply);
+                   });
   for (const char *Method :
        {"job.submit", "job.state", "job.cancel", "queue.pending"})
     Server.add(Method, [Self, Method](const Json::Value &Params,
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 
+#include <cstddef>
 #include <string>
 
 namespace damaskglade::cell {
@@ -26,6 +27,9 @@
   Millis GangWait_{3000};
   Millis StatusRetention_{120000}; ///< How long ended jobs can be queried.
   Millis StopGrace_{6000};         ///< From the stop signal to process exit.
+  /// A leader with fewer workers than this uses no relays: they add two hops to
+  /// each call and save little.
+  std::size_t RelayMinWorkers_ = 400;
 
   friend bool operator==(const CellSettings &, const CellSettings &) = default;
 };
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -1,5 +1,7 @@
 #include "tests/cell/fake_cell.h"
 
+#include "cell/worker_batch.h"
+
 #include <algorithm>
 
 namespace damaskglade::fakes {
@@ -363,7 +365,8 @@
         Store_(Cell.Loop_, Cell.StoreState_, Name),
         Workers_(Cell.Loop_, Cell.Fleet_,
                  [&Cell, Name](const std::string &) {
-                   return Cell.IsolatedNodes_.count(Name) == 0;
+                   return Cell.IsolatedNodes_.count(Name) == 0 &&
+                          Cell.BlindNodes_.count(Name) == 0;
                  }),
         CostlyStore_(Processor_, Store_), CostlyWorkers_(Processor_, Workers_),
         Registry_(Cell.Loop_, Cell.Fleet_, Processor_),
@@ -386,6 +389,7 @@
     cell::CellSettings Settings;
     Settings.Node_ = Name;
     Settings.PeerListen_ = Name;
+    Settings.RelayMinWorkers_ = Cell.RelayMinWorkers_;
     const auto Cpu = Cell.NodeCpus_.find(Name);
     if (Cpu != Cell.NodeCpus_.end())
       Settings.Cpu_ = Cpu->second;
@@ -410,7 +414,40 @@
   cell::RpcServer Server_;
 };
 
+namespace {
+
+/// Processor time that a message between nodes takes on each side, and that it
+/// takes the sender to make its content.
+struct MessageCost {
+  Micros OnEachSide_ = 0;
+  Micros OfContent_ = 0;
+};
+
+MessageCost messageCost(const WebCall &Call) {
+  MessageCost Cost;
+  if (Call.Target_ == "/rpc/relay.replies") {
+    const auto Batch = cell::decodeReplyBatch(Call.Body_);
+    if (Batch)
+      Cost.OnEachSide_ =
+          RelayedReplyCost * static_cast<Micros>(Batch.value().Replies_.size());
+  }
+  if (Call.Target_ == "/rpc/relay.calls") {
+    const auto Batch = cell::decodeCallBatch(Call.Body_);
+    if (Batch)
+      for (const cell::WorkerCall &Relayed : Batch.value().Calls_) {
+        const bool IsStart =
+            std::holds_alternative<StartOrder>(Relayed.Content_);
+        Cost.OnEachSide_ += RelayedCallCost;
+        Cost.OfContent_ += IsStart ? PlanningCost : 0;
+      }
+  }
+  return Cost;
+}
+
+} // namespace
+
 void FakeCell::PeerHttp::call(const WebCall &Call, WebReplyHandler Done) {
+  const MessageCost Cost = messageCost(Call);
   const auto HasReplied = std::make_shared<bool>(false);
   const WebReplyHandler Finish = [this, HasReplied,
                                   Done](const Result<WebReply> &Reply) {
@@ -418,11 +455,13 @@
       return;
     Processor_.run(PeerReplyCost, [Done, Reply] { Done(Reply); });
   };
-  Processor_.send(0, [this, Call, Finish] {
+  Processor_.send(Cost.OnEachSide_ + Cost.OfContent_, [this, Call, Finish,
+                                                       Cost] {
     Cell_.Loop_.after(Call.Timeout_, [Finish] { Finish(timeout("peer")); });
-    Cell_.Loop_.after(PeerDelay, [this, Call, Finish] {
+    Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Cost] {
       if (Cell_.IsolatedNodes_.count(From_) > 0 ||
-          Cell_.IsolatedNodes_.count(Call.Address_) > 0)
+          Cell_.IsolatedNodes_.count(Call.Address_) > 0 ||
+          Cell_.MutedNodes_.count(From_) > 0)
         return;
       const auto Peer = Cell_.Nodes_.find(Call.Address_);
       if (Peer == Cell_.Nodes_.end())
@@ -433,25 +472,28 @@
                             "refused",
                             {}});
       Node &Target = *Peer->second;
-      Target.Processor_.run(RequestCost, [this, Call, Finish, &Target] {
-        WebRequest Request;
-        Request.Body_ = Call.Body_;
-        Target.Server_.handle(
-            Request, [this, Call, Finish, &Target](const WebReply &Reply) {
-              Target.Processor_.send(0, [this, Call, Finish, Reply] {
-                Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Reply] {
-                  if (Cell_.IsolatedNodes_.count(From_) == 0 &&
-                      Cell_.IsolatedNodes_.count(Call.Address_) == 0)
-                    Finish(Reply);
+      Target.Processor_.run(
+          RequestCost + Cost.OnEachSide_, [this, Call, Finish, &Target] {
+            WebRequest Request;
+            Request.Target_ = Call.Target_;
+            Request.Body_ = Call.Body_;
+            Target.Server_.handle(
+                Request, [this, Call, Finish, &Target](const WebReply &Reply) {
+                  Target.Processor_.send(0, [this, Call, Finish, Reply] {
+                    Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Reply] {
+                      if (Cell_.IsolatedNodes_.count(From_) == 0 &&
+                          Cell_.IsolatedNodes_.count(Call.Address_) == 0)
+                        Finish(Reply);
+                    });
+                  });
                 });
-              });
-            });
-      });
+          });
     });
   });
 }
 
-FakeCell::FakeCell(int Nodes, int Workers) {
+FakeCell::FakeCell(int Nodes, int Workers, std::size_t RelayMinWorkers)
+    : RelayMinWorkers_(RelayMinWorkers) {
   for (int Number = 1; Number <= Workers; ++Number) {
     FakeWorkerState State;
     State.Info_.Id_ = "w" + std::to_string(Number);
@@ -488,6 +530,27 @@
     IsolatedNodes_.erase(Name);
 }
 
+void FakeCell::setMuted(const std::string &Name, bool Muted) {
+  if (Muted)
+    MutedNodes_.insert(Name);
+  else
+    MutedNodes_.erase(Name);
+}
+
+void FakeCell::setBlind(const std::string &Name, bool Blind) {
+  if (Blind)
+    BlindNodes_.insert(Name);
+  else
+    BlindNodes_.erase(Name);
+}
+
+std::vector<std::string> FakeCell::nodes() const {
+  std::vector<std::string> Names;
+  for (const auto &[Name, NodePtr] : Nodes_)
+    Names.push_back(Name);
+  return Names;
+}
+
 std::vector<std::string> FakeCell::leaders() const {
   std::vector<std::string> Names;
   for (const auto &[Name, NodePtr] : Nodes_)
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -173,13 +173,21 @@
 /// isolated from peers, workers and store.
 class FakeCell {
 public:
-  FakeCell(int Nodes, int Workers);
+  /// Leaders use relays if there are at least RelayMinWorkers.
+  FakeCell(int Nodes, int Workers,
+           std::size_t RelayMinWorkers = cell::CellSettings{}.RelayMinWorkers_);
   ~FakeCell();
 
   void startNode(const std::string &Name);
   void killNode(const std::string &Name);
   /// Isolates a node: it reaches nothing, and nothing reaches it.
   void setIsolated(const std::string &Name, bool Isolated);
+  /// Whether the calls that a node makes to other nodes are lost. It still
+  /// answers theirs.
+  void setMuted(const std::string &Name, bool Muted);
+  /// Whether a node reaches no worker.
+  void setBlind(const std::string &Name, bool Blind);
+  std::vector<std::string> nodes() const;
   /// Name of the active leader; empty if there is none or more than one.
   std::string leader() const;
   std::vector<std::string> leaders() const;
@@ -216,12 +224,15 @@
 private:
   struct Node;
   class PeerHttp;
+  const std::size_t RelayMinWorkers_;
   std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
   submitStep(const std::string &Node, const std::string &Id,
              const dispatch::StepSpec &Step, Millis Duration);
   std::map<std::string, std::unique_ptr<Node>> Nodes_;
   std::vector<std::unique_ptr<Node>> KilledNodes_;
   std::set<std::string> IsolatedNodes_;
+  std::set<std::string> MutedNodes_;
+  std::set<std::string> BlindNodes_;
 };
 
 /// A job id with 16 digits.
--- a/tests/cell/fake_processor.cpp
+++ b/tests/cell/fake_processor.cpp
@@ -29,7 +29,7 @@
 }
 
 void FakeProcessor::run(Micros Cost, std::function<void()> Task) {
-  if (Cores_ == 0 && !Running_) {
+  if (Cores_ == 0 && !Running_ && lag() == Millis{}) {
     Used_ += Cost;
     return Task();
   }
@@ -38,6 +38,10 @@
     runQueue();
 }
 
+void FakeProcessor::pause(Millis Time) {
+  BusyUntil_ = (LoopClock_.monotonic() + Time).Value_ * MicrosPerMilli;
+}
+
 void FakeProcessor::send(Micros Cost, std::function<void()> Task) {
   charge(Cost);
   if (lag() == Millis{})
--- a/tests/cell/fake_processor.h
+++ b/tests/cell/fake_processor.h
@@ -29,6 +29,8 @@
   void setSpeed(double Cores) { Cores_ = Cores; }
   /// Runs the task when the earlier ones have ended.
   void run(Micros Cost, std::function<void()> Task);
+  /// Runs nothing for a while, as a stopped process does.
+  void pause(Millis Time);
   /// Adds to the cost of the running task, then sends something to the network.
   void send(Micros Cost, std::function<void()> Task);
   /// All costs until now.
@@ -101,6 +103,10 @@
 inline constexpr Micros PollSendCost = 19;
 inline constexpr Micros PollReplyCost = 19;
 inline constexpr Micros PollNewsCost = 39; ///< Added if tasks have ended.
+inline constexpr Micros PlanningCost = 70; ///< The share of StartCost.
+// Of a call or reply in a message between the leader and a relay, on each side.
+inline constexpr Micros RelayedCallCost = 2;
+inline constexpr Micros RelayedReplyCost = 4;
 
 } // namespace damaskglade::fakes
 
--- a/tests/cell/takeover_explorer_test.cpp
+++ b/tests/cell/takeover_explorer_test.cpp
@@ -31,6 +31,11 @@
          std::to_string(Found.Plays_);
 }
 
+const std::vector<EventKind> RelayFaults{
+    EventKind::PauseLeader, EventKind::KillRelay,  EventKind::StopRelay,
+    EventKind::IsolateRelay, EventKind::PauseRelay, EventKind::MuteRelay,
+    EventKind::BlindRelay};
+
 std::vector<Event> eventsWithWorkers(const std::vector<std::string> &Workers) {
   std::vector<Event> Events;
   for (const EventKind Kind :
@@ -66,11 +71,34 @@
   return Schedules;
 }
 
-Schedule sampleSchedule(std::mt19937 &Random) {
+/// All schedules of one fault of a relay and of another event.
+std::vector<Schedule> schedulesWithRelayFaults() {
+  std::vector<Schedule> Schedules;
+  std::vector<Event> Others = eventsWithWorkers({"w1"});
+  for (const EventKind Kind : RelayFaults)
+    Others.push_back(Event{0, Kind, ""});
+  for (const EventKind Fault : RelayFaults)
+    for (int Point = 0; Point < PointsOfTwoEvents; ++Point) {
+      Schedules.push_back({Event{Point, Fault, ""}});
+      for (int Other = 0; Other < PointsOfTwoEvents; ++Other)
+        for (const Event &Happening : Others) {
+          Schedule Events{Event{Point, Fault, ""}, atPoint(Happening, Other)};
+          if (Other < Point)
+            std::swap(Events[0], Events[1]);
+          Schedules.push_back(std::move(Events));
+        }
+    }
+  return Schedules;
+}
+
+Schedule sampleSchedule(std::mt19937 &Random, bool WithRelayFaults) {
   constexpr unsigned MinEvents = 3;
   constexpr unsigned EventCounts = 3;
   // The first worker, whose clock is slow, is concerned more often.
-  const std::vector<Event> Events = eventsWithWorkers({"w1", "w1", "w2"});
+  std::vector<Event> Events = eventsWithWorkers({"w1", "w1", "w2"});
+  if (WithRelayFaults)
+    for (const EventKind Kind : RelayFaults)
+      Events.push_back(Event{0, Kind, ""});
   std::size_t EventsLeft = MinEvents + Random() % EventCounts;
   Schedule Sample;
   for (int Point = 0; Point < PointCount; ++Point) {
@@ -82,11 +110,11 @@
   return Sample;
 }
 
-std::vector<Schedule> sampleSchedules() {
+std::vector<Schedule> sampleSchedules(bool WithRelayFaults = false) {
   std::mt19937 Random(Seed);
   std::vector<Schedule> Schedules;
   while (Schedules.size() < SampledSchedules)
-    Schedules.push_back(sampleSchedule(Random));
+    Schedules.push_back(sampleSchedule(Random, WithRelayFaults));
   return Schedules;
 }
 
@@ -111,11 +139,12 @@
 
 template <typename Matches>
 std::optional<Finding> explore(const std::vector<Schedule> &Schedules,
-                               const RowFault &Fault, const Matches &IsSought) {
+                               const RowFault &Fault, const Matches &IsSought,
+                               bool WithRelays = false) {
   int Plays = 0;
   for (const Schedule &Events : Schedules) {
     ++Plays;
-    Violations Found = TakeoverPlay(Fault).play(Events);
+    Violations Found = TakeoverPlay(Fault, WithRelays).play(Events);
     if (IsSought(Found))
       return Finding{Events, std::move(Found), Plays};
   }
@@ -123,9 +152,11 @@
   return std::nullopt;
 }
 
-void checkNoViolation(const std::vector<Schedule> &Schedules) {
-  const auto Found =
-      explore(Schedules, nullptr, [](const Violations &V) { return V.any(); });
+void checkNoViolation(const std::vector<Schedule> &Schedules,
+                      bool WithRelays = false) {
+  const auto Found = explore(
+      Schedules, nullptr, [](const Violations &V) { return V.any(); },
+      WithRelays);
   BOOST_TEST(!Found, (Found ? describe(*Found) : ""));
 }
 
@@ -260,3 +291,24 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// The same with leaders that call workers through relays, and faults of these.
+BOOST_AUTO_TEST_SUITE(RelayExplorer)
+
+BOOST_AUTO_TEST_CASE(UpToTwoEventsRepeatNoTask) {
+  checkNoViolation(schedulesWithRelayFaults(), true);
+}
+
+BOOST_AUTO_TEST_CASE(SampledEventsRepeatNoTask) {
+  checkNoViolation(sampleSchedules(true), true);
+}
+
+// Plays the schedule that follows "--" on the command line.
+BOOST_AUTO_TEST_CASE(GivenScheduleRepeatsNoTask) {
+  const auto &Suite = boost::unit_test::framework::master_test_suite();
+  const auto Events = parseSchedule(Suite.argc > 1 ? Suite.argv[1] : "");
+  BOOST_TEST_REQUIRE(Events.has_value());
+  checkNoViolation({*Events}, true);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -33,7 +33,7 @@
   const char *Name_;
 };
 
-constexpr std::array<NamedKind, 11> NamedKinds{{
+constexpr std::array<NamedKind, 18> NamedKinds{{
     {EventKind::KillLeader, "kill-leader"},
     {EventKind::StopLeader, "stop-leader"},
     {EventKind::IsolateLeader, "isolate-leader"},
@@ -45,6 +45,13 @@
     {EventKind::HealWorkers, "heal-workers"},
     {EventKind::DrainWorker, "drain-worker"},
     {EventKind::EndWorker, "end-worker"},
+    {EventKind::PauseLeader, "pause-leader"},
+    {EventKind::KillRelay, "kill-relay"},
+    {EventKind::StopRelay, "stop-relay"},
+    {EventKind::IsolateRelay, "isolate-relay"},
+    {EventKind::PauseRelay, "pause-relay"},
+    {EventKind::MuteRelay, "mute-relay"},
+    {EventKind::BlindRelay, "blind-relay"},
 }};
 
 std::string nameOf(EventKind Kind) {
@@ -109,8 +116,9 @@
          list("not running at the end", Found.MissingTasks_);
 }
 
-TakeoverPlay::TakeoverPlay(const RowFault &Fault)
-    : Cell_(NodeCount, WorkerCount) {
+TakeoverPlay::TakeoverPlay(const RowFault &Fault, bool WithRelays)
+    : Cell_(NodeCount, WorkerCount,
+            WithRelays ? 1 : cell::CellSettings{}.RelayMinWorkers_) {
   for (auto &[Id, Worker] : Cell_.Fleet_.Workers_)
     Worker.Info_.Capacity_ = SizeOfTwoTasks;
   Cell_.Fleet_.Workers_.at("w1").ClockRatePerMille_ = SlowClockRatePerMille;
@@ -174,22 +182,73 @@
     return Cell_.drainWorker(Happening.Worker_);
   case EventKind::EndWorker:
     return Cell_.removeWorker(Happening.Worker_);
+  case EventKind::KillRelay:
+  case EventKind::StopRelay:
+  case EventKind::IsolateRelay:
+  case EventKind::PauseRelay:
+  case EventKind::MuteRelay:
+  case EventKind::BlindRelay:
+    if (const std::string Relay = chooseRelay(); !Relay.empty())
+      applyToRelay(Happening.Kind_, Relay);
+    return;
   default:
     if (const std::string Leader = chooseLeader(); !Leader.empty())
       applyToLeader(Happening.Kind_, Leader);
   }
 }
 
+void TakeoverPlay::applyToRelay(EventKind Kind, const std::string &Relay) {
+  switch (Kind) {
+  case EventKind::KillRelay:
+    return applyToLeader(EventKind::KillLeader, Relay);
+  case EventKind::StopRelay:
+    return applyToLeader(EventKind::StopLeader, Relay);
+  case EventKind::IsolateRelay:
+    return applyToLeader(EventKind::IsolateLeader, Relay);
+  case EventKind::PauseRelay:
+    return applyToLeader(EventKind::PauseLeader, Relay);
+  case EventKind::MuteRelay:
+    Cell_.setMuted(Relay, true);
+    return Cell_.Loop_.after(FaultDuration, [this, Relay] {
+      Cell_.setMuted(Relay, false);
+    });
+  case EventKind::BlindRelay:
+    Cell_.setBlind(Relay, true);
+    return Cell_.Loop_.after(FaultDuration, [this, Relay] {
+      Cell_.setBlind(Relay, false);
+    });
+  default:
+    return;
+  }
+}
+
+std::string TakeoverPlay::chooseRelay() const {
+  const std::string Leader = chooseLeader();
+  for (std::string &Name : Cell_.nodes())
+    if (Name != Leader)
+      return std::move(Name);
+  return "";
+}
+
 void TakeoverPlay::applyToLeader(EventKind Kind, const std::string &Leader) {
+  const auto IsThere = [this, Leader] {
+    const auto Names = Cell_.nodes();
+    return std::find(Names.begin(), Names.end(), Leader) != Names.end();
+  };
   switch (Kind) {
+  case EventKind::PauseLeader:
+    return Cell_.processor(Leader).pause(FaultDuration);
   case EventKind::KillLeader:
     Cell_.killNode(Leader);
-    return Cell_.Loop_.after(RestartDelay,
-                             [this, Leader] { Cell_.startNode(Leader); });
+    return Cell_.Loop_.after(RestartDelay, [this, Leader, IsThere] {
+      if (!IsThere())
+        Cell_.startNode(Leader);
+    });
   case EventKind::StopLeader:
     Cell_.member(Leader).resign([] {});
-    return Cell_.Loop_.after(RestartDelay, [this, Leader] {
-      Cell_.killNode(Leader);
+    return Cell_.Loop_.after(RestartDelay, [this, Leader, IsThere] {
+      if (IsThere())
+        Cell_.killNode(Leader);
       Cell_.startNode(Leader);
     });
   case EventKind::IsolateLeader:
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -29,6 +29,13 @@
   HealWorkers,        ///< All workers that are cut off.
   DrainWorker,
   EndWorker, ///< The worker leaves with all its tasks.
+  PauseLeader,  ///< For a while.
+  KillRelay,    ///< Its node starts again later.
+  StopRelay,    ///< A planned stop; the node starts again later.
+  IsolateRelay, ///< For a while; so are the next four.
+  PauseRelay,   ///< Its process runs nothing.
+  MuteRelay,    ///< Its calls to other nodes are lost.
+  BlindRelay,   ///< It reaches no worker.
 };
 
 struct Event {
@@ -67,12 +74,16 @@
 /// short one. The clock of the first worker is slow.
 class TakeoverPlay {
 public:
-  explicit TakeoverPlay(const RowFault &Fault);
+  /// With relays, the leader calls all workers through another node.
+  explicit TakeoverPlay(const RowFault &Fault, bool WithRelays = false);
   Violations play(const Schedule &Events);
 
 private:
   void apply(const Event &Happening);
   void applyToLeader(EventKind Kind, const std::string &Leader);
+  void applyToRelay(EventKind Kind, const std::string &Relay);
+  /// The node that the leader uses as its relay.
+  std::string chooseRelay() const;
   void setStoreMode(const std::string &Node, StoreMode Mode);
   std::string chooseLeader() const;
   int usableWorkers() const;
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -150,9 +150,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(HandOverSelectsLiveStrongerNode) {
-  const PeerNodes Nodes = {{"a", {Millis{100}, 0.12}},
-                           {"b", {Millis{100}, 0.5}},
-                           {"c", {Millis{10}, 1.0}}};
+  const PeerNodes Nodes = {{"a", {Millis{100}, 0.12, ""}},
+                           {"b", {Millis{100}, 0.5, ""}},
+                           {"c", {Millis{10}, 1.0, ""}}};
   BOOST_TEST(strongerNode(Nodes, 0.12, Millis{50}, 0) == "b");
   BOOST_TEST(strongerNode(Nodes, 0.5, Millis{50}, 0).empty());
   BOOST_TEST(strongestNode(Nodes, Millis{50}, 7) == "b");
@@ -196,11 +196,11 @@
 // Guards against a hand-over in which all nodes write the leader row at once,
 // so that a weak node is elected.
 BOOST_AUTO_TEST_CASE(StrongNodesAreAskedFirst) {
-  const PeerNodes Nodes = {{"a", {Millis{100}, 0.12}},
-                           {"b", {Millis{100}, 0.5}},
-                           {"c", {Millis{100}, 0.12}},
-                           {"d", {Millis{100}, 0.5}},
-                           {"e", {Millis{10}, 1.0}}};
+  const PeerNodes Nodes = {{"a", {Millis{100}, 0.12, ""}},
+                           {"b", {Millis{100}, 0.5, ""}},
+                           {"c", {Millis{100}, 0.12, ""}},
+                           {"d", {Millis{100}, 0.5, ""}},
+                           {"e", {Millis{10}, 1.0, ""}}};
   for (unsigned long Rotation = 0; Rotation < 4; ++Rotation) {
     const auto Addresses = nodesByStrength(Nodes, Millis{50}, Rotation);
     BOOST_TEST_REQUIRE(Addresses.size() == 4U);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,6 +15,8 @@
 DEFINE_int32(workers, 12, "stand-in workers");
 DEFINE_uint32(deadly, 0,
               "one in so many jobs crashes the workers that start it; 0: none");
+DEFINE_uint32(relay_min_workers, 400,
+              "leaders use relays if there are at least so many workers");
 DEFINE_string(logs, "", "folder for logs; empty: a new temporary folder");
 
 int main(int Count, char **Arguments) {
@@ -33,6 +35,7 @@
   Settings.Nodes_ = FLAGS_nodes;
   Settings.Workers_ = FLAGS_workers;
   Settings.DeadlyShare_ = FLAGS_deadly;
+  Settings.RelayMinWorkers_ = FLAGS_relay_min_workers;
   soak::Soak Run(Settings);
   return Run.run();
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -80,7 +80,7 @@
         << local(Relay_->port("store" + std::to_string(Number)))
         << "\nadvice = " << local(Each.CallerPort_ + PortsOfDaemon)
         << "\n[limits]\ncpu_share = " << (Number == 0 ? StrongShare : WeakShare)
-        << "\n";
+        << "\nrelay_min_workers = " << Settings_.RelayMinWorkers_ << "\n";
     Nodes_.push_back(std::move(Each));
   }
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -30,7 +30,8 @@
   Millis Length_{20000}; ///< Time with faults.
   int Nodes_ = 4;
   int Workers_ = 12;
-  unsigned DeadlyShare_ = 0; ///< One in so many jobs is deadly; 0: none.
+  unsigned DeadlyShare_ = 0;       ///< One in so many jobs is deadly; 0: none.
+  unsigned RelayMinWorkers_ = 400; ///< Setting of the daemons.
 };
 
 struct Node {
