dispatch: Inline what planning computes for every worker

Planning calls these functions of two or three comparisons for each worker, several times a pass and again for each task that it places. They were compiled in other files, so every one was a call.

Trial with 1,100 workers, load 0.8 and two thirds of the lookups without advice, 2,182 starts/s, two runs each: decide() takes 90.8 and 91.3 ms of processor time per second, before 105.4 and 106.3. The orders are the same.

--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -27,18 +27,6 @@
 
 } // namespace
 
-Size freeCapacity(const Worker &W) { return W.Info_.Capacity_ - W.Used_; }
-
-bool acceptsWork(const Worker &W, Millis Now) {
-  return W.Reachability_ == Reachability::Reachable && W.Registered_ &&
-         W.OpenRowStored_ && !W.Info_.Draining_ &&
-         W.Health_.QuarantinedUntil_ <= Now;
-}
-
-bool isOpenTo(const Worker &W, const std::string &Job, Millis Now) {
-  return W.ReservedUntil_ <= Now || W.ReservedJob_ == Job;
-}
-
 bool isSuspect(const Worker &W, Millis Now) {
   return W.Health_.FailuresInRow_ > 0 &&
          Now < W.Health_.LastFailureAt_ + SuspectDuration;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -145,14 +145,22 @@
 
 /// Capacity that no run has reserved. Fillers reserve memory and accelerators
 /// but no processors.
-Size freeCapacity(const Worker &W);
+inline Size freeCapacity(const Worker &W) {
+  return W.Info_.Capacity_ - W.Used_;
+}
 
 /// Whether new tasks may be placed on the worker.
-bool acceptsWork(const Worker &W, Millis Now);
+inline bool acceptsWork(const Worker &W, Millis Now) {
+  return W.Reachability_ == Reachability::Reachable && W.Registered_ &&
+         W.OpenRowStored_ && !W.Info_.Draining_ &&
+         W.Health_.QuarantinedUntil_ <= Now;
+}
 
 /// Whether a task of the job may start on the worker, as far as it is reserved
 /// for another job.
-bool isOpenTo(const Worker &W, const std::string &Job, Millis Now);
+inline bool isOpenTo(const Worker &W, const std::string &Job, Millis Now) {
+  return W.ReservedUntil_ <= Now || W.ReservedJob_ == Job;
+}
 
 /// Whether the latest task result on the worker is a failure that is at most a
 /// few seconds old (SuspectDuration).
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -7,31 +7,6 @@
 
 namespace damaskglade::dispatch {
 
-Size operator+(const Size &A, const Size &B) {
-  return Size{A.MilliCpus_ + B.MilliCpus_, A.MemoryMib_ + B.MemoryMib_,
-              A.Accelerators_ + B.Accelerators_};
-}
-
-Size operator-(const Size &A, const Size &B) {
-  return Size{A.MilliCpus_ - B.MilliCpus_, A.MemoryMib_ - B.MemoryMib_,
-              A.Accelerators_ - B.Accelerators_};
-}
-
-bool fits(const Size &Need, const Size &Free) {
-  return Need.MilliCpus_ <= Free.MilliCpus_ &&
-         Need.MemoryMib_ <= Free.MemoryMib_ &&
-         Need.Accelerators_ <= Free.Accelerators_;
-}
-
-bool fitsInto(const Size &Need, const Size &Free) {
-  const auto HasRoom = [](std::int64_t Needed, std::int64_t Available) {
-    return Needed == 0 || Needed <= Available;
-  };
-  return HasRoom(Need.MilliCpus_, Free.MilliCpus_) &&
-         HasRoom(Need.MemoryMib_, Free.MemoryMib_) &&
-         HasRoom(Need.Accelerators_, Free.Accelerators_);
-}
-
 Size largest(const Size &A, const Size &B) {
   return Size{std::max(A.MilliCpus_, B.MilliCpus_),
               std::max(A.MemoryMib_, B.MemoryMib_),
--- a/dispatch/job.h
+++ b/dispatch/job.h
@@ -21,12 +21,35 @@
   friend bool operator==(const Size &, const Size &) = default;
 };
 
-Size operator+(const Size &A, const Size &B);
-Size operator-(const Size &A, const Size &B);
-bool fits(const Size &Need, const Size &Free);
+// Planning calls these for every worker, so they are inline.
+
+inline Size operator+(const Size &A, const Size &B) {
+  return Size{A.MilliCpus_ + B.MilliCpus_, A.MemoryMib_ + B.MemoryMib_,
+              A.Accelerators_ + B.Accelerators_};
+}
+
+inline Size operator-(const Size &A, const Size &B) {
+  return Size{A.MilliCpus_ - B.MilliCpus_, A.MemoryMib_ - B.MemoryMib_,
+              A.Accelerators_ - B.Accelerators_};
+}
+
+inline bool fits(const Size &Need, const Size &Free) {
+  return Need.MilliCpus_ <= Free.MilliCpus_ &&
+         Need.MemoryMib_ <= Free.MemoryMib_ &&
+         Need.Accelerators_ <= Free.Accelerators_;
+}
+
 /// The same for the free capacity of a worker that has shrunk: a resource of
 /// which nothing is needed may be overused.
-bool fitsInto(const Size &Need, const Size &Free);
+inline bool fitsInto(const Size &Need, const Size &Free) {
+  const auto HasRoom = [](std::int64_t Needed, std::int64_t Available) {
+    return Needed == 0 || Needed <= Available;
+  };
+  return HasRoom(Need.MilliCpus_, Free.MilliCpus_) &&
+         HasRoom(Need.MemoryMib_, Free.MemoryMib_) &&
+         HasRoom(Need.Accelerators_, Free.Accelerators_);
+}
+
 /// The larger amount of each resource.
 Size largest(const Size &A, const Size &B);
 
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -4,13 +4,6 @@
 
 namespace damaskglade::dispatch {
 
-Size reservedSize(const StepSpec &Step) {
-  Size Reserved = Step.Size_;
-  if (Step.Filler_)
-    Reserved.MilliCpus_ = 0;
-  return Reserved;
-}
-
 namespace {
 
 bool hasLabelFor(const StepSpec &Step, const WorkerInfo &Info) {
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -27,7 +27,10 @@
 
 /// Resources that a task of the step reserves on a worker. Fillers reserve no
 /// processors.
-Size reservedSize(const StepSpec &Step);
+inline Size reservedSize(const StepSpec &Step) {
+  return Size{Step.Filler_ ? 0 : Step.Size_.MilliCpus_, Step.Size_.MemoryMib_,
+              Step.Size_.Accelerators_};
+}
 
 /// Whether the worker has the label that the step requires and could hold one
 /// of its tasks if nothing else ran there.
