dispatch: Walk the workers through a vector in the order of their ids

A pass goes through all workers four times, and each step of the map waits for the node before. Sorting them by free capacity looked at both workers in each comparison of equal capacities.

A vector in the same order replaces the map in these walks, and the sort keys hold the index. verify() compares the vector with the map.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -389,6 +389,9 @@
                   Millis Now);
 
   std::vector<RankedStep> rankedSteps(Millis Now);
+  /// Position of the worker in WorkersById_.
+  std::vector<Worker *>::const_iterator
+  positionById(const std::string &Id) const;
   Worker &ensureWorker(const std::string &Id);
   void logRecovery(int UnseenWorkers, Millis Now);
   /// Removes workers that have left the registry and cannot run tasks any more.
@@ -454,6 +457,9 @@
   std::set<std::string> UnconfirmedJobs_; ///< See isConfirmed().
   std::map<std::string, Worker> Workers_;
   std::vector<Worker *> WorkersByIndex_; ///< Null for removed workers.
+  /// All workers by id. Every pass goes through them several times, which is
+  /// faster than through the map.
+  std::vector<Worker *> WorkersById_;
   /// Workers that accept work, by descending free processors at the start of
   /// the pass.
   std::vector<Worker *> WorkersByFreeCapacity_;
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -269,7 +269,8 @@
   AnyTaskMayRunUnseen_ = false;
   bool AnyExpired = false;
   int UnseenWorkers = 0;
-  for (auto &[Id, W] : Workers_) {
+  for (Worker *Entry : WorkersById_) {
+    Worker &W = *Entry;
     const bool IsUnknown = W.Reachability_ == Reachability::Unknown;
     if (!IsUnknown && W.Reachability_ != Reachability::Unreachable)
       continue;
@@ -277,7 +278,7 @@
     if (IsUnknown && W.LeaseExpiry_ == Millis{})
       continue;
     if (Now > W.LeaseExpiry_) {
-      log("", "worker", Id,
+      log("", "worker", W.Info_.Id_,
           IsUnknown ? "not reached yet, leases of earlier leaders have expired"
                     : "unreachable until its leases expired, its runs are "
                       "lost");
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -21,24 +21,25 @@
   FleetCapacity_ = Size{};
   WorkersByFreeCapacity_.clear();
   WorkersWithGainedCapacity_.clear();
-  std::vector<std::pair<std::int64_t, Worker *>> FreeMilliCpus;
-  FreeMilliCpus.reserve(Workers_.size());
-  for (auto &[Id, W] : Workers_) {
-    if (!acceptsWork(W, Now))
+  // The index of a worker is part of the key, so that sorting does not look at
+  // the workers.
+  std::vector<std::tuple<std::int64_t, int, Worker *>> SortKeys;
+  SortKeys.reserve(WorkersById_.size());
+  for (Worker *W : WorkersById_) {
+    if (!acceptsWork(*W, Now))
       continue;
-    const Size Free = freeCapacity(W);
+    const Size Free = freeCapacity(*W);
     FleetFreeCapacity_ = FleetFreeCapacity_ + Free;
-    FleetCapacity_ = FleetCapacity_ + W.Info_.Capacity_;
-    FreeMilliCpus.emplace_back(Free.MilliCpus_, &W);
-    if (!fits(Free, W.OfferedCapacity_))
-      WorkersWithGainedCapacity_.push_back(&W);
+    FleetCapacity_ = FleetCapacity_ + W->Info_.Capacity_;
+    SortKeys.emplace_back(-Free.MilliCpus_, W->Index_, W);
+    if (!fits(Free, W->OfferedCapacity_))
+      WorkersWithGainedCapacity_.push_back(W);
   }
-  std::sort(FreeMilliCpus.begin(), FreeMilliCpus.end(),
-            [](const auto &A, const auto &B) {
-              return A.first != B.first ? A.first > B.first
-                                        : A.second->Index_ < B.second->Index_;
-            });
-  for (const auto &[MilliCpus, W] : FreeMilliCpus)
+  std::sort(SortKeys.begin(), SortKeys.end(), [](const auto &A, const auto &B) {
+    return std::get<0>(A) != std::get<0>(B) ? std::get<0>(A) < std::get<0>(B)
+                                            : std::get<1>(A) < std::get<1>(B);
+  });
+  for (const auto &[UsedFirst, Index, W] : SortKeys)
     WorkersByFreeCapacity_.push_back(W);
 }
 
@@ -47,10 +48,10 @@
 // next pass only the workers that gained capacity in between.
 void Dispatcher::recordOfferedCapacity(Millis Now) {
   constexpr Size NotOffered{-1, -1, -1};
-  for (auto &[Id, W] : Workers_)
-    W.OfferedCapacity_ = acceptsWork(W, Now) && W.ReservedUntil_ <= Now
-                             ? freeCapacity(W)
-                             : NotOffered;
+  for (Worker *W : WorkersById_)
+    W->OfferedCapacity_ = acceptsWork(*W, Now) && W->ReservedUntil_ <= Now
+                              ? freeCapacity(*W)
+                              : NotOffered;
   ++PassNumber_;
 }
 
--- a/dispatch/dispatcher_preempt.cpp
+++ b/dispatch/dispatcher_preempt.cpp
@@ -171,7 +171,8 @@
 // tasks, and tasks outside gangs that can resume from a checkpoint. Other tasks
 // are left to end on the worker.
 void Dispatcher::evacuate(Millis Now) {
-  for (auto &[Id, W] : Workers_) {
+  for (Worker *Entry : WorkersById_) {
+    const Worker &W = *Entry;
     if (!W.Info_.Draining_ || W.Reachability_ != Reachability::Reachable)
       continue;
     const std::vector<TaskRef> Tasks(W.Tasks_.begin(), W.Tasks_.end());
--- a/dispatch/dispatcher_verify.cpp
+++ b/dispatch/dispatcher_verify.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/dispatcher.h"
 
+#include <algorithm>
+
 namespace damaskglade::dispatch {
 
 std::string Dispatcher::verify() const {
@@ -22,6 +24,12 @@
                " has a wrong count of runs or completed tasks";
     }
   }
+  const auto HasItsWorker = [](const Worker *W, const auto &Entry) {
+    return W == &Entry.second;
+  };
+  if (!std::equal(WorkersById_.begin(), WorkersById_.end(), Workers_.begin(),
+                  Workers_.end(), HasItsWorker))
+    return "the workers by id differ from the workers";
   for (const auto &[Id, W] : Workers_) {
     Size Sum = ReservedByWorker[Id];
     for (const UnexpectedRun &UnexpectedEntry : W.UnexpectedRuns_)
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -13,11 +13,21 @@
   return WorkerEntry == Workers_.end() ? nullptr : &WorkerEntry->second;
 }
 
+std::vector<Worker *>::const_iterator
+Dispatcher::positionById(const std::string &Id) const {
+  return std::lower_bound(WorkersById_.begin(), WorkersById_.end(), Id,
+                          [](const Worker *W, const std::string &Other) {
+                            return W->Info_.Id_ < Other;
+                          });
+}
+
 Worker &Dispatcher::ensureWorker(const std::string &Id) {
   const auto [WorkerEntry, Added] = Workers_.try_emplace(Id);
   if (Added) {
     WorkerEntry->second.Index_ = static_cast<int>(WorkersByIndex_.size());
     WorkersByIndex_.push_back(&WorkerEntry->second);
+    WorkerEntry->second.Info_.Id_ = Id;
+    WorkersById_.insert(positionById(Id), &WorkerEntry->second);
   }
   return WorkerEntry->second;
 }
@@ -109,6 +119,7 @@
     forgetUnseenRuns(WorkerEntry->second);
     RemovedWorkers_.push_back(WorkerEntry->first);
     WorkersByIndex_[static_cast<std::size_t>(W.Index_)] = nullptr;
+    WorkersById_.erase(positionById(WorkerEntry->first));
     WorkerEntry = Workers_.erase(WorkerEntry);
   }
 }
