dispatch: Calculate the costs of a step's candidates once

Each task of a step calculated the cost of every candidate again, although the task before has changed one of them only. CandidateCosts keeps the costs while a step is placed and updates the one that has changed. Of candidates with equal costs the first is still chosen.

--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -179,6 +179,8 @@
                                                   bool GainedCapacityOnly,
                                                   Millis Now) {
   std::vector<Candidate> Candidates;
+  if (!GainedCapacityOnly && !Ranked.Policy_->NeedsAdvice_)
+    Candidates.reserve(WorkersByFreeCapacity_.size());
   const auto AddIfSuitable = [&](Worker &W) {
     ++WorkerChecks_;
     if (isCandidate(Ranked, W, Now))
@@ -285,6 +287,7 @@
     return;
   }
   const std::int64_t FirstAttempt = (Epoch_ - 1) * AttemptsPerEpoch + 1;
+  CandidateCosts Costs(Spec, Candidates);
   int UnplacedTasks = 0;
   int UnplacedSuspects = 0;
   // Whether every waiting task is checked against every worker. False if
@@ -309,16 +312,17 @@
           !placeApart(Ranked, static_cast<int>(Index), Candidates, Attempt,
                       Now))
         ++UnplacedSuspects;
+      Costs.updateAll();
       continue;
     }
-    const int BestIndex =
-        UnplacedTasks > 0 ? -1 : bestCandidate(Spec, Candidates);
+    const int BestIndex = UnplacedTasks > 0 ? -1 : Costs.best();
     if (BestIndex < 0) {
       ++UnplacedTasks;
       continue;
     }
     startTask(Ranked, static_cast<int>(Index),
               Candidates[static_cast<std::size_t>(BestIndex)], Attempt, Now);
+    Costs.update(static_cast<std::size_t>(BestIndex));
   }
   UnplacedTasks += UnplacedSuspects;
   if (UnplacedTasks == 0)
@@ -350,8 +354,9 @@
                              std::vector<Candidate> &Candidates,
                              std::size_t Count) {
   std::vector<std::size_t> ChosenCandidates;
+  CandidateCosts Costs(Spec, Candidates);
   while (ChosenCandidates.size() < Count) {
-    const int BestIndex = bestCandidate(Spec, Candidates);
+    const int BestIndex = Costs.best();
     if (BestIndex < 0)
       break;
     Candidate &CandidateWorker =
@@ -359,6 +364,7 @@
     CandidateWorker.Worker_->Used_ =
         CandidateWorker.Worker_->Used_ + reservedSize(Spec);
     ++CandidateWorker.TasksOfStep_;
+    Costs.update(static_cast<std::size_t>(BestIndex));
     ChosenCandidates.push_back(static_cast<std::size_t>(BestIndex));
   }
   for (const std::size_t CandidateIndex : ChosenCandidates) {
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace damaskglade::dispatch {
 
@@ -64,20 +66,32 @@
   return Cost;
 }
 
+double CandidateCosts::costOf(const Candidate &CandidateWorker) const {
+  return fitsNow(Step_, CandidateWorker)
+             ? placementCost(Step_, CandidateWorker)
+             : std::numeric_limits<double>::infinity();
+}
+
+int CandidateCosts::best() {
+  if (Costs_.empty()) {
+    Costs_.reserve(Candidates_.size());
+    for (const Candidate &CandidateWorker : Candidates_)
+      Costs_.push_back(costOf(CandidateWorker));
+  }
+  const auto Lowest = std::min_element(Costs_.begin(), Costs_.end());
+  if (Lowest == Costs_.end() || std::isinf(*Lowest))
+    return -1;
+  return static_cast<int>(Lowest - Costs_.begin());
+}
+
 int bestCandidate(const StepSpec &Step,
                   const std::vector<Candidate> &Candidates) {
-  int BestIndex = -1;
-  double BestCost = 0;
-  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
-    if (!fitsNow(Step, Candidates[Index]))
-      continue;
-    const double Cost = placementCost(Step, Candidates[Index]);
-    if (BestIndex >= 0 && Cost >= BestCost)
-      continue;
-    BestIndex = static_cast<int>(Index);
-    BestCost = Cost;
-  }
-  return BestIndex;
+  return CandidateCosts(Step, Candidates).best();
+}
+
+void CandidateCosts::update(std::size_t Index) {
+  if (!Costs_.empty())
+    Costs_[Index] = costOf(Candidates_[Index]);
 }
 
 } // namespace damaskglade::dispatch
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -47,7 +47,32 @@
 /// and keeps fillers away from tasks with a latency target.
 double placementCost(const StepSpec &Step, const Candidate &CandidateWorker);
 
-/// Index of the candidate with the lowest cost, or -1 if the task fits nowhere.
+/// Finds the candidate for one task of a step after another. A placed task
+/// changes the cost of its worker only, so the others are calculated once.
+class CandidateCosts {
+public:
+  /// Both have to outlive the object.
+  CandidateCosts(const StepSpec &Step, const std::vector<Candidate> &Candidates)
+      : Step_(Step), Candidates_(Candidates) {}
+
+  /// Index of the candidate with the lowest cost, or -1 if the task fits
+  /// nowhere.
+  int best();
+  /// Called when the candidate or its worker has changed.
+  void update(std::size_t Index);
+  /// The same for any number of candidates.
+  void updateAll() { Costs_.clear(); }
+
+private:
+  /// Infinite if the task does not fit.
+  double costOf(const Candidate &CandidateWorker) const;
+
+  const StepSpec &Step_;
+  const std::vector<Candidate> &Candidates_;
+  std::vector<double> Costs_; ///< By candidate; empty until they are needed.
+};
+
+/// The best candidate for a single task.
 int bestCandidate(const StepSpec &Step,
                   const std::vector<Candidate> &Candidates);
 
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -21,6 +21,37 @@
   BOOST_TEST(bestCandidate(makeStep(1, 9000), Candidates) == -1);
 }
 
+// Guards against costs that are kept although a placed task has changed them.
+BOOST_AUTO_TEST_CASE(KeptCostsFollowThePlacedTasks) {
+  StepSpec Step = makeStep(1, 1000);
+  Step.MaxPerWorker_ = 4;
+  std::vector<Worker> Workers(3);
+  std::vector<Candidate> Candidates;
+  for (Worker &W : Workers) {
+    const auto Number = static_cast<std::int64_t>(Candidates.size());
+    W.Info_ = makeWorker("w" + std::to_string(Number), 6000 - 1000 * Number);
+    Candidates.push_back({&W, 0, false, 0, false, false});
+  }
+  CandidateCosts Costs(Step, Candidates);
+  std::vector<int> Placed;
+  for (int Best = Costs.best(); Best >= 0; Best = Costs.best()) {
+    BOOST_TEST(Best == bestCandidate(Step, Candidates));
+    Placed.push_back(Best);
+    Candidate &Chosen = Candidates[static_cast<std::size_t>(Best)];
+    Chosen.Worker_->Used_ = Chosen.Worker_->Used_ + reservedSize(Step);
+    ++Chosen.TasksOfStep_;
+    Costs.update(static_cast<std::size_t>(Best));
+  }
+  BOOST_TEST(bestCandidate(Step, Candidates) == -1);
+  const std::vector<int> Expected = {2, 2, 2, 2, 1, 1, 1, 1, 0, 0, 0, 0};
+  BOOST_TEST(Placed == Expected, boost::test_tools::per_element());
+
+  Workers[1].Used_ = Size{};
+  Candidates[1].TasksOfStep_ = 0;
+  Costs.updateAll();
+  BOOST_TEST(Costs.best() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(StepConstraintsAreRespected) {
   Worker Worker1;
   Worker1.Info_ = makeWorker("w1");
