dispatch: Look at jobs without waiting tasks no further in planning

rankedSteps() looked up the policy of every open job by the name of its queue, also of jobs whose tasks all run or have ended.

The orders are the same.

--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -106,7 +106,12 @@
 std::vector<Dispatcher::RankedStep> Dispatcher::rankedSteps(Millis Now) {
   std::vector<RankedStep> Steps;
   for (const auto &[Id, Job] : ActiveJobs_) {
-    if (isTerminal(Job->State_) || !RegistryReceived_)
+    const auto HasWaitingTasks = [](const StepRun &Step) {
+      return Step.DoneCount_ + Step.RunCount_ <
+             static_cast<int>(Step.Tasks_.size());
+    };
+    if (isTerminal(Job->State_) || !RegistryReceived_ ||
+        std::none_of(Job->Steps_.begin(), Job->Steps_.end(), HasWaitingTasks))
       continue;
     const QueuePolicy &Policy = policyOf(*Job);
     RankInput Input;
@@ -121,9 +126,7 @@
     for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step) {
       const StepRun &State = Job->Steps_[Step];
       const StepSpec &Spec = Job->Spec_.Steps_[Step];
-      const bool HasWaitingTasks = State.DoneCount_ + State.RunCount_ <
-                                   static_cast<int>(State.Tasks_.size());
-      if (!HasWaitingTasks || (Spec.Gang_ && State.RunCount_ > 0))
+      if (!HasWaitingTasks(State) || (Spec.Gang_ && State.RunCount_ > 0))
         continue;
       Input.LongRunning_ = Spec.LongRunning_;
       Input.Remaining_ = Spec.Estimate_;
