dispatch: Handle poll replies without strings for each run

Handling a reply built a string for every reported run and a set of them, copied the names of all tasks of the worker, and looked up the job of a task up to five times.

Reported runs are compared as pairs of name and attempt, tasks are copied only to be removed, and the job is looked up once. Workers without fillers are no longer queued for pacing, which did nothing for them.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -283,6 +283,7 @@
 
   JobRun *job(const std::string &Id);
   TaskState *task(const TaskRef &Ref);
+  static TaskState *task(JobRun &Job, const TaskRef &Ref);
   /// The run of a task that has one.
   const Run &runOf(const TaskRef &Ref) const;
   const QueuePolicy &policyOf(const JobRun &Job) const;
--- a/dispatch/dispatcher_crashes.cpp
+++ b/dispatch/dispatcher_crashes.cpp
@@ -98,12 +98,14 @@
 
 void Dispatcher::clearCrashes(const TaskRef &Ref, TaskState &Task,
                               Millis SeenAt) {
+  if (Task.CrashedAttempts_.empty() ||
+      SeenAt < Task.Run_->OrderedAt_ + StartingTime)
+    return;
   // A gang may contain a member that crashes its worker beside members that do
   // not.
   const bool Gang =
       job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)].Gang_;
-  if (Gang || Task.CrashedAttempts_.empty() ||
-      SeenAt < Task.Run_->OrderedAt_ + StartingTime)
+  if (Gang)
     return;
   Task.CrashedAttempts_.clear();
   markChanged(Ref.Job_);
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -40,9 +40,13 @@
 
 TaskState *Dispatcher::task(const TaskRef &Ref) {
   JobRun *Job = job(Ref.Job_);
-  if (!Job || Ref.Step_ >= static_cast<int>(Job->Steps_.size()))
+  return Job ? task(*Job, Ref) : nullptr;
+}
+
+TaskState *Dispatcher::task(JobRun &Job, const TaskRef &Ref) {
+  if (Ref.Step_ >= static_cast<int>(Job.Steps_.size()))
     return nullptr;
-  auto &Tasks = Job->Steps_[static_cast<std::size_t>(Ref.Step_)].Tasks_;
+  auto &Tasks = Job.Steps_[static_cast<std::size_t>(Ref.Step_)].Tasks_;
   if (Ref.Index_ >= static_cast<int>(Tasks.size()))
     return nullptr;
   return &Tasks[static_cast<std::size_t>(Ref.Index_)];
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -24,10 +24,11 @@
 void Dispatcher::handleRunning(Worker &W, const RunningEntry &Entry,
                                Millis SentAt, Millis Now) {
   const auto Ref = parseTaskName(Entry.Task_);
-  TaskState *Task = Ref ? task(Ref.value()) : nullptr;
+  JobRun *FoundJob = Ref ? job(Ref.value().Job_) : nullptr;
+  TaskState *Task = FoundJob ? task(*FoundJob, Ref.value()) : nullptr;
   if (!Task)
     return stopUnexpectedRun(W, Entry, Now);
-  JobRun &Job = *job(Ref.value().Job_);
+  JobRun &Job = *FoundJob;
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Ref.value().Step_)];
   const bool StillNeeded = !Task->Done_ && !isTerminal(Job.State_);
@@ -107,27 +108,31 @@
 // as the order may still be carried out.
 void Dispatcher::removeMissingRuns(Worker &W, const PollReply &Reply,
                                    Millis SentAt, Millis Now) {
-  std::set<std::string> ReportedRuns;
+  std::vector<std::pair<std::string_view, std::int64_t>> ReportedRuns;
+  ReportedRuns.reserve(Reply.Running_.size());
   for (const RunningEntry &Entry : Reply.Running_)
-    ReportedRuns.insert(Entry.Task_ + '/' + std::to_string(Entry.Attempt_));
+    ReportedRuns.emplace_back(Entry.Task_, Entry.Attempt_);
+  std::sort(ReportedRuns.begin(), ReportedRuns.end());
+  const auto IsReported = [&](std::string_view Task, std::int64_t Attempt) {
+    return std::binary_search(ReportedRuns.begin(), ReportedRuns.end(),
+                              std::make_pair(Task, Attempt));
+  };
   for (auto UnexpectedEntry = W.UnexpectedRuns_.begin();
        UnexpectedEntry != W.UnexpectedRuns_.end();) {
-    if (ReportedRuns.count(UnexpectedEntry->Task_ + '/' +
-                           std::to_string(UnexpectedEntry->Attempt_)) > 0) {
+    if (IsReported(UnexpectedEntry->Task_, UnexpectedEntry->Attempt_)) {
       ++UnexpectedEntry;
       continue;
     }
     W.Used_ = W.Used_ - UnexpectedEntry->Reserved_;
     UnexpectedEntry = W.UnexpectedRuns_.erase(UnexpectedEntry);
   }
-  const std::vector<TaskRef> Tasks(W.Tasks_.begin(), W.Tasks_.end());
-  for (const TaskRef &Ref : Tasks) {
+  for (auto NextTask = W.Tasks_.begin(); NextTask != W.Tasks_.end();) {
+    const TaskRef &Ref = *NextTask++;
     TaskState *Task = task(Ref);
     if (!Task || !Task->Run_)
       continue;
     Run &Attempt = *Task->Run_;
-    if (ReportedRuns.count(taskName(Ref) + '/' +
-                           std::to_string(Attempt.Attempt_)) > 0)
+    if (IsReported(taskName(Ref), Attempt.Attempt_))
       continue;
     const bool StartedBeforePoll =
         Attempt.StartedAt_ > Millis{} && Attempt.StartedAt_ < SentAt;
@@ -141,14 +146,16 @@
     if (!StopConfirmedBeforePoll &&
         (Attempt.State_ != RunState::Running || !StartedBeforePoll))
       continue;
-    JobRun &Job = *job(Ref.Job_);
+    // Removing the run removes the element of the worker's tasks.
+    const TaskRef Missing = Ref;
+    JobRun &Job = *job(Missing.Job_);
     const StepSpec &Step =
-        Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
-    log(Ref.Job_, taskName(Ref), W.Info_.Id_,
+        Job.Spec_.Steps_[static_cast<std::size_t>(Missing.Step_)];
+    log(Missing.Job_, taskName(Missing), W.Info_.Id_,
         "run is missing from the poll reply");
-    removeRun(*Task, Ref, Step);
+    removeRun(*Task, Missing, Step);
     if (Step.Gang_ && !Task->Done_)
-      stopStepRuns(Job, Ref.Step_, "gang member missing", Now);
+      stopStepRuns(Job, Missing.Step_, "gang member missing", Now);
   }
 }
 
@@ -175,14 +182,14 @@
     return;
   W.LastEnd_ = End.SequenceNumber_;
   const auto Ref = parseTaskName(End.Task_);
-  if (!Ref || !task(Ref.value()))
-    return;
-  applyEnd(*job(Ref.value().Job_), Ref.value(), End, W, Now);
+  JobRun *Job = Ref ? job(Ref.value().Job_) : nullptr;
+  if (Job && task(*Job, Ref.value()))
+    applyEnd(*Job, Ref.value(), End, W, Now);
 }
 
 void Dispatcher::applyEnd(JobRun &Job, const TaskRef &Ref, const EndedTask &End,
                           Worker &W, Millis Now) {
-  TaskState &Task = *task(Ref);
+  TaskState &Task = *task(Job, Ref);
   const StepSpec &Step = Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
   Task.LastAttempt_ = std::max(Task.LastAttempt_, End.Attempt_);
   if (!End.Checkpoint_.empty() && !Task.Done_)
--- a/dispatch/dispatcher_preempt.cpp
+++ b/dispatch/dispatcher_preempt.cpp
@@ -150,10 +150,11 @@
 
 void Dispatcher::stopStalledRuns(Worker &W, Millis Now) {
   for (const TaskRef &Ref : W.Tasks_) {
-    TaskState &Task = *task(Ref);
+    JobRun &Job = *job(Ref.Job_);
+    TaskState &Task = *task(Job, Ref);
     const Run &Attempt = *Task.Run_;
     const StepSpec &Spec =
-        job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+        Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
     const bool IsServing = Spec.LongRunning_ && Attempt.Percent_ == FullPercent;
     if (Attempt.State_ != RunState::Running || !Attempt.Reported_ ||
         Spec.Filler_ || Spec.Gang_ || IsServing ||
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -322,7 +322,8 @@
   stopStalledRuns(W, Now);
   if (wantedLeaseRow(W, Millis{}, Now) == LeaseRow::Open)
     setLeaseRow(W, LeaseRow::Open);
-  WorkersToPace_.insert(Id);
+  if (W.Fillers_ > 0)
+    WorkersToPace_.insert(Id);
 }
 
 } // namespace damaskglade::dispatch
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -234,11 +234,21 @@
 }
 
 std::string taskName(const TaskRef &Task) {
-  return stepName(Task.Job_, Task.Step_) + '.' + std::to_string(Task.Index_);
+  std::string Name = stepName(Task.Job_, Task.Step_);
+  Name += '.';
+  Name += std::to_string(Task.Index_);
+  return Name;
 }
 
 std::string stepName(const std::string &Job, int Step) {
-  return Job + ".0." + std::to_string(Step);
+  // Room for the numbers of the step and of one of its tasks.
+  constexpr std::size_t NumberBytes = 16;
+  std::string Name;
+  Name.reserve(Job.size() + NumberBytes);
+  Name += Job;
+  Name += ".0.";
+  Name += std::to_string(Step);
+  return Name;
 }
 
 Result<TaskRef> parseTaskName(const std::string &Name) {
