tests/cell: Show that one rejected part of the store stops acceptance

All rows of a cell share one part of the store, so a store that rejects the calls for this part and serves the others accepts no job. The fake store can now reject the calls for single parts. JobsAreAcceptedWhileAPartOfTheStoreFails fails on the current code: 0 of 20 jobs are accepted, 10 are required.

--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -266,6 +266,27 @@
   BOOST_TEST(Cell.Fleet_.Starts_.begin()->second == 1);
 }
 
+// Guards against a cell that does nothing for new callers while the store
+// rejects the calls for one of its parts and serves the others.
+BOOST_AUTO_TEST_CASE(JobsAreAcceptedWhileAPartOfTheStoreFails) {
+  constexpr int Jobs = 20;
+  FakeCell Cell(3, 4);
+  waitForLeader(Cell);
+  Cell.StoreState_.RejectedParts_.insert(cell::CellPart);
+  std::vector<std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>>
+      Answers;
+  for (int Job = 1; Job <= Jobs; ++Job) {
+    Answers.push_back(Cell.submit("n" + std::to_string(1 + Job % 3), jobId(Job),
+                                  2, Millis{100}));
+    Cell.Loop_.run(Millis{100});
+  }
+  Cell.Loop_.run(Millis{2000});
+  const auto Accepted = std::count_if(Answers.begin(), Answers.end(), accepted);
+  BOOST_TEST_MESSAGE("accepted " << Accepted << " of " << Jobs << " jobs");
+  BOOST_TEST(Accepted >= Jobs / 2);
+  checkNoRepeatedRuns(Cell);
+}
+
 // Guards against tasks that run twice because their worker was no longer in the
 // registry when the next leader was elected.
 BOOST_AUTO_TEST_CASE(NextLeaderKnowsWorkersThatLeftTheRegistry) {
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -69,6 +69,19 @@
   return Outcome;
 }
 
+bool FakeStoreState::rejects(const RowTransaction &Transaction) const {
+  std::set<std::string> Parts;
+  for (const RowCondition &Condition : Transaction.Conditions_)
+    Parts.insert(Condition.Name_.Partition_);
+  for (const RowPut &Put : Transaction.Puts_)
+    Parts.insert(Put.Name_.Partition_);
+  for (const RowName &Name : Transaction.Removes_)
+    Parts.insert(Name.Partition_);
+  return std::any_of(Parts.begin(), Parts.end(), [&](const std::string &Part) {
+    return RejectedParts_.count(Part) > 0;
+  });
+}
+
 void FakeStoreState::write(const RowTransaction &Transaction) {
   for (const RowPut &Put : Transaction.Puts_)
     Rows_[Put.Name_] = StoredRow{Put.Name_, Put.Value_, Version_};
@@ -81,6 +94,9 @@
   if (Disconnected_)
     return;
   Loop_.after(StoreState_.Delay_, [this, Transaction, Done] {
+    if (StoreState_.rejects(Transaction))
+      return Done(Error{
+          Reason::TableUnavailable, Effect::None, "write", "fake", "503", {}});
     switch (StoreState_.StoreModes_[Node_]) {
     case StoreMode::Healthy: {
       TransactionOutcome Outcome = StoreState_.apply(Transaction);
@@ -106,7 +122,8 @@
     return;
   Loop_.after(StoreState_.Delay_, [this, Range, Done] {
     const StoreMode Mode = StoreState_.StoreModes_[Node_];
-    if (Mode == StoreMode::Rejects)
+    if (Mode == StoreMode::Rejects ||
+        StoreState_.RejectedParts_.count(Range.Partition_) > 0)
       return Done(Error{
           Reason::TableUnavailable, Effect::None, "read", "fake", "503", {}});
     const bool IsTooLarge =
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -47,6 +47,8 @@
   std::map<RowName, StoredRow> Rows_;
   std::int64_t Version_ = 0;
   std::map<std::string, StoreMode> StoreModes_; ///< By node.
+  /// Parts for which all calls are rejected, whichever node makes them.
+  std::set<std::string> RejectedParts_;
   int Writes_ = 0;
   Millis Delay_{5};            ///< Delay of all replies.
   Millis ClockOffset_{-40000}; ///< From the clock of the nodes to the store's.
@@ -64,6 +66,8 @@
   std::function<void(RowTransaction &)> ChangeWrites_;
 
   TransactionOutcome apply(const RowTransaction &Transaction);
+  /// Whether the transaction names a row of a rejected part.
+  bool rejects(const RowTransaction &Transaction) const;
 
 private:
   void write(const RowTransaction &Transaction);
