tests/cell: Submit a job with little time left

A caller that repeats its request names the time that it has left. With 100 ms left the node calls the leader with a timeout of 1 ms, so it answers that the outcome is unknown, whether the leader accepts the job or rejects it. RepeatedSubmissionWithLittleTimeLeftIsAnswered fails in both cases.

--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -215,6 +215,36 @@
   BOOST_TEST(Cell.Fleet_.Starts_.empty());
 }
 
+// Guards against an attempt that cannot be answered in time, after which the
+// caller has to assume that its job may run.
+BOOST_AUTO_TEST_CASE(RepeatedSubmissionWithLittleTimeLeftIsAnswered) {
+  FakeCell Cell(2, 1);
+  const std::string Leader = waitForLeader(Cell);
+  cell::CallerRequest Request;
+  Request.Verb_ = cell::CallerVerb::Submit;
+  Request.Queue_ = "queue";
+  Request.Timeout_ = Millis{100};
+  Request.Spec_.Queue_ = "queue";
+  Request.Spec_.Payload_ = "100";
+  dispatch::StepSpec Step;
+  Step.Count_ = 1;
+  Step.Size_ = dispatch::Size{500, 100, 0};
+  Request.Spec_.Steps_ = {Step};
+  const auto Submit = [&](int Job) {
+    Request.Id_ = Request.Spec_.Id_ = jobId(Job);
+    const auto Answer = Cell.call(nodeOtherThan(Leader), Request);
+    Cell.Loop_.run(Request.Timeout_);
+    BOOST_TEST_REQUIRE(Answer->has_value());
+    return *Answer;
+  };
+  BOOST_TEST(Submit(1)->has_value());
+  for (const char *Node : {"n1", "n2"})
+    Cell.StoreState_.StoreModes_[Node] = StoreMode::Rejects;
+  const auto Rejected = Submit(2);
+  BOOST_TEST_REQUIRE(!Rejected->has_value());
+  BOOST_TEST((Rejected->error().Effect_ == Effect::None));
+}
+
 // Guards against acknowledging the end of a task to its worker before the end
 // is recorded: if the leader is killed during a store outage, the next leader
 // must get the end from the worker again.
