cell: Leave half of a short time-out to the call of the leader

A caller that repeats a request names the time that it has left. The node kept 150 ms of it for its answer, so a caller with less got a call of 1 ms to the leader, and the answer that the outcome is unknown, after which it may not repeat the job. The margin is now at most half of the time-out.

RepeatedSubmissionWithLittleTimeLeftIsAnswered passes: with 100 ms left a job is accepted, and rejected as not run while the store rejects writes. The other tests of test_cell pass but JobsAreAcceptedWhileAPartOfTheStoreFails, which shows another fault.

--- a/cell/gateway.cpp
+++ b/cell/gateway.cpp
@@ -7,8 +7,9 @@
 namespace {
 
 // Subtracted from the caller's timeout, so that the caller receives the reply
-// before it gives up.
-constexpr Millis AnswerMargin{150};
+// before it gives up. At most half of the timeout: a call to the leader that
+// ends too early leaves its outcome unknown.
+constexpr Millis MaxAnswerMargin{150};
 // Used if the caller sends no timeout.
 constexpr Millis DefaultTimeout{3000};
 // Retry-After header of error replies, unless the error has its own value or a
@@ -62,6 +63,8 @@
   }
   const Millis Timeout =
       Request.Timeout_ > Millis{} ? Request.Timeout_ : DefaultTimeout;
+  const Millis AnswerMargin =
+      std::min(MaxAnswerMargin, Millis{Timeout.Value_ / 2});
   const Millis Start = Ports_.Clock_.monotonic();
   Node_->callLeader(
       rpcMethod(Request.Verb_), Params, Start + Timeout - AnswerMargin,
