tests/cell: Let polls of a worker that is cut off wait for their time-out

A long poll of a worker that is not reached ends after its wait and the time-out of a call. The fake workers left out the wait, so cells noticed a cut earlier in tests than in production. WorkersThatAreCutOffGetNoTasksAfterTwoPolls fails: 4 s after the cut, tasks still go to the workers behind it, and 6 of 10 jobs end in time. TaskOnAWorkerThatIsCutOffForLessThanItsLeaseGoesOn, which passed before, fails too: the task starts twice after one of the cuts.

--- a/tests/cell/cell_test.cpp
+++ b/tests/cell/cell_test.cpp
@@ -319,6 +319,27 @@
   checkNoRepeatedRuns(Cell);
 }
 
+// Guards against orders to workers that have long been cut off, which hold
+// their tasks until the leases there have ended.
+BOOST_AUTO_TEST_CASE(WorkersThatAreCutOffGetNoTasksAfterTwoPolls) {
+  constexpr int Jobs = 10;
+  FakeCell Cell(3, 10);
+  const std::string Leader = waitForLeader(Cell);
+  for (const char *Worker : {"w1", "w2"})
+    Cell.Fleet_.Workers_.at(Worker).CutOff_ = true;
+  // A long poll of 2 s is open, and the poll that follows ends after 0.7 s.
+  Cell.Loop_.run(Millis{4000});
+  for (int Job = 1; Job <= Jobs; ++Job)
+    Cell.submit(nodeOtherThan(Leader), jobId(Job), 4, Millis{300});
+  Cell.Loop_.run(Millis{1500});
+  int Complete = 0;
+  for (int Job = 1; Job <= Jobs; ++Job)
+    Complete +=
+        Cell.state(Leader, jobId(Job)) == CellJobState::Complete ? 1 : 0;
+  BOOST_TEST(Complete == Jobs);
+  checkNoRepeatedRuns(Cell);
+}
+
 // Guards against tasks that run twice because their worker was no longer in the
 // registry when the next leader was elected.
 BOOST_AUTO_TEST_CASE(NextLeaderKnowsWorkersThatLeftTheRegistry) {
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -161,7 +161,7 @@
 FakeWorkerState *FakeWorkerClient::findReachable(const WorkerTarget &Worker) {
   const auto Entry = Fleet_.Workers_.find(Worker.Worker_);
   if (Entry == Fleet_.Workers_.end() || !Entry->second.Reachable_ ||
-      !IsReachable_(Worker.Worker_))
+      Entry->second.CutOff_ || !IsReachable_(Worker.Worker_))
     return nullptr;
   FakeWorkerState &State = Entry->second;
   if (State.clock(Loop_.monotonic()) > State.LeaseEnd_) {
@@ -174,11 +174,11 @@
 
 template <typename Handler>
 void FakeWorkerClient::fail(const std::string &Id, const std::string &Step,
-                            const Handler &Done) {
+                            const Handler &Done, Millis Wait) {
   const bool Refuses = Fleet_.Workers_[Id].Refuses_ && IsReachable_(Id);
-  Loop_.after(Refuses ? WorkerDelay : WorkerTimeout, [Done, Refuses, Step] {
-    Done(Refuses ? refused(Step) : timeout(Step));
-  });
+  Loop_.after(
+      Refuses ? WorkerDelay : WorkerTimeout + Wait,
+      [Done, Refuses, Step] { Done(Refuses ? refused(Step) : timeout(Step)); });
 }
 
 void FakeWorkerClient::end(FakeWorkerState &Worker, const std::string &Task,
@@ -260,7 +260,7 @@
   Loop_.after(WorkerDelay, [this, Worker, Request, Done] {
     FakeWorkerState *Target = findReachable(Worker);
     if (!Target)
-      return fail(Worker.Worker_, "look", Done);
+      return fail(Worker.Worker_, "look", Done, Request.Wait_);
     if (Worker.FencingToken_ < Target->HighestEpoch_) {
       PollReply FencedReply;
       FencedReply.Outcome_ = OrderOutcome::Fenced;
@@ -294,7 +294,7 @@
     Loop_.after(PollInterval, [this, Poll] { sendPollReply(Poll); });
     return;
   }
-  if (!Worker.Reachable_ || !IsReachable_(Poll->Worker_))
+  if (!Worker.Reachable_ || Worker.CutOff_ || !IsReachable_(Poll->Worker_))
     return fail(Poll->Worker_, "look", Poll->Done_);
   PollReply Reply;
   Reply.Clock_ = Worker.clock(Loop_.monotonic());
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -104,6 +104,8 @@
   std::int64_t ClockRatePerMille_ = 1000;
   bool Reachable_ = true;
   bool Refuses_ = false; ///< The process has ended: connections are refused.
+  /// No call reaches it and it answers none. It stays registered.
+  bool CutOff_ = false;
   bool LosesPollReplies_ = false;  ///< Polls take effect but time out.
   bool LosesStartReplies_ = false; ///< Starts take effect but time out.
   std::map<std::string, std::int64_t> Running_; ///< Attempt by task.
@@ -161,10 +163,10 @@
   };
 
   FakeWorkerState *findReachable(const WorkerTarget &Worker);
-  /// Reports that the worker was not reached.
+  /// Reports that the worker was not reached. Wait is added to the timeout.
   template <typename Handler>
-  void fail(const std::string &Id, const std::string &Step,
-            const Handler &Done);
+  void fail(const std::string &Id, const std::string &Step, const Handler &Done,
+            Millis Wait = Millis{});
   void end(FakeWorkerState &Worker, const std::string &Task, TaskEnd Cause);
   void sendPollReply(const std::shared_ptr<const OpenPoll> &Poll);
 
