cell: Poll a worker without a wait after a failed poll

A worker counts as unreachable after two failed polls. The second one was a long poll again, which a worker that is cut off lets run into its time-out, so it took up to 5.6 s from the cut. Meanwhile it sent start orders to the others and renewed no lease of those that were back. The poll after a failed one now has no wait.

WorkersThatAreCutOffGetNoTasksAfterTwoPolls and TaskOnAWorkerThatIsCutOffForLessThanItsLeaseGoesOn pass, and so do all others of test_cell that it runs.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -403,7 +403,9 @@
       Worker->Reachability_ == dispatch::Reachability::Reachable;
   if (mayIssueOrders())
     PollOrder.LeaseEnd_ = Dispatcher_.grantLease(Id, now());
-  if (IsReachable && !Probe && State.LastListedEnd_ == State.LastRecordedEnd_)
+  // After a failed poll, a reply at once tells whether the worker is reached.
+  if (IsReachable && !Probe && State.FailuresInRow_ == 0 &&
+      State.LastListedEnd_ == State.LastRecordedEnd_)
     PollOrder.Wait_ = Dispatcher_.pollTimeout(Id, now());
   const Millis SentAt = now();
   Workers_->poll(WorkerTarget{Id, Worker->Info_.Address_, LeaderRecord_.Epoch_},
