tests: Wait for conditions in two tests that failed beside load

Cause: two tests allowed a fixed time.

Change: the first waits until the task has ended before it looks at a truncated answer; so far it could pass although nothing had ended. The second waits until 45 requests have arrived, 10 s at most, in which a closed loop makes 25.

--- a/tests/platform/worker_client_test.cpp
+++ b/tests/platform/worker_client_test.cpp
@@ -185,7 +185,9 @@
   BOOST_TEST((Reply.error().Reason_ == Reason::AnswerTruncated));
   BOOST_TEST((Reply.error().Effect_ == Effect::Unknown));
   BOOST_REQUIRE(start(request("j2")));
-  sleepFor(Millis{300});
+  Worker_.fault("{}");
+  awaitFinished("j2.0.1");
+  Worker_.fault(R"({"truncate_answers":true})");
   BOOST_TEST(renew(false).Finished_.empty());
   Worker_.fault("{}");
   BOOST_TEST(renew(false).Finished_.size() == 1U);
--- a/tests/process/tools_test.cpp
+++ b/tests/process/tools_test.cpp
@@ -139,9 +139,11 @@
 // Guards against a load that differs between runs of one seed, and against
 // lateness that is hidden because a slow node delays the next arrival.
 BOOST_AUTO_TEST_CASE(LoadIsOpenAndRepeatable) {
+  std::atomic<int> Requests{0};
   const stand_ins::HttpServer Server(
       0,
-      [](const stand_ins::HttpRequest &) {
+      [&Requests](const stand_ins::HttpRequest &) {
+        ++Requests;
         sleepFor(Millis{400});
         return refusal("never_fits", "not_run");
       },
@@ -151,10 +153,16 @@
   std::vector<std::vector<JobResult>> Runs;
   for (int Round = 0; Round < 2; ++Round) {
     Load Tested(LoadOptions{{"z"}, 100.0, 7, Short}, Nodes);
-    sleepFor(Millis{1000});
+    constexpr int Wanted = 45;
+    constexpr Millis Deadline{10000};
+    constexpr Millis Interval{10};
+    const int Before = Requests;
+    for (Millis Waited{}; Requests < Before + Wanted && Waited < Deadline;
+         Waited = Waited + Interval)
+      sleepFor(Interval);
     Runs.push_back(Tested.finish());
   }
-  // A closed loop with one caller would make about three requests.
+  // A closed loop with one caller would make 25 requests in the time.
   BOOST_TEST(Runs[0].size() > 40U);
   // Both runs reached the first arrivals, whatever their last ones were.
   constexpr int Compared = 30;
