cell: Poll workers without a wait after their relay has failed

Cause: polls that end with their relay were repeated directly as long polls of up to 2 s, so a zone that is cut off together with its relay was noticed that much later (by reading, in the trace of a zone that is cut off).

Change: the first poll after one without a reply has no wait, whether the worker or its relay failed.

Measured: all of test_cell passes with it, the explorers included; not played apart.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -404,7 +404,8 @@
   if (mayIssueOrders())
     PollOrder.LeaseEnd_ = Dispatcher_.grantLease(Id, now());
   // After a failed poll, a reply at once tells whether the worker is reached.
-  if (IsReachable && !Probe && State.FailuresInRow_ == 0 &&
+  const bool ReplyWantedSoon = std::exchange(State.ReplyWantedSoon_, false);
+  if (IsReachable && !Probe && !ReplyWantedSoon &&
       State.LastListedEnd_ == State.LastRecordedEnd_)
     PollOrder.Wait_ = Dispatcher_.pollTimeout(Id, now());
   const Millis SentAt = now();
@@ -422,6 +423,7 @@
     return;
   PollState &State = PollStates_[Id];
   (Probe ? State.ProbeOpen_ : State.LongPollOpen_) = false;
+  State.ReplyWantedSoon_ = !Reply;
   // A relay that has failed says nothing about the worker.
   if (!Reply && Reply.error().Reason_ == Reason::NotReady) {
     if (!Probe)
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -89,6 +89,9 @@
     std::int64_t LastRecordedEnd_ = 0;
     std::int64_t WorkerStart_ = 0; ///< Start time of the worker process.
     int FailuresInRow_ = 0;
+    /// The next poll has no wait, since it is not known whether the worker is
+    /// still reached.
+    bool ReplyWantedSoon_ = false;
   };
 
   Millis now() const { return Ports_.Clock_.monotonic(); }
