--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -209,14 +209,12 @@
     return applyToLeader(EventKind::PauseLeader, Relay);
   case EventKind::MuteRelay:
     Cell_.setMuted(Relay, true);
-    return Cell_.Loop_.after(FaultDuration, [this, Relay] {
-      Cell_.setMuted(Relay, false);
-    });
+    return Cell_.Loop_.after(FaultDuration,
+                             [this, Relay] { Cell_.setMuted(Relay, false); });
   case EventKind::BlindRelay:
     Cell_.setBlind(Relay, true);
-    return Cell_.Loop_.after(FaultDuration, [this, Relay] {
-      Cell_.setBlind(Relay, false);
-    });
+    return Cell_.Loop_.after(FaultDuration,
+                             [this, Relay] { Cell_.setBlind(Relay, false); });
   default:
     return;
   }
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -28,7 +28,7 @@
   CutWorkerOffForNow, ///< For a while.
   HealWorkers,        ///< All workers that are cut off.
   DrainWorker,
-  EndWorker, ///< The worker leaves with all its tasks.
+  EndWorker,    ///< The worker leaves with all its tasks.
   PauseLeader,  ///< For a while.
   KillRelay,    ///< Its node starts again later.
   StopRelay,    ///< A planned stop; the node starts again later.
