drivers/beast: Send no call that has waited through a pause

Cause: a call on a kept connection that turns out to be closed is sent again whatever time has passed, and a call whose connection is made late is sent late. Any process that is paused did this, relays make it frequent. Class of fault: acting on a permission that has run out.

The bound leaves room for a late event loop, see LateLoopDoesNotEndCallsAtTheirDeadline.

Measured: PausedProcessSendsNoOldCalls fails without the change (2 requests in place of 1, and a reply) and passes.

--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -50,6 +50,22 @@
 // meanwhile.
 constexpr Millis LateLoopThreshold{20};
 
+/// Until when a call may be sent. A late event loop sends it late, but a
+/// process that was paused must not do what it was to do before.
+class SendLimit {
+public:
+  using Clock = std::chrono::steady_clock;
+
+  explicit SendLimit(Millis Timeout)
+      : End_(Clock::now() +
+             std::chrono::milliseconds(Timeout.Value_ * MaxTimeouts)) {}
+  bool hasPassed() const { return Clock::now() > End_; }
+
+private:
+  static constexpr std::int64_t MaxTimeouts = 4;
+  Clock::time_point End_;
+};
+
 /// Ends calls at their deadlines with a single timer. A timer per call would be
 /// armed and cancelled thousands of times a second by a leader.
 class DeadlineQueue : public std::enable_shared_from_this<DeadlineQueue> {
@@ -144,6 +160,7 @@
     Sent_ = Reused;
     TimedOut_ = false;
     MaxExtension_ = Call.Timeout_;
+    SendLimit_.emplace(Call.Timeout_);
     Request_ = formatRequest(Call);
     setDeadline(Call.Timeout_);
     if (Reused)
@@ -175,6 +192,7 @@
   }
 
   void onConnected(beast::error_code Failure) {
+    TimedOut_ = TimedOut_ || SendLimit_->hasPassed();
     if (Failure || TimedOut_)
       return fail(Failure);
     boost::system::error_code Ignored;
@@ -280,6 +298,7 @@
   const std::shared_ptr<IdlePool> Pool_;
   const std::shared_ptr<DeadlineQueue> Deadlines_;
   std::optional<DeadlineQueue::Entries::iterator> Deadline_;
+  std::optional<SendLimit> SendLimit_;
   /// Limit of the time by which the deadline may still be extended.
   Millis MaxExtension_{};
   std::string Address_;
@@ -330,12 +349,12 @@
                   WebReplyHandler Done) {
     Connection->run(
         Call,
-        [this, Call, Key, Pool = Pool_,
+        [this, Call, Key, Pool = Pool_, Limit = SendLimit(Call.Timeout_),
          Done = std::move(Done)](Result<WebReply> Outcome) {
           const bool Closed = !Outcome &&
                               Outcome.error().Reason_ == Reason::AnswerLost &&
                               !Pool->Closed_;
-          if (!Closed)
+          if (!Closed || Limit.hasPassed())
             return Done(std::move(Outcome));
           Pool->Idle_[Key].clear();
           std::make_shared<class Connection>(Loop_, Key, Pool, Deadlines_)
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -210,6 +210,49 @@
   BOOST_TEST(Reply.has_value());
 }
 
+// Guards against an order that a process sends after it has been paused, on a
+// new connection or again because its connection was closed meanwhile.
+BOOST_AUTO_TEST_CASE(PausedProcessSendsNoOldCalls) {
+  EventLoop Server;
+  std::atomic<int> Requests{0};
+  ListenerLimits Limits;
+  Limits.Idle_ = Millis{30};
+  BOOST_TEST_REQUIRE(
+      Server
+          .listen(Address, Limits,
+                  [&Requests](const WebRequest &, const WebReplier &Reply) {
+                    ++Requests;
+                    Reply(WebReply{});
+                  })
+          .has_value());
+  std::thread ServerThread([&] { Server.run(); });
+  for (const bool Reuses : {false, true}) {
+    EventLoop Loop;
+    const auto Client = Loop.makeClient();
+    WebCall Call = post("crates");
+    Call.Address_ = Address;
+    static constexpr Millis Timeout{50};
+    if (Reuses)
+      Client->call(Call, [](const Result<WebReply> &) {});
+    Call.Timeout_ = Timeout;
+    std::optional<Result<WebReply>> Outcome;
+    // The server has closed the kept connection by then.
+    Loop.after(Millis{200}, [&] {
+      Client->call(Call, [&](Result<WebReply> Reply) {
+        Outcome.emplace(std::move(Reply));
+        Loop.stop();
+      });
+      Loop.after(Millis{}, [] { sleepFor(Timeout * 10); });
+    });
+    const int Before = Requests;
+    Loop.run();
+    BOOST_TEST(!Outcome->has_value());
+    BOOST_TEST(Requests == Before + (Reuses ? 1 : 0));
+  }
+  Server.after(Millis{}, [&] { Server.stop(); });
+  ServerThread.join();
+}
+
 // Guards against a rejection of the second copy of a call that is taken for a
 // statement about the first one.
 BOOST_AUTO_TEST_CASE(RepeatedCallIsMarkedInItsReply) {
--- a/tests/cell/relay_test.cpp
+++ b/tests/cell/relay_test.cpp
@@ -27,15 +27,15 @@
   void start(const WorkerTarget &, const StartOrder &,
              OrderHandler Done) override {
     ++Starts_;
-    answer(std::move(Done));
+    answer(Done);
   }
   void stop(const WorkerTarget &, const std::string &, std::int64_t,
             OrderHandler Done) override {
-    answer(std::move(Done));
+    answer(Done);
   }
   void pace(const WorkerTarget &, const std::string &, std::int64_t, int,
             OrderHandler Done) override {
-    answer(std::move(Done));
+    answer(Done);
   }
   void poll(const WorkerTarget &, const PollRequest &,
             std::function<void(Result<PollReply>)> Done) override {
@@ -57,7 +57,7 @@
   Millis Delay_{}; ///< Of replies to orders.
 
 private:
-  void answer(OrderHandler Done) const {
+  void answer(const OrderHandler &Done) const {
     if (Silent_)
       return;
     if (Loop_ && Delay_ > Millis{})
