--- a/tests/cell/large_fleet_test.cpp
+++ b/tests/cell/large_fleet_test.cpp
@@ -15,8 +15,7 @@
 constexpr int JobsPerSecond = 75;
 constexpr Millis Second{1000};
 constexpr Millis TaskTime{1000};
-// The processors of a node, and what it takes to serve the load at half of
-// them.
+// Processors of each node, before a test takes some of them away.
 constexpr double NodeCores = 0.5;
 
 /// A cell that is offered 1,500 starts a second.
@@ -47,7 +46,8 @@
     return static_cast<int>(Cell_.Fleet_.AcknowledgedTasks_.size());
   }
 
-  /// The share of the offered tasks that ends within the time, a second later.
+  /// Offers the load to nodes with the given processors. Returns the share of
+  /// its tasks that has ended within the time.
   double playLoad(double Cores, Millis Time) {
     offerJobs(Second * 2);
     Cell_.setSpeed(Cores);
