--- a/cell/relayed_workers.cpp
+++ b/cell/relayed_workers.cpp
@@ -13,8 +13,8 @@
 constexpr Millis BatchInterval{10};
 constexpr std::size_t MaxCallsPerBatch = 128;
 constexpr Millis BatchTimeout{700};
-// No call is made this long after the leader has decided it: by then it takes
-// the call for lost.
+// No order is sent this long after the leader has decided it: by then it nearly
+// takes the order for lost.
 constexpr Millis CallLifetime{500};
 // A relay that has not been sent a batch for this long gets an empty one, which
 // shows whether it answers.
