cell: Bound the arrays of a message between leader and relays

Without the sanitizer the allocation fails and the message is an error, or succeeds where memory may be overcommitted.

Cause: MessagePack's decoder takes the claimed size for true.

Change: arrays and texts are limited to the size of the message, and the depth to 8.

--- a/cell/worker_batch.cpp
+++ b/cell/worker_batch.cpp
@@ -26,6 +26,16 @@
   return static_cast<std::int64_t>(Value);
 }
 
+// An array takes memory for as many elements as it claims to have. None has
+// more elements than the text has bytes.
+msgpack::object_handle unpack(const std::string &Text) {
+  const std::size_t Limit = Text.size();
+  constexpr std::size_t MaxDepth = 8;
+  return msgpack::unpack(
+      Text.data(), Text.size(), nullptr, nullptr,
+      msgpack::unpack_limit(Limit, Limit, Limit, Limit, Limit, MaxDepth));
+}
+
 /// Takes the columns of a row in order. A missing column or one of another type
 /// throws.
 class RowReader {
@@ -259,7 +269,7 @@
 }
 
 Result<CallBatch> decodeCallBatch(const std::string &Text) try {
-  const msgpack::object_handle Root = msgpack::unpack(Text.data(), Text.size());
+  const msgpack::object_handle Root = unpack(Text);
   RowReader Row(Root.get());
   CallBatch Batch;
   Batch.Leader_ = Row.text();
@@ -293,7 +303,7 @@
 }
 
 Result<ReplyBatch> decodeReplyBatch(const std::string &Text) try {
-  const msgpack::object_handle Root = msgpack::unpack(Text.data(), Text.size());
+  const msgpack::object_handle Root = unpack(Text);
   RowReader Row(Root.get());
   ReplyBatch Batch;
   Batch.Relay_ = Row.text();
