cell: Confirm requests to take over before acting on them

Cause: a leader that cannot write asks other nodes to take over. A request to a node that has just been cut off stays in the connection and is delivered when the cut ends, seconds after its timeout. The node then took over, although the leader had recovered. The log line of the election fits: no silence, no refused connection, no denial.

Change: the node that gets a request asks the sender whether it is still open and takes over only then.

Test: LateRequestToTakeOverReplacesNoLeader. With the answer ignored the leader changes from n1 to n3 (two checks fail); with it the test passes.

--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -37,15 +37,6 @@
 // A node that finds the leader to have failed asks this many stronger nodes to
 // take over, one after the other, before it does so itself.
 constexpr std::size_t MaxNominations = 3;
-// The first attempt to hand over asks this many nodes, and each further attempt
-// this many more. An attempt that follows the last one only after the window
-// counts as a first attempt.
-constexpr std::size_t NodesPerHandOverAttempt = 3;
-constexpr Millis HandOverAttemptWindow{3000};
-constexpr Millis TakeLeadTimeout{800};
-// A leader that resigns waits no longer for the store before it asks another
-// node to take over.
-constexpr Millis ResignationTimeout{250};
 // Maximum of the random delay before this node takes over from a node that
 // denies its leadership, so that not all nodes write the leader row at once.
 constexpr int MaxJitterMillis = 120;
@@ -431,75 +422,4 @@
   ping();
 }
 
-void Member::askNodesToLead() {
-  Json::Value Params;
-  Params["epoch"] = Json::Int64(LeaderRecord_.Epoch_);
-  // The nodes with the most CPU capacity are asked first. Each further attempt
-  // includes more nodes, since the first ones may be unable to write as well.
-  std::vector<std::string> Addresses =
-      nodesByStrength(PeerNodes_, livenessCutoff(), Random_());
-  HandOverAttempts_ = now() < LastHandOverAt_ + HandOverAttemptWindow
-                          ? HandOverAttempts_ + 1
-                          : 1;
-  Addresses.resize(
-      std::min(Addresses.size(), NodesPerHandOverAttempt * HandOverAttempts_));
-  LastHandOverAt_ = now();
-  for (const std::string &Address : Addresses)
-    Ports_.Peers_.call(Address, "node.take_lead", Params, TakeLeadTimeout,
-                       [](const Result<Json::Value> &) {
-                         // The reply is not needed: this node detects a new
-                         // leader by its leader row, or when workers reject
-                         // orders of an older epoch.
-                       });
-}
-
-void Member::askNodeToLead(const std::string &Address) {
-  LastHandOverAt_ = now();
-  Json::Value Params;
-  Params["epoch"] = Json::Int64(LeaderRecord_.Epoch_);
-  Ports_.Peers_.call(
-      Address, "node.take_lead", Params, TakeLeadTimeout,
-      [Self = shared_from_this(), Address](const Result<Json::Value> &Reply) {
-        logEvent(Self->Ports_, LogLevel::Info, "", "hand over", Address,
-                 Reply ? "asked a stronger node to take over leadership"
-                       : describe(Reply.error()));
-      });
-}
-
-void Member::resign(const std::function<void()> &Done) {
-  Resigned_ = true;
-  Relay_->close();
-  if (!isLeader())
-    return Done();
-  const std::string Successor =
-      strongestNode(PeerNodes_, livenessCutoff(), Random_());
-  const auto Resigning = std::exchange(Leader_, nullptr);
-  LeaderHeardAt_ = now();
-  const auto Finish = [Self = shared_from_this(), Resigning, Successor, Done,
-                       Finished = std::make_shared<bool>(false)] {
-    if (std::exchange(*Finished, true))
-      return;
-    Resigning->stop();
-    Self->askSuccessor(Successor, Done);
-  };
-  Ports_.Timers_.after(ResignationTimeout, Finish);
-  Resigning->resign(Finish);
-}
-
-void Member::askSuccessor(const std::string &Successor,
-                          const std::function<void()> &Done) {
-  if (Successor.empty())
-    return Done();
-  Json::Value Params;
-  Params["epoch"] = Json::Int64(LeaderRecord_.Epoch_);
-  Ports_.Peers_.call(
-      Successor, "node.take_lead", Params, TakeLeadTimeout,
-      [Self = shared_from_this(), Done](const Result<Json::Value> &Reply) {
-        logEvent(Self->Ports_, LogLevel::Info, "", "resign", "",
-                 Reply ? "asked another node to take over leadership"
-                       : describe(Reply.error()));
-        Done();
-      });
-}
-
 } // namespace damaskglade::cell
--- a/cell/member.h
+++ b/cell/member.h
@@ -91,6 +91,12 @@
   bool inContactWithMajority() const;
   void becomeLeader(const LeaderRecord &Record);
   void followLeader(const LeaderRecord &Record);
+  /// Asks a node to take over. The reply comes once that node has decided.
+  void requestTakeover(const std::string &Address, RpcReply Done);
+  void handleTakeoverRequest(const Json::Value &Params, const RpcReply &Reply);
+  /// Tells another node whether its request to take over is still open.
+  void confirmTakeoverRequest(const Json::Value &Params,
+                              const RpcReply &Reply) const;
   void askNodesToLead();
   void askNodeToLead(const std::string &Address);
   void askSuccessor(const std::string &Successor,
@@ -133,6 +139,9 @@
   Millis LeaderHeardAt_{};
   Millis NodesPolledAt_{}; ///< Last poll of the other nodes.
   Millis LastHandOverAt_{};
+  /// Requests to take over that have been sent and not answered yet.
+  std::set<std::int64_t> OpenTakeoverRequests_;
+  std::int64_t LastTakeoverRequest_ = 0;
   std::size_t HandOverAttempts_ = 0; ///< In the current attempt window.
   Millis LeadingSince_{};
   Millis LeaderSuspectedAt_{}; ///< Zero while the leader answers.
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -99,9 +99,11 @@
              });
   Server.add("node.take_lead",
              [Self](const Json::Value &Params, const RpcReply &Reply) {
-               Self->ElectionInput_ = ElectionInput{};
-               Self->takeOver(Params["epoch"].asInt64());
-               Reply(Json::Value(Json::objectValue));
+               Self->handleTakeoverRequest(Params, Reply);
+             });
+  Server.add("node.wants_takeover",
+             [Self](const Json::Value &Params, const RpcReply &Reply) {
+               Self->confirmTakeoverRequest(Params, Reply);
              });
   Server.add("advice.ask",
              [Self](const Json::Value &Params, const RpcReply &Reply) {
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -475,7 +475,7 @@
   Processor_.send(Cost.OnEachSide_ + Cost.OfContent_, [this, Call, Finish,
                                                        Cost] {
     Cell_.Loop_.after(Call.Timeout_, [Finish] { Finish(timeout("peer")); });
-    Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Cost] {
+    const auto Deliver = [this, Call, Finish, Cost] {
       if (Cell_.IsolatedNodes_.count(From_) > 0 ||
           Cell_.IsolatedNodes_.count(Call.Address_) > 0 ||
           Cell_.MutedNodes_.count(From_) > 0)
@@ -505,6 +505,12 @@
                   });
                 });
           });
+    };
+    Cell_.Loop_.after(PeerDelay, [this, Call, Deliver] {
+      if (Cell_.HeldBackNodes_.count(Call.Address_) > 0)
+        Cell_.HeldBackMessages_.push_back(Deliver);
+      else
+        Deliver();
     });
   });
 }
@@ -561,6 +567,16 @@
     BlindNodes_.erase(Name);
 }
 
+void FakeCell::holdBack(const std::string &Name) {
+  HeldBackNodes_.insert(Name);
+}
+
+void FakeCell::deliverHeldBack() {
+  HeldBackNodes_.clear();
+  for (const auto &Deliver : std::exchange(HeldBackMessages_, {}))
+    Loop_.after(Millis{}, Deliver);
+}
+
 std::vector<std::string> FakeCell::nodes() const {
   std::vector<std::string> Names;
   for (const auto &[Name, NodePtr] : Nodes_)
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -193,6 +193,10 @@
   void setMuted(const std::string &Name, bool Muted);
   /// Whether a node reaches no worker.
   void setBlind(const std::string &Name, bool Blind);
+  /// From now on messages of other nodes to this one are delivered late, by
+  /// deliverHeldBack().
+  void holdBack(const std::string &Name);
+  void deliverHeldBack();
   std::vector<std::string> nodes() const;
   /// Name of the active leader; empty if there is none or more than one.
   std::string leader() const;
@@ -239,6 +243,8 @@
   std::set<std::string> IsolatedNodes_;
   std::set<std::string> MutedNodes_;
   std::set<std::string> BlindNodes_;
+  std::set<std::string> HeldBackNodes_;
+  std::vector<std::function<void()>> HeldBackMessages_;
 };
 
 /// A job id with 16 digits.
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -292,4 +292,26 @@
   BOOST_TEST(Cell.Fleet_.Starts_[taskOf(jobId(1))] == 2);
 }
 
+// Guards against a healthy leader that is replaced because a request to take
+// over, which it sent while it could not write, is delivered after a partition.
+BOOST_AUTO_TEST_CASE(LateRequestToTakeOverReplacesNoLeader) {
+  FakeCell Cell(3, 4);
+  const std::string Leader = waitForLeader(Cell);
+  const auto Row = Cell.StoreState_.Rows_.at(cell::leaderRow());
+  for (const std::string &Node : Cell.nodes())
+    if (Node != Leader)
+      Cell.holdBack(Node);
+  Cell.StoreState_.StoreModes_[Leader] = StoreMode::Rejects;
+  Cell.submit(Leader, jobId(1), 1, Millis{100});
+  Cell.Loop_.run(Millis{1400});
+  Cell.StoreState_.StoreModes_[Leader] = StoreMode::Healthy;
+  Cell.Loop_.run(Millis{1500});
+  BOOST_TEST_REQUIRE(Cell.leader() == Leader);
+  Cell.deliverHeldBack();
+  Cell.Loop_.run(Millis{2000});
+  BOOST_TEST(Cell.leader() == Leader);
+  BOOST_TEST(Cell.StoreState_.Rows_.at(cell::leaderRow()).Version_ ==
+             Row.Version_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
