--- a/cell/context.h
+++ b/cell/context.h
@@ -28,9 +28,13 @@
   MetricsSink &Metrics_;
 };
 
-/// Store partition with all rows of a cell: a transaction can only change rows
-/// of one partition.
-inline constexpr const char *CellPart = "main";
+// Partitions of the store. A transaction can only change rows of one, and the
+// store may reject one while it serves the others.
+
+/// Has the leader row of the cell, the rows of workers, and normally all jobs.
+inline constexpr const char *MainPart = "main";
+/// Has the jobs that are accepted while the store does not serve the main one.
+inline constexpr const char *SparePart = "spare";
 // Tables of the store. "jobs" has the specification of each job, "progress" its
 // state, and "workers" the workers that leaders send orders to.
 inline constexpr const char *LeaderTable = "cell";
@@ -40,18 +44,25 @@
 inline constexpr const char *ProgressTable = "progress";
 inline constexpr const char *WorkersTable = "workers";
 
-inline RowName leaderRow() { return RowName{LeaderTable, CellPart, LeaderKey}; }
-inline RowName resignationRow() {
-  return RowName{LeaderTable, CellPart, ResignationKey};
+/// The row with the current leader. That of the main partition is written by
+/// elections. Those of the others follow it: a new leader writes them before it
+/// reads the jobs there.
+inline RowName leaderRow(const std::string &Part = MainPart) {
+  return RowName{LeaderTable, Part, LeaderKey};
 }
-inline RowName jobRow(const std::string &Id) {
-  return RowName{JobsTable, CellPart, Id};
+inline RowName resignationRow() {
+  return RowName{LeaderTable, MainPart, ResignationKey};
 }
 inline RowName workerRow(const std::string &Id) {
-  return RowName{WorkersTable, CellPart, Id};
+  return RowName{WorkersTable, MainPart, Id};
 }
-inline RowName progressRow(const std::string &Id) {
-  return RowName{ProgressTable, CellPart, Id};
+inline RowName jobRow(const std::string &Id,
+                      const std::string &Part = MainPart) {
+  return RowName{JobsTable, Part, Id};
+}
+inline RowName progressRow(const std::string &Id,
+                           const std::string &Part = MainPart) {
+  return RowName{ProgressTable, Part, Id};
 }
 
 /// Content of the leader row, which names the current leader of the cell. The
@@ -73,6 +84,11 @@
   friend bool operator==(const LeaderRecord &, const LeaderRecord &) = default;
 };
 
+/// The value of a leader row.
+std::string encodeLeaderRecord(const LeaderRecord &Record);
+/// Errors: invalid_field.
+Result<LeaderRecord> decodeLeaderRecord(const StoredRow &Row);
+
 /// Writes a log entry. Request is a job id, Step the operation and Peer the
 /// worker or node concerned; each may be empty.
 inline void logEvent(const CellPorts &Ports, LogLevel Level,
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -108,11 +108,7 @@
   logEvent(Ports_, LogLevel::Info, "", "lead", "",
            "epoch=" + std::to_string(LeaderRecord_.Epoch_) + " started");
   readRegistry();
-  for (const char *Table :
-       {JobsTable, ProgressTable, WorkersTable, LeaderTable}) {
-    ++TablesLeftToLoad_;
-    loadTable(Table, "");
-  }
+  loadParts();
 }
 
 void Leader::stop() {
@@ -282,7 +278,7 @@
   ++OpenConfirmReads_;
   ConfirmSentAt_ = now();
   Ports_.Store_.read(
-      RowRange{LeaderTable, CellPart, LeaderKey, 1},
+      RowRange{LeaderTable, MainPart, LeaderKey, 1},
       [Self = shared_from_this(),
        SentAt = ConfirmSentAt_](Result<RowPage> Page) {
         --Self->OpenConfirmReads_;
@@ -293,7 +289,7 @@
         if (!Rows.empty() &&
             Rows.front().Version_ != Self->LeaderRecord_.Version_)
           return Self->loseLeadership();
-        Self->Recorder_.updateConfirmedAt(SentAt);
+        Self->Recorder_.handleConfirmation(SentAt);
       });
 }
 
@@ -303,10 +299,10 @@
   pollWorkers();
 }
 
-// While the store fails, workers that come back could not be opened again, and
-// their leases would end.
+// While these rows are not written, workers that come back could not be opened
+// again, and their leases would end.
 void Leader::closeLeaseRows() {
-  if (Recorder_.failingSince() > Millis{})
+  if (Recorder_.workerRowsFail())
     return;
   Dispatcher_.closeLeaseRows(MinSilenceBeforeClosing, now());
   const std::vector<std::string> Ids = Dispatcher_.takeWorkersToClose();
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 namespace damaskglade::cell {
 
@@ -98,8 +99,15 @@
   /// Until when this node may give orders, as far as it knows.
   Millis mayActUntil() const;
   bool mayIssueOrders() const { return now() < mayActUntil(); }
-  void loadTable(const std::string &Table, const std::string &From);
-  void loadPage(const std::string &Table, const RowPage &Page, Millis SentAt);
+  void loadParts();
+  /// Writes the leader row of the spare partition, then loads its rows.
+  void claimSparePart();
+  void writeClaim(std::int64_t Version);
+  void retryClaim(const Error &Failure);
+  void loadSparePart(std::int64_t LeaderRowVersion);
+  void loadTable(RowRange Range);
+  void loadPage(const RowRange &Range, const RowPage &Page, Millis SentAt);
+  void loadJobRow(const RowRange &Range, const StoredRow &Row);
   void loadWorkerRow(const StoredRow &Row, const StoreClockReading &Reading);
   void loadResignation(const StoredRow &Row, const StoreClockReading &Reading);
   void finishLoad();
@@ -146,6 +154,7 @@
   LoopDelay LoopDelay_;
   std::map<std::string, dispatch::JobSpec> LoadedSpecs_;
   std::map<std::string, dispatch::JobProgress> LoadedProgress_;
+  std::unordered_map<std::string, std::string> LoadedParts_; ///< By job.
   std::vector<dispatch::TaskRange> LoadedWaitingTasks_;
   int TablesLeftToLoad_ = 0;
   /// Rows per page when loading, reduced after a timeout. 200 job rows are
--- a/cell/leader_calls.cpp
+++ b/cell/leader_calls.cpp
@@ -82,7 +82,8 @@
   if (Dispatcher_.cancelJob(Id, now()))
     scheduleDecision();
   Recorder_.collectChanges();
-  Recorder_.whenRecorded([Reply] { Reply(Json::Value(Json::objectValue)); });
+  Recorder_.whenJobRecorded(Id,
+                            [Reply] { Reply(Json::Value(Json::objectValue)); });
 }
 
 void Leader::countPendingJobs(const std::string &Queue,
--- a/cell/leader_load.cpp
+++ b/cell/leader_load.cpp
@@ -3,6 +3,7 @@
 #include "cell/leader.h"
 
 #include <algorithm>
+#include <array>
 
 namespace damaskglade::cell {
 
@@ -11,66 +12,149 @@
 constexpr Millis LoadRetryDelay{100};
 // Pages are not made smaller than this after timeouts.
 constexpr int MinLoadPageRows = 20;
+constexpr std::array JobTables{JobsTable, ProgressTable};
+constexpr std::array MainTables{JobsTable, ProgressTable, WorkersTable,
+                                LeaderTable};
 
 } // namespace
 
-// The tables are read concurrently. They are consistent with each other, since
-// earlier leaders can no longer write: their writes are conditional on the
-// previous version of the leader row.
-void Leader::loadTable(const std::string &Table, const std::string &From) {
+void Leader::loadParts() {
+  TablesLeftToLoad_ = static_cast<int>(MainTables.size() + JobTables.size());
+  for (const char *Table : MainTables)
+    loadTable(RowRange{Table, MainPart, "", LoadPageRows_});
+  claimSparePart();
+}
+
+// The election has written the leader row of the main partition, so earlier
+// leaders can no longer write there. The same has to hold for the spare one
+// before its rows are read.
+void Leader::claimSparePart() {
   Ports_.Store_.read(
-      RowRange{Table, CellPart, From, LoadPageRows_},
-      [Self = shared_from_this(), Table, From,
-       SentAt = now()](Result<RowPage> Page) {
+      RowRange{LeaderTable, SparePart, LeaderKey, 1},
+      [Self = shared_from_this()](const Result<RowPage> &Page) {
         if (Self->Stopped_)
           return;
-        if (!Page) {
-          Self->Ports_.Log_.write(failureEvent(Page.error(), ""));
-          // The page may be too large to be transferred before the timeout.
-          if (Page.error().Reason_ == Reason::Timeout)
-            Self->LoadPageRows_ =
-                std::max(MinLoadPageRows, Self->LoadPageRows_ / 3);
-          Self->Ports_.Timers_.after(LoadRetryDelay, [Self, Table, From] {
-            Self->loadTable(Table, From);
-          });
+        if (!Page)
+          return Self->retryClaim(Page.error());
+        if (Page.value().Rows_.empty())
+          return Self->writeClaim(0);
+        const StoredRow &Row = Page.value().Rows_.front();
+        const auto Record = decodeLeaderRecord(Row);
+        if (!Record)
+          Self->Ports_.Log_.write(failureEvent(Record.error(), ""));
+        const std::int64_t Epoch = Record ? Record.value().Epoch_ : 0;
+        if (Epoch > Self->LeaderRecord_.Epoch_)
+          return Self->loseLeadership();
+        // The reply to an earlier write was lost.
+        if (Epoch == Self->LeaderRecord_.Epoch_)
+          return Self->loadSparePart(Row.Version_);
+        Self->writeClaim(Row.Version_);
+      });
+}
+
+void Leader::writeClaim(std::int64_t Version) {
+  RowTransaction Transaction;
+  Transaction.Conditions_.push_back(
+      RowCondition{leaderRow(SparePart), Version});
+  Transaction.Puts_.push_back(
+      RowPut{leaderRow(SparePart), encodeLeaderRecord(LeaderRecord_)});
+  Ports_.Store_.transact(
+      Transaction,
+      [Self = shared_from_this()](const Result<TransactionOutcome> &Outcome) {
+        if (Self->Stopped_)
           return;
-        }
-        Self->loadPage(Table, Page.value(), SentAt);
-        if (Page.value().HasMore_ && !Page.value().Rows_.empty())
-          return Self->loadTable(Table,
-                                 Page.value().Rows_.back().Name_.Key_ + '\x01');
-        if (--Self->TablesLeftToLoad_ == 0)
-          Self->finishLoad();
+        if (!Outcome)
+          return Self->retryClaim(Outcome.error());
+        if (!Outcome.value().Applied_)
+          return Self->claimSparePart();
+        Self->loadSparePart(Outcome.value().Version_);
       });
 }
 
-void Leader::loadPage(const std::string &Table, const RowPage &Page,
+void Leader::retryClaim(const Error &Failure) {
+  Ports_.Log_.write(failureEvent(Failure, ""));
+  Ports_.Metrics_.countRetry(Failure.Reason_);
+  Ports_.Timers_.after(LoadRetryDelay, [Self = shared_from_this()] {
+    if (!Self->Stopped_)
+      Self->claimSparePart();
+  });
+}
+
+void Leader::loadSparePart(std::int64_t LeaderRowVersion) {
+  Recorder_.setSpareLeaderRowVersion(LeaderRowVersion);
+  for (const char *Table : JobTables)
+    loadTable(RowRange{Table, SparePart, "", LoadPageRows_});
+}
+
+// The tables are read concurrently. They are consistent with each other, since
+// earlier leaders can no longer write: their writes are conditional on the
+// previous version of the leader row.
+void Leader::loadTable(RowRange Range) {
+  Range.Limit_ = LoadPageRows_;
+  Ports_.Store_.read(Range, [Self = shared_from_this(), Range,
+                             SentAt = now()](const Result<RowPage> &Page) {
+    if (Self->Stopped_)
+      return;
+    if (!Page) {
+      Self->Ports_.Log_.write(failureEvent(Page.error(), ""));
+      // The page may be too large to be transferred before the timeout.
+      if (Page.error().Reason_ == Reason::Timeout)
+        Self->LoadPageRows_ =
+            std::max(MinLoadPageRows, Self->LoadPageRows_ / 3);
+      Self->Ports_.Timers_.after(LoadRetryDelay,
+                                 [Self, Range] { Self->loadTable(Range); });
+      return;
+    }
+    Self->loadPage(Range, Page.value(), SentAt);
+    if (Page.value().HasMore_ && !Page.value().Rows_.empty()) {
+      RowRange Next = Range;
+      Next.FirstKey_ = Page.value().Rows_.back().Name_.Key_ + '\x01';
+      return Self->loadTable(Next);
+    }
+    if (--Self->TablesLeftToLoad_ == 0)
+      Self->finishLoad();
+  });
+}
+
+void Leader::loadPage(const RowRange &Range, const RowPage &Page,
                       Millis SentAt) {
   const StoreClockReading Reading{SentAt, now(), Page.StoreClock_};
   for (const StoredRow &Row : Page.Rows_) {
     const std::string &Id = Row.Name_.Key_;
-    if (Table == JobsTable) {
-      auto Spec = dispatch::decodeSpec(Id, Row.Value_);
-      if (Spec)
-        LoadedSpecs_[Id] = std::move(Spec).value();
-      else
-        Ports_.Log_.write(failureEvent(Spec.error(), Id));
-    } else if (Table == WorkersTable) {
+    if (Range.Table_ == WorkersTable) {
       loadWorkerRow(Row, Reading);
-    } else if (Table == LeaderTable) {
+    } else if (Range.Table_ == LeaderTable) {
       if (Id == ResignationKey)
         loadResignation(Row, Reading);
     } else {
-      Recorder_.setProgressRowVersion(Id, Row.Version_);
-      auto Progress = dispatch::decodeProgress(Row.Value_);
-      if (Progress)
-        LoadedProgress_[Id] = std::move(Progress).value();
-      else
-        Ports_.Log_.write(failureEvent(Progress.error(), Id));
+      loadJobRow(Range, Row);
     }
   }
 }
 
+void Leader::loadJobRow(const RowRange &Range, const StoredRow &Row) {
+  const std::string &Id = Row.Name_.Key_;
+  const auto [Part, IsNew] = LoadedParts_.emplace(Id, Range.Partition_);
+  if (Part->second != Range.Partition_)
+    logEvent(Ports_, LogLevel::Error, Id, "load", Range.Partition_,
+             "the job also has rows in the partition " + Part->second);
+  Recorder_.setPart(Id, Range.Partition_);
+  if (Range.Table_ == JobsTable) {
+    auto Spec = dispatch::decodeSpec(Id, Row.Value_);
+    if (Spec)
+      LoadedSpecs_[Id] = std::move(Spec).value();
+    else
+      Ports_.Log_.write(failureEvent(Spec.error(), Id));
+    return;
+  }
+  Recorder_.setProgressRowVersion(Id, Row.Version_);
+  auto Progress = dispatch::decodeProgress(Row.Value_);
+  if (Progress)
+    LoadedProgress_[Id] = std::move(Progress).value();
+  else
+    Ports_.Log_.write(failureEvent(Progress.error(), Id));
+}
+
 void Leader::loadWorkerRow(const StoredRow &Row,
                            const StoreClockReading &Reading) {
   Recorder_.setWorkerRowVersion(Row.Name_.Key_, Row.Version_);
@@ -123,6 +207,7 @@
   const std::size_t StateCount = LoadedProgress_.size();
   LoadedSpecs_.clear();
   LoadedProgress_.clear();
+  LoadedParts_.clear();
   Loaded_ = true;
   recordWorkerChanges();
   logEvent(Ports_, LogLevel::Info, "", "lead", "",
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -41,32 +41,6 @@
 // denies its leadership, so that not all nodes write the leader row at once.
 constexpr int MaxJitterMillis = 120;
 
-std::string encodeLeaderRecord(const CellSettings &Settings, std::int64_t Epoch,
-                               const std::string &Incarnation,
-                               std::int64_t LeaseRowsSince) {
-  Json::Value Row;
-  Row["boot"] = Incarnation;
-  Row["epoch"] = Json::Int64(Epoch);
-  Row["node"] = Settings.Node_;
-  Row["address"] = Settings.PeerListen_;
-  Row["lease_rows_since"] = Json::Int64(LeaseRowsSince);
-  return writeJson(Row);
-}
-
-Result<LeaderRecord> decodeLeaderRecord(const StoredRow &Row) try {
-  BOOST_OUTCOME_TRY(Value, parseJson(Row.Value_, "decode leader row"));
-  LeaderRecord Record;
-  Record.Epoch_ = Value["epoch"].asInt64();
-  Record.Node_ = Value["node"].asString();
-  Record.Address_ = Value["address"].asString();
-  Record.Incarnation_ = Value["boot"].asString();
-  Record.LeaseRowsSince_ = Value["lease_rows_since"].asInt64();
-  Record.Version_ = Row.Version_;
-  return Record;
-} catch (const Json::Exception &Failure) {
-  return invalidField("decode leader row", Row.Name_.Key_, Failure.what());
-}
-
 } // namespace
 
 bool shouldTakeOver(const ElectionInput &Input) {
@@ -221,7 +195,7 @@
     return;
   ReadingLeaderRow_ = true;
   Ports_.Store_.read(
-      RowRange{LeaderTable, CellPart, LeaderKey, 1},
+      RowRange{LeaderTable, MainPart, LeaderKey, 1},
       [Self = shared_from_this()](const Result<RowPage> &Page) {
         Self->ReadingLeaderRow_ = false;
         if (Self->isLeader())
@@ -351,12 +325,18 @@
   const std::int64_t Epoch = LeaderRecord_.Epoch_ + 1;
   const std::int64_t LeaseRowsSince =
       LeaderRecord_.LeaseRowsSince_ > 0 ? LeaderRecord_.LeaseRowsSince_ : Epoch;
+  const LeaderRecord Candidate{Epoch,
+                               Settings_.Node_,
+                               Settings_.PeerListen_,
+                               0,
+                               Incarnation_,
+                               !ElectionInput_.MajorityReached_,
+                               LeaseRowsSince};
   RowTransaction Transaction;
   Transaction.Conditions_.push_back(
       RowCondition{leaderRow(), LeaderRecord_.Version_});
   Transaction.Puts_.push_back(
-      RowPut{leaderRow(), encodeLeaderRecord(Settings_, Epoch, Incarnation_,
-                                             LeaseRowsSince)});
+      RowPut{leaderRow(), encodeLeaderRecord(Candidate)});
   logEvent(
       Ports_, LogLevel::Info, "", "elect", LeaderRecord_.Address_,
       "taking over with epoch=" + std::to_string(Epoch) +
@@ -364,9 +344,8 @@
           " not_leading=" + std::to_string(ElectionInput_.DeniesLeadership_) +
           " silent_ms=" + std::to_string(ElectionInput_.LeaderSilence_.Value_));
   Ports_.Store_.transact(
-      Transaction, [Self = shared_from_this(), Epoch, LeaseRowsSince,
-                    ElectedByMinority = !ElectionInput_.MajorityReached_](
-                       const Result<TransactionOutcome> &Outcome) {
+      Transaction, [Self = shared_from_this(),
+                    Candidate](const Result<TransactionOutcome> &Outcome) {
         Self->ElectionWriteOpen_ = false;
         if (Self->isLeader() || Self->Resigned_)
           return;
@@ -380,10 +359,9 @@
         }
         if (!Outcome.value().Applied_)
           return Self->readLeaderRow();
-        Self->becomeLeader(LeaderRecord{
-            Epoch, Self->Settings_.Node_, Self->Settings_.PeerListen_,
-            Outcome.value().Version_, Self->Incarnation_, ElectedByMinority,
-            LeaseRowsSince});
+        LeaderRecord Record = Candidate;
+        Record.Version_ = Outcome.value().Version_;
+        Self->becomeLeader(Record);
       });
 }
 
--- a/cell/member.h
+++ b/cell/member.h
@@ -92,7 +92,7 @@
   void becomeLeader(const LeaderRecord &Record);
   void followLeader(const LeaderRecord &Record);
   /// Asks a node to take over. The reply comes once that node has decided.
-  void requestTakeover(const std::string &Address, RpcReply Done);
+  void requestTakeover(const std::string &Address, const RpcReply &Done);
   void handleTakeoverRequest(const Json::Value &Params, const RpcReply &Reply);
   /// Tells another node whether its request to take over is still open.
   void confirmTakeoverRequest(const Json::Value &Params,
--- a/cell/member_hand_over.cpp
+++ b/cell/member_hand_over.cpp
@@ -26,7 +26,7 @@
 // A request that is delivered after its timeout, for instance once a partition
 // has healed, must not replace a leader that has recovered since. The node that
 // gets the request therefore asks whether it is still wanted.
-void Member::requestTakeover(const std::string &Address, RpcReply Done) {
+void Member::requestTakeover(const std::string &Address, const RpcReply &Done) {
   const std::int64_t Request = ++LastTakeoverRequest_;
   OpenTakeoverRequests_.insert(Request);
   Json::Value Params;
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -1,495 +1,136 @@
 #include "cell/recorder.h"
 
-#include "core/codec.h"
-
 #include <algorithm>
+#include <memory>
 
 namespace damaskglade::cell {
 
 namespace {
 
-// Maximum number of entries of a transaction; the platform's store accepts 100.
-// Each condition, written row and removed row is one entry, and so is the
-// condition on the leader row.
-constexpr std::size_t MaxEntries = 96;
-// Once the last transaction has taken longer than this, the next one is sent
-// without waiting for it. A healthy store answers within 10 ms.
-constexpr Millis SlowStoreThreshold{40};
-constexpr std::size_t MaxBatchesInFlight = 6;
-// Changes within this time share a transaction.
-constexpr Millis GroupDelay{4};
-// Delay of the next transaction after one has failed.
-constexpr Millis RetryDelay{120};
+// A partition that has answered within this time counts as working.
+constexpr Millis AnsweredRecently{1000};
 
 } // namespace
 
 Recorder::Recorder(const CellPorts &Ports, dispatch::Dispatcher &Dispatcher,
-                   LeaderRecord Record, std::function<void()> OnLeadershipLost,
+                   const LeaderRecord &Record,
+                   const std::function<void()> &OnLeadershipLost,
                    std::function<void(const std::string &)> OnWorkerOpened)
-    : Ports_(Ports), Dispatcher_(Dispatcher), LeaderRecord_(std::move(Record)),
-      OnLeadershipLost_(std::move(OnLeadershipLost)),
-      OnWorkerOpened_(std::move(OnWorkerOpened)),
-      ConfirmedAt_(Ports.Clock_.monotonic()) {}
-
-void Recorder::recordJob(const std::string &Id,
-                         std::function<void(Status)> Done) {
-  NewJobs_.push_back(NewJob{Id, std::move(Done), false});
-  scheduleFlush(GroupDelay);
-}
-
-void Recorder::collectChanges() {
-  const std::vector<std::string> ChangedJobs = Dispatcher_.takeChangedJobs();
-  if (ChangedJobs.empty())
-    return;
-  ++LastChangeNumber_;
-  for (const std::string &Id : ChangedJobs)
-    DirtyJobs_.try_emplace(Id, LastChangeNumber_);
-  scheduleFlush(GroupDelay);
-}
-
-// Each call of collectChanges() that finds changes gives them the next number.
-// A job keeps the number of its oldest change that is not recorded yet.
-std::uint64_t Recorder::oldestUnrecordedChange() const {
-  std::uint64_t Oldest = LastChangeNumber_ + 1;
-  for (const auto &[Id, Number] : DirtyJobs_)
-    Oldest = std::min(Oldest, Number);
-  for (const auto &[BatchNumber, SentBatch] : BatchesInFlight_)
-    for (const auto &[Id, Change] : SentBatch.Progress_)
-      Oldest = std::min(Oldest, Change.OldestChange_);
-  return Oldest;
-}
-
-void Recorder::whenRecorded(std::function<void()> Done) {
-  if (oldestUnrecordedChange() > LastChangeNumber_)
-    return Done();
-  Waiters_.push_back(Waiter{LastChangeNumber_, std::move(Done)});
-}
-
-void Recorder::removeJobs(const std::vector<std::string> &Ids) {
-  JobsToRemove_.insert(Ids.begin(), Ids.end());
-  if (!Ids.empty())
-    scheduleFlush(GroupDelay);
-}
-
-void Recorder::recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers) {
-  for (const dispatch::WorkerInfo &Worker : Workers) {
-    NewWorkers_[Worker.Id_] = WorkerRow{Worker, std::nullopt, 0};
-    RemovedWorkers_.erase(Worker.Id_);
-  }
-  if (!Workers.empty())
-    scheduleFlush(GroupDelay);
-}
-
-void Recorder::closeWorkers(
-    const std::vector<dispatch::LeaseClosing> &Closings) {
-  std::vector<std::string> Empty;
-  for (const dispatch::LeaseClosing &Closing : Closings) {
-    if (!Closing.Leases_) {
-      Empty.push_back(Closing.Info_.Id_);
-    } else if (auto Row = closedRow(Closing)) {
-      NewWorkers_[Closing.Info_.Id_] = std::move(*Row);
-      RemovedWorkers_.erase(Closing.Info_.Id_);
-    }
-  }
-  removeWorkers(Empty);
-  if (!NewWorkers_.empty())
-    scheduleFlush(GroupDelay);
+    : Metrics_(Ports.Metrics_), Clock_(Ports.Clock_), Dispatcher_(Dispatcher),
+      Parts_{PartRecorder(Ports, Dispatcher, MainPart, Record.Epoch_,
+                          {OnLeadershipLost, std::move(OnWorkerOpened),
+                           [this] { collectChanges(); }}),
+             PartRecorder(
+                 Ports, Dispatcher, SparePart, Record.Epoch_,
+                 {OnLeadershipLost, nullptr, [this] { collectChanges(); }})} {
+  main().setLeaderRowVersion(Record.Version_);
 }
 
-std::optional<WorkerRow>
-Recorder::closedRow(const dispatch::LeaseClosing &Closing) const {
-  if (StoreClock_.StoreClock_ == Millis{})
-    return std::nullopt;
-  WorkerRow Row{Closing.Info_, Closing.Leases_, LeaderRecord_.Epoch_};
-  Row.Closed_->Expiry_ = latestStoreTime(StoreClock_, Row.Closed_->Expiry_);
-  return Row;
+PartRecorder &Recorder::partOf(const std::string &Id) {
+  const auto Part = PartsOfJobs_.find(Id);
+  return Part == PartsOfJobs_.end() ? main() : *Part->second;
 }
 
-void Recorder::updateStoreClock(Millis SentAt, Millis StoreClock) {
-  if (StoreClock > Millis{})
-    StoreClock_ =
-        StoreClockReading{SentAt, Ports_.Clock_.monotonic(), StoreClock};
+void Recorder::setPart(const std::string &Id, const std::string &Part) {
+  if (Part == SparePart)
+    PartsOfJobs_[Id] = &spare();
 }
 
-// Rows that do not fit into one transaction are written by several. A row whose
-// write fails stays open, so the next leader waits longer than it has to.
-void Recorder::recordResignation(
-    Resignation Record, const std::vector<dispatch::LeaseClosing> &Closings,
-    const std::function<void()> &Done) {
-  if (StoreClock_.StoreClock_ == Millis{})
-    return Done();
-  Record.LeaseExpiry_ = latestStoreTime(StoreClock_, Record.LeaseExpiry_);
-  const RowCondition LeaderCondition{leaderRow(), LeaderRecord_.Version_};
-  std::vector<RowTransaction> Transactions(1);
-  Transactions.back().Conditions_ = {LeaderCondition};
-  Transactions.back().Puts_ = {
-      RowPut{resignationRow(), encodeResignation(Record)}};
-  std::size_t EntryCount = MaxEntries;
-  for (const dispatch::LeaseClosing &Closing : Closings) {
-    const std::string &Id = Closing.Info_.Id_;
-    if (isWorkerInFlight(Id))
+// A partition that fails is tried again if no other works: first the one that
+// failed longest ago.
+PartRecorder *
+Recorder::choosePart(const std::set<const PartRecorder *> &Offered) {
+  PartRecorder *Chosen = nullptr;
+  for (PartRecorder &Part : Parts_) {
+    if (Offered.count(&Part) > 0)
       continue;
-    if (EntryCount >= MaxEntries) {
-      Transactions.emplace_back().Conditions_ = {LeaderCondition};
-      EntryCount = 1;
-    }
-    RowTransaction &Transaction = Transactions.back();
-    Transaction.Conditions_.push_back(workerCondition(Id));
-    if (Closing.Leases_)
-      Transaction.Puts_.push_back(
-          RowPut{workerRow(Id), encodeWorkerRow(*closedRow(Closing))});
-    else
-      Transaction.Removes_.push_back(workerRow(Id));
-    EntryCount += 2;
-  }
-  const auto OpenCalls = std::make_shared<std::size_t>(Transactions.size());
-  for (const RowTransaction &Transaction : Transactions)
-    Ports_.Store_.transact(
-        Transaction, [OpenCalls, Done](const Result<TransactionOutcome> &) {
-          if (--*OpenCalls == 0)
-            Done();
-        });
-}
-
-void Recorder::removeWorkers(const std::vector<std::string> &Ids) {
-  for (const std::string &Id : Ids) {
-    RemovedWorkers_.insert(Id);
-    NewWorkers_.erase(Id);
+    if (Part.isResponsive())
+      return &Part;
+    if (!Chosen || Part.lastFailureAt() < Chosen->lastFailureAt())
+      Chosen = &Part;
   }
-  if (!Ids.empty())
-    scheduleFlush(GroupDelay);
-}
-
-// The callbacks may hold the owner of this object.
-void Recorder::stop() {
-  Stopped_ = true;
-  NewJobs_.clear();
-  BatchesInFlight_.clear();
-  Waiters_.clear();
-}
-
-bool Recorder::queuesEmpty() const {
-  return NewJobs_.empty() && DirtyJobs_.empty() && JobsToRemove_.empty() &&
-         NewWorkers_.empty() && RemovedWorkers_.empty();
+  return Chosen;
 }
 
-void Recorder::scheduleFlush(Millis Delay) {
-  if (FlushScheduled_ || Stopped_)
-    return;
-  FlushScheduled_ = true;
-  Ports_.Timers_.after(Delay, [this, Alive = std::weak_ptr<bool>(Alive_)] {
-    if (Alive.expired())
-      return;
-    FlushScheduled_ = false;
-    flush();
-  });
-}
-
-// Normally one transaction at a time is sent, so that each takes as many
-// changes as possible. If the store is slow, or if changes are left that a full
-// transaction does not hold, several are in flight.
-bool Recorder::canFlush() const {
-  if (BatchesInFlight_.empty())
-    return true;
-  const Millis LastSentAt = BatchesInFlight_.rbegin()->second.SentAt_;
-  return BatchesInFlight_.size() < MaxBatchesInFlight &&
-         FailingSince_ == Millis{} &&
-         (LastBatchFull_ ||
-          Ports_.Clock_.monotonic() >= LastSentAt + SlowStoreThreshold);
-}
-
-bool Recorder::isInFlight(const std::string &Id) const {
-  return std::any_of(
-      BatchesInFlight_.begin(), BatchesInFlight_.end(),
-      [&](const auto &Entry) { return Entry.second.Progress_.count(Id) > 0; });
-}
-
-void Recorder::addProgress(Batch &NewBatch, RowTransaction &Transaction,
-                           std::size_t &EntryCount) {
-  for (auto Iter = DirtyJobs_.begin();
-       Iter != DirtyJobs_.end() && EntryCount < MaxEntries;) {
-    const auto &[Id, FirstChange] = *Iter;
-    // A transaction in flight changes the version of the row, which would fail
-    // the version condition of a second one.
-    if (isInFlight(Id)) {
-      ++Iter;
-      continue;
-    }
-    const dispatch::JobProgress Progress = Dispatcher_.progressOf(Id);
-    const auto KnownVersion = ProgressRowVersions_.find(Id);
-    Transaction.Conditions_.push_back(RowCondition{
-        progressRow(Id),
-        KnownVersion == ProgressRowVersions_.end() ? 0 : KnownVersion->second});
-    Transaction.Puts_.push_back(
-        RowPut{progressRow(Id), dispatch::encodeProgress(Progress)});
-    EntryCount += 2;
-    // The job row of an ended job is removed, so that a new leader has fewer
-    // rows to load; callers can only query the state, which is in the progress
-    // row. The job row is kept while tasks are still being stopped, since it
-    // has the resources that they use.
-    if (dispatch::isTerminal(Progress.State_) && !Dispatcher_.hasRuns(Id)) {
-      Transaction.Removes_.push_back(jobRow(Id));
-      ++EntryCount;
+void Recorder::recordJob(const std::string &Id,
+                         const std::function<void(Status)> &Done) {
+  offerJob(Id, {}, Done);
+}
+
+// A job that one partition has rejected without effect is offered to the next.
+// One that may have been written stays, so that it is never in two partitions.
+void Recorder::offerJob(const std::string &Id,
+                        std::set<const PartRecorder *> Offered,
+                        const std::function<void(Status)> &Done) {
+  PartRecorder *Part = choosePart(Offered);
+  if (Part == &main())
+    PartsOfJobs_.erase(Id);
+  else
+    PartsOfJobs_[Id] = Part;
+  Offered.insert(Part);
+  Part->recordJob(Id, [this, Id, Part, Offered, Done](const Status &Outcome) {
+    const bool IsRejected = !Outcome && Outcome.error().Effect_ == Effect::None;
+    const PartRecorder *Next = IsRejected ? choosePart(Offered) : nullptr;
+    if (Next && Next->isResponsive())
+      return offerJob(Id, Offered, Done);
+    if (IsRejected) {
+      PartsOfJobs_.erase(Id);
+      Dispatcher_.dropJob(Id);
+    } else if (Part != &main()) {
+      Metrics_.count("jobs_in_spare_partition");
     }
-    NewBatch.Progress_[Id] =
-        SentChange{FirstChange, Progress.State_, Dispatcher_.countCrashes(Id)};
-    Iter = DirtyJobs_.erase(Iter);
-  }
-}
-
-bool Recorder::isWorkerInFlight(const std::string &Id) const {
-  return std::any_of(BatchesInFlight_.begin(), BatchesInFlight_.end(),
-                     [&](const auto &Entry) {
-                       return Entry.second.Workers_.count(Id) > 0 ||
-                              Entry.second.RemovedWorkers_.count(Id) > 0;
-                     });
-}
-
-RowCondition Recorder::workerCondition(const std::string &Id) const {
-  const auto KnownVersion = WorkerRowVersions_.find(Id);
-  return RowCondition{workerRow(Id), KnownVersion == WorkerRowVersions_.end()
-                                         ? 0
-                                         : KnownVersion->second};
-}
-
-// A transaction that the store carries out late must not put back the address
-// that a worker has left, nor remove a worker that is back. Hence the version
-// conditions, and one transaction at a time for each worker.
-void Recorder::addWorkers(Batch &NewBatch, RowTransaction &Transaction,
-                          std::size_t &EntryCount) {
-  for (auto Iter = NewWorkers_.begin();
-       Iter != NewWorkers_.end() && EntryCount < MaxEntries;) {
-    const auto Worker = Iter++;
-    if (isWorkerInFlight(Worker->first))
-      continue;
-    Transaction.Conditions_.push_back(workerCondition(Worker->first));
-    Transaction.Puts_.push_back(
-        RowPut{workerRow(Worker->first), encodeWorkerRow(Worker->second)});
-    EntryCount += 2;
-    NewBatch.Workers_.insert(NewWorkers_.extract(Worker));
-  }
-  for (auto Iter = RemovedWorkers_.begin();
-       Iter != RemovedWorkers_.end() && EntryCount < MaxEntries;) {
-    const auto Id = Iter++;
-    if (isWorkerInFlight(*Id))
-      continue;
-    Transaction.Conditions_.push_back(workerCondition(*Id));
-    Transaction.Removes_.push_back(workerRow(*Id));
-    EntryCount += 2;
-    NewBatch.RemovedWorkers_.insert(RemovedWorkers_.extract(Id));
-  }
-}
-
-RowTransaction Recorder::buildTransaction(Batch &NewBatch) {
-  RowTransaction Transaction;
-  Transaction.Conditions_.push_back(
-      RowCondition{leaderRow(), LeaderRecord_.Version_});
-  std::size_t EntryCount = 1;
-  addWorkers(NewBatch, Transaction, EntryCount);
-  for (; !NewJobs_.empty() && EntryCount < MaxEntries; EntryCount += 2) {
-    NewJob Submission = std::move(NewJobs_.front());
-    NewJobs_.pop_front();
-    const dispatch::JobRun *Job = Dispatcher_.findJob(Submission.Id_);
-    Transaction.Conditions_.push_back(RowCondition{jobRow(Submission.Id_), 0});
-    Transaction.Puts_.push_back(
-        RowPut{jobRow(Submission.Id_), dispatch::encodeSpec(Job->Spec_)});
-    NewBatch.Jobs_.push_back(std::move(Submission));
-  }
-  addProgress(NewBatch, Transaction, EntryCount);
-  for (; !JobsToRemove_.empty() && EntryCount < MaxEntries; EntryCount += 2) {
-    const std::string Id = *JobsToRemove_.begin();
-    JobsToRemove_.erase(JobsToRemove_.begin());
-    Transaction.Removes_.push_back(jobRow(Id));
-    Transaction.Removes_.push_back(progressRow(Id));
-    NewBatch.RemovedJobs_.push_back(Id);
-  }
-  return Transaction;
-}
-
-void Recorder::flush() {
-  if (Stopped_)
-    return;
-  collectChanges();
-  if (queuesEmpty())
-    return;
-  if (!canFlush())
-    return scheduleFlush(GroupDelay);
-  bool Sent = true;
-  while (Sent && !queuesEmpty() && canFlush())
-    Sent = sendBatch();
-  // Otherwise all changed jobs are also in transactions in flight.
-  if (Sent && !queuesEmpty())
-    scheduleFlush(GroupDelay);
+    Done(Outcome);
+  });
 }
 
-bool Recorder::sendBatch() {
-  Batch NewBatch;
-  const RowTransaction Transaction = buildTransaction(NewBatch);
-  if (Transaction.Puts_.empty() && Transaction.Removes_.empty())
-    return false;
-  LastBatchFull_ = Transaction.Conditions_.size() + Transaction.Puts_.size() +
-                       Transaction.Removes_.size() >=
-                   MaxEntries;
-  NewBatch.SentAt_ = Ports_.Clock_.monotonic();
-  const std::uint64_t BatchNumber = ++LastBatchNumber_;
-  BatchesInFlight_.emplace(BatchNumber, std::move(NewBatch));
-  Ports_.Store_.transact(
-      Transaction, [this, BatchNumber, Alive = std::weak_ptr<bool>(Alive_)](
-                       const Result<TransactionOutcome> &Outcome) {
-        if (!Alive.expired())
-          handleOutcome(BatchNumber, Outcome);
-      });
-  return true;
+void Recorder::collectChanges() {
+  std::vector<std::string> InMain = Dispatcher_.takeChangedJobs();
+  const auto FirstElsewhere = std::stable_partition(
+      InMain.begin(), InMain.end(),
+      [this](const std::string &Id) { return PartsOfJobs_.count(Id) == 0; });
+  spare().recordProgress({FirstElsewhere, InMain.end()});
+  InMain.erase(FirstElsewhere, InMain.end());
+  main().recordProgress(InMain);
 }
 
-void Recorder::handleOutcome(std::uint64_t BatchNumber,
-                             const Result<TransactionOutcome> &Outcome) {
-  if (Stopped_)
-    return;
-  Batch FinishedBatch =
-      std::move(BatchesInFlight_.extract(BatchNumber).mapped());
-  if (!Outcome)
-    return handleFailure(std::move(FinishedBatch), Outcome.error());
-  FailingSince_ = Millis{};
-  updateStoreClock(FinishedBatch.SentAt_, Outcome.value().StoreClock_);
-  if (!Outcome.value().Applied_)
-    return handleConflict(std::move(FinishedBatch), Outcome.value().Current_);
-  updateConfirmedAt(FinishedBatch.SentAt_);
-  handleApplied(FinishedBatch, Outcome.value().Version_);
+void Recorder::whenRecorded(const std::function<void()> &Done) {
+  const auto OpenParts = std::make_shared<std::size_t>(Parts_.size());
+  for (PartRecorder &Part : Parts_)
+    Part.whenRecorded([OpenParts, Done] {
+      if (--*OpenParts == 0)
+        Done();
+    });
 }
 
-void Recorder::handleApplied(const Batch &WrittenBatch, std::int64_t Version) {
-  for (const auto &[Id, Change] : WrittenBatch.Progress_) {
-    ProgressRowVersions_[Id] = Version;
-    Dispatcher_.markJobRecorded(Id, Change.State_, Change.Crashes_);
-  }
-  for (const std::string &Id : WrittenBatch.RemovedJobs_)
-    ProgressRowVersions_.erase(Id);
-  for (const auto &[Id, Row] : WrittenBatch.Workers_) {
-    WorkerRowVersions_[Id] = Version;
-    if (Row.Closed_)
-      continue;
-    Dispatcher_.markWorkerRecorded(Id, Row.Info_.Address_);
-    OnWorkerOpened_(Id);
-  }
-  for (const std::string &Id : WrittenBatch.RemovedWorkers_)
-    WorkerRowVersions_.erase(Id);
-  for (const NewJob &Job : WrittenBatch.Jobs_) {
-    Dispatcher_.confirmJob(Job.Id_);
-    if (Job.Done_)
-      Job.Done_(success());
-  }
-  notifyWaiters();
-  if (!queuesEmpty())
-    scheduleFlush(GroupDelay);
+void Recorder::whenJobRecorded(const std::string &Id,
+                               std::function<void()> Done) {
+  partOf(Id).whenRecorded(std::move(Done));
 }
 
-void Recorder::notifyWaiters() {
-  const std::uint64_t OldestUnrecorded = oldestUnrecordedChange();
-  std::vector<std::function<void()>> DueCallbacks;
-  for (auto Iter = Waiters_.begin(); Iter != Waiters_.end();) {
-    if (Iter->LastChange_ >= OldestUnrecorded) {
-      ++Iter;
-      continue;
-    }
-    DueCallbacks.push_back(std::move(Iter->Done_));
-    Iter = Waiters_.erase(Iter);
-  }
-  for (const auto &Done : DueCallbacks)
-    Done();
+void Recorder::removeJobs(const std::vector<std::string> &Ids) {
+  std::vector<std::string> InMain;
+  std::vector<std::string> InSpare;
+  for (const std::string &Id : Ids)
+    (PartsOfJobs_.erase(Id) > 0 ? InSpare : InMain).push_back(Id);
+  main().removeJobs(InMain);
+  spare().removeJobs(InSpare);
 }
 
-// Puts the changes of a transaction that was not applied back into the queues.
-void Recorder::requeue(Batch &FailedBatch) {
-  for (const auto &[Id, Change] : FailedBatch.Progress_) {
-    const auto [Entry, Added] =
-        DirtyJobs_.try_emplace(Id, Change.OldestChange_);
-    Entry->second = std::min(Entry->second, Change.OldestChange_);
-  }
-  JobsToRemove_.insert(FailedBatch.RemovedJobs_.begin(),
-                       FailedBatch.RemovedJobs_.end());
-  // What was queued since then is newer.
-  for (const auto &[Id, Row] : FailedBatch.Workers_)
-    if (RemovedWorkers_.count(Id) == 0)
-      NewWorkers_.try_emplace(Id, Row);
-  for (const std::string &Id : FailedBatch.RemovedWorkers_)
-    if (NewWorkers_.count(Id) == 0)
-      RemovedWorkers_.insert(Id);
+bool Recorder::allRecorded() const {
+  return std::all_of(Parts_.begin(), Parts_.end(),
+                     [](const auto &Part) { return Part.allRecorded(); });
 }
 
-// A condition did not match: either an earlier transaction of this leader was
-// applied after its timeout, or there is a new leader. The rows that the store
-// returns for the conditions show which.
-void Recorder::handleConflict(Batch RejectedBatch,
-                              const std::vector<StoredRow> &CurrentRows) {
-  // The store may omit rows that do not exist.
-  for (const auto &[Id, Change] : RejectedBatch.Progress_)
-    ProgressRowVersions_.erase(Id);
-  for (const auto &[Id, Row] : RejectedBatch.Workers_)
-    WorkerRowVersions_.erase(Id);
-  for (const std::string &Id : RejectedBatch.RemovedWorkers_)
-    WorkerRowVersions_.erase(Id);
-  std::set<std::string> PresentJobs;
-  for (const StoredRow &Row : CurrentRows) {
-    if (Row.Name_ == leaderRow() && Row.Version_ != LeaderRecord_.Version_) {
-      Stopped_ = true;
-      logEvent(Ports_, LogLevel::Warning, "", "commit", "",
-               "the leader row has changed, giving up leadership");
-      return OnLeadershipLost_();
-    }
-    if (Row.Name_.Table_ == ProgressTable)
-      ProgressRowVersions_[Row.Name_.Key_] = Row.Version_;
-    if (Row.Name_.Table_ == WorkersTable)
-      WorkerRowVersions_[Row.Name_.Key_] = Row.Version_;
-    if (Row.Name_.Table_ == JobsTable && Row.Version_ != 0)
-      PresentJobs.insert(Row.Name_.Key_);
-  }
-  std::vector<NewJob> RecordedJobs;
-  for (NewJob &Job : RejectedBatch.Jobs_) {
-    if (PresentJobs.count(Job.Id_) > 0)
-      RecordedJobs.push_back(std::move(Job));
-    else
-      NewJobs_.push_back(std::move(Job));
-  }
-  requeue(RejectedBatch);
-  for (const NewJob &Job : RecordedJobs) {
-    Dispatcher_.confirmJob(Job.Id_);
-    if (Job.Done_)
-      Job.Done_(success());
-  }
-  Ports_.Metrics_.countRetry(Reason::TableConflict);
-  scheduleFlush(GroupDelay);
+void Recorder::stop() {
+  for (PartRecorder &Part : Parts_)
+    Part.stop();
 }
 
-void Recorder::handleFailure(Batch FailedBatch, const Error &Failure) {
-  const Millis Now = Ports_.Clock_.monotonic();
-  if (FailingSince_ == Millis{}) {
-    FailingSince_ = Now;
-    Ports_.Log_.write(failureEvent(Failure, ""));
-  }
-  Ports_.Metrics_.countRetry(Failure.Reason_);
-  const bool MayBeApplied = Failure.Effect_ != Effect::None;
-  std::vector<NewJob> RefusedJobs;
-  for (NewJob &Job : FailedBatch.Jobs_) {
-    Job.MayBeRecorded_ = Job.MayBeRecorded_ || MayBeApplied;
-    if (Job.MayBeRecorded_) {
-      if (Job.Done_)
-        Job.Done_(Failure);
-      Job.Done_ = nullptr;
-      NewJobs_.push_front(std::move(Job));
-    } else {
-      RefusedJobs.push_back(std::move(Job));
-    }
-  }
-  requeue(FailedBatch);
-  for (const NewJob &Job : RefusedJobs) {
-    Dispatcher_.dropJob(Job.Id_);
-    Error Refusal = Failure;
-    Refusal.Effect_ = Effect::None;
-    if (Job.Done_)
-      Job.Done_(Refusal);
-  }
-  scheduleFlush(RetryDelay);
+Millis Recorder::failingSince() const {
+  const Millis AnsweredSince = Clock_.monotonic() - AnsweredRecently;
+  const bool IsSpareAnswering = Parts_.back().failingSince() == Millis{} &&
+                                Parts_.back().answeredAt() > AnsweredSince;
+  return IsSpareAnswering ? Millis{} : main().failingSince();
 }
 
 } // namespace damaskglade::cell
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -1,156 +1,116 @@
 #ifndef DAMASKGLADE_CELL_RECORDER_H
 #define DAMASKGLADE_CELL_RECORDER_H
 
-#include "cell/context.h"
-#include "cell/worker_rows.h"
-#include "dispatch/dispatcher.h"
+#include "cell/part_recorder.h"
 
-#include <deque>
+#include <array>
 #include <functional>
-#include <map>
-#include <memory>
 #include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace damaskglade::cell {
 
-/// Records the jobs and workers of a leader in the store with group commit:
-/// each transaction takes as many pending changes as fit. While the store is
-/// slow, several transactions with different rows are in flight. Each is
-/// conditional on the leader row, so it fails once there is a later leader.
+/// Records the jobs and workers of a leader in the store. Normally all rows are
+/// in the main partition. While the store does not serve that one, new jobs go
+/// to the spare one; a job stays in the partition in which it was recorded.
 class Recorder {
 public:
   /// OnWorkerOpened is called when the open row of a worker is stored.
   Recorder(const CellPorts &Ports, dispatch::Dispatcher &Dispatcher,
-           LeaderRecord Record, std::function<void()> OnLeadershipLost,
+           const LeaderRecord &Record,
+           const std::function<void()> &OnLeadershipLost,
            std::function<void(const std::string &)> OnWorkerOpened);
 
   /// Records a new job; the callback gets the outcome. An error without effect
   /// means that the job is not recorded and never will be.
-  void recordJob(const std::string &Id, std::function<void(Status)> Done);
+  void recordJob(const std::string &Id,
+                 const std::function<void(Status)> &Done);
   /// Takes the changed jobs from the dispatcher and schedules a write.
   void collectChanges();
   /// Calls back once all changes made so far are recorded.
-  void whenRecorded(std::function<void()> Done);
-  /// Sets the version of a progress row that was loaded from the store.
+  void whenRecorded(const std::function<void()> &Done);
+  /// Calls back once all changes of the job made so far are recorded.
+  void whenJobRecorded(const std::string &Id, std::function<void()> Done);
+  /// Removes the rows of jobs.
+  void removeJobs(const std::vector<std::string> &Ids);
+  bool allRecorded() const;
+  /// Drops all that is not recorded yet, with its callbacks.
+  void stop();
+
+  // Called while a new leader loads the rows of the store.
+
+  /// Sets the version of the leader row in the spare partition.
+  void setSpareLeaderRowVersion(std::int64_t Version) {
+    spare().setLeaderRowVersion(Version);
+  }
+  /// Tells in which partition a job was found.
+  void setPart(const std::string &Id, const std::string &Part);
+  /// Sets the version of the progress row of a job.
   void setProgressRowVersion(const std::string &Id, std::int64_t Version) {
-    ProgressRowVersions_[Id] = Version;
+    partOf(Id).setProgressRowVersion(Id, Version);
   }
   /// The same for the row of a worker.
   void setWorkerRowVersion(const std::string &Id, std::int64_t Version) {
-    WorkerRowVersions_[Id] = Version;
+    main().setWorkerRowVersion(Id, Version);
   }
-  /// Removes the rows of jobs.
-  void removeJobs(const std::vector<std::string> &Ids);
+
+  // The rows of workers, which are in the main partition.
+
   /// Writes open rows of workers.
-  void recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers);
+  void recordWorkers(const std::vector<dispatch::WorkerInfo> &Workers) {
+    main().recordWorkers(Workers);
+  }
   /// Closes or removes the rows of workers.
-  void closeWorkers(const std::vector<dispatch::LeaseClosing> &Closings);
+  void closeWorkers(const std::vector<dispatch::LeaseClosing> &Closings) {
+    main().closeWorkers(Closings);
+  }
   /// Removes the rows of workers whose leases have expired.
-  void removeWorkers(const std::vector<std::string> &Ids);
+  void removeWorkers(const std::vector<std::string> &Ids) {
+    main().removeWorkers(Ids);
+  }
   /// Records that the leader has stopped; Record has its times on this node's
   /// clock. Calls back when the store has answered, with or without success.
-  void recordResignation(Resignation Record,
+  void recordResignation(const Resignation &Record,
                          const std::vector<dispatch::LeaseClosing> &Closings,
-                         const std::function<void()> &Done);
-  bool allRecorded() const {
-    return oldestUnrecordedChange() > LastChangeNumber_;
+                         const std::function<void()> &Done) {
+    main().recordResignation(Record, Closings, Done);
   }
+  /// Whether rows of workers are currently not written.
+  bool workerRowsFail() const { return main().failingSince() > Millis{}; }
+
+  // Leadership. Elections write to the main partition only.
+
   /// When the store last confirmed the leadership of this node.
-  Millis confirmedAt() const { return ConfirmedAt_; }
-  /// Called when a request sent at this time has confirmed the leadership.
-  void updateConfirmedAt(Millis SentAt) {
-    ConfirmedAt_ = std::max(ConfirmedAt_, SentAt);
-  }
+  Millis confirmedAt() const { return main().confirmedAt(); }
+  /// Called when a read of the leader row sent at this time has confirmed the
+  /// leadership.
+  void handleConfirmation(Millis SentAt) { main().handleReadSuccess(SentAt); }
   /// Called when the store has told the time in a reply.
-  void updateStoreClock(Millis SentAt, Millis StoreClock);
-  /// Start of the current store failure; zero while the store works.
-  Millis failingSince() const { return FailingSince_; }
-  /// Drops all that is not recorded yet, with its callbacks.
-  void stop();
+  void updateStoreClock(Millis SentAt, Millis StoreClock) {
+    main().updateStoreClock(SentAt, StoreClock);
+  }
+  /// Since when no job could be recorded; zero while the store works. If a
+  /// partition fails for all nodes, no other node could lead.
+  Millis failingSince() const;
 
 private:
-  /// A submitted job that is not recorded yet.
-  struct NewJob {
-    std::string Id_;
-    std::function<void(Status)> Done_;
-    /// Set when a transaction with the job fails with unknown effect.
-    bool MayBeRecorded_ = false;
-  };
-  /// A callback of whenRecorded().
-  struct Waiter {
-    /// The callback is called once all changes up to this one are recorded.
-    std::uint64_t LastChange_ = 0;
-    std::function<void()> Done_;
-  };
-  /// Changes of one job in a transaction in flight.
-  struct SentChange {
-    std::uint64_t OldestChange_ = 0; ///< Number of the oldest one.
-    dispatch::JobState State_ = dispatch::JobState::Queued; ///< As written.
-    int Crashes_ = 0; ///< JobRun::Crashes_ as written.
-  };
-  /// Changes in one transaction that the store has not answered yet.
-  struct Batch {
-    Millis SentAt_{};
-    std::vector<NewJob> Jobs_;
-    std::map<std::string, SentChange> Progress_; ///< By job.
-    std::vector<std::string> RemovedJobs_;
-    std::map<std::string, WorkerRow> Workers_;
-    std::set<std::string> RemovedWorkers_;
-  };
-
-  void scheduleFlush(Millis Delay);
-  bool canFlush() const;
-  void flush();
-  /// Sends the next transaction. False if there is nothing that it could hold.
-  bool sendBatch();
-  RowTransaction buildTransaction(Batch &NewBatch);
-  void addProgress(Batch &NewBatch, RowTransaction &Transaction,
-                   std::size_t &EntryCount);
-  void handleOutcome(std::uint64_t BatchNumber,
-                     const Result<TransactionOutcome> &Outcome);
-  void handleApplied(const Batch &WrittenBatch, std::int64_t Version);
-  void handleConflict(Batch RejectedBatch,
-                      const std::vector<StoredRow> &CurrentRows);
-  void handleFailure(Batch FailedBatch, const Error &Failure);
-  void requeue(Batch &FailedBatch);
-  bool queuesEmpty() const;
-  bool isInFlight(const std::string &Id) const;
-  bool isWorkerInFlight(const std::string &Id) const;
-  RowCondition workerCondition(const std::string &Id) const;
-  /// The closed row; empty if the store has not told the time yet.
-  std::optional<WorkerRow>
-  closedRow(const dispatch::LeaseClosing &Closing) const;
-  void addWorkers(Batch &NewBatch, RowTransaction &Transaction,
-                  std::size_t &EntryCount);
-  std::uint64_t oldestUnrecordedChange() const;
-  void notifyWaiters();
+  PartRecorder &main() { return Parts_.front(); }
+  const PartRecorder &main() const { return Parts_.front(); }
+  PartRecorder &spare() { return Parts_.back(); }
+  PartRecorder &partOf(const std::string &Id);
+  /// The partition for a new job; null if it has been offered to all.
+  PartRecorder *choosePart(const std::set<const PartRecorder *> &Offered);
+  void offerJob(const std::string &Id, std::set<const PartRecorder *> Offered,
+                const std::function<void(Status)> &Done);
 
-  const CellPorts Ports_;
+  MetricsSink &Metrics_;
+  const Clock &Clock_;
   dispatch::Dispatcher &Dispatcher_;
-  const LeaderRecord LeaderRecord_;
-  const std::function<void()> OnLeadershipLost_;
-  const std::function<void(const std::string &)> OnWorkerOpened_;
-  std::deque<NewJob> NewJobs_;
-  /// Number of the oldest unrecorded change, by job.
-  std::map<std::string, std::uint64_t> DirtyJobs_;
-  std::map<std::string, std::int64_t> ProgressRowVersions_; ///< By job.
-  std::map<std::string, std::int64_t> WorkerRowVersions_;   ///< By worker.
-  std::set<std::string> JobsToRemove_;
-  /// Rows of workers to write.
-  std::map<std::string, WorkerRow> NewWorkers_;
-  std::set<std::string> RemovedWorkers_;
-  std::vector<Waiter> Waiters_;
-  std::map<std::uint64_t, Batch> BatchesInFlight_; ///< By batch number.
-  std::uint64_t LastBatchNumber_ = 0;
-  std::uint64_t LastChangeNumber_ = 0;
-  bool FlushScheduled_ = false;
-  bool LastBatchFull_ = false; ///< The last transaction took all it can hold.
-  bool Stopped_ = false;
-  /// Expires with the object, which callbacks may outlive.
-  std::shared_ptr<bool> Alive_ = std::make_shared<bool>(true);
-  Millis ConfirmedAt_{};
-  StoreClockReading StoreClock_; ///< The latest one.
-  Millis FailingSince_{};
+  std::array<PartRecorder, 2> Parts_;
+  /// Jobs that are not in the main partition.
+  std::unordered_map<std::string, PartRecorder *> PartsOfJobs_;
 };
 
 } // namespace damaskglade::cell
--- a/tests/soak/platform_server.h
+++ b/tests/soak/platform_server.h
@@ -34,6 +34,10 @@
   Status listen(const std::string &StoreAddress,
                 const std::vector<std::string> &AdviceAddresses);
   void setFault(StoreFault Fault) { Fault_ = Fault; }
+  /// The same for the calls that concern one part of the store.
+  void setFaultOfPart(const std::string &Part, StoreFault Fault) {
+    PartFaults_[Part] = Fault;
+  }
   /// Writes a row of the operator or of a worker.
   void put(const std::string &Table, const std::string &Key,
            const Json::Value &Value);
@@ -55,6 +59,7 @@
   };
 
   void handleStore(const WebRequest &Request, const WebReplier &Reply);
+  StoreFault faultOf(const WebRequest &Request) const;
   void answer(const WebRequest &Request, const WebReplier &Reply);
   WebReply transact(const std::string &Body);
   WebReply read(const std::map<std::string, std::string> &Query) const;
@@ -74,6 +79,7 @@
   std::vector<Feed> Feeds_;
   std::map<std::string, Millis> AdviceFreeAt_; ///< By address.
   StoreFault Fault_ = StoreFault::None;
+  std::map<std::string, StoreFault> PartFaults_;
 };
 
 } // namespace damaskglade::soak
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/soak/soak.h"
 
+#include "cell/context.h"
 #include "core/codec.h"
 
 #include <csignal>
@@ -216,6 +217,29 @@
   });
 }
 
+void Soak::faultPartLater() {
+  constexpr std::size_t MostGap = 9000;
+  constexpr std::size_t MostLength = 4000;
+  constexpr std::size_t Kinds = 4;
+  const auto Draw = [this](std::size_t Below) {
+    return static_cast<std::int64_t>(PartRandom_() % Below);
+  };
+  Loop_.after(Millis{Draw(MostGap)}, [this, Draw] {
+    if (faultsOver())
+      return;
+    const std::string Part = Draw(3) == 0 ? cell::SparePart : cell::MainPart;
+    const auto Fault = static_cast<StoreFault>(1 + Draw(Kinds));
+    report("part " + Part + " of the store " +
+           std::to_string(static_cast<int>(Fault)));
+    Platform_.setFaultOfPart(Part, Fault);
+    Loop_.after(Millis{Draw(MostLength)}, [this, Part] {
+      Platform_.setFaultOfPart(Part, StoreFault::None);
+      Watch_.disturbed();
+      faultPartLater();
+    });
+  });
+}
+
 void Soak::injectFault() {
   static const std::vector<LinkState> Links = {
       LinkState::Cut, LinkState::Refuse, LinkState::Delayed, LinkState::OnlyIn,
