--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -196,6 +196,30 @@
   }
 }
 
+// Guards against a job that is refused as not run, or recorded a second time in
+// another part of the store, although the first copy of its write was applied.
+BOOST_AUTO_TEST_CASE(RejectionOfARepeatedWriteLeavesItsEffectUnknown) {
+  constexpr int TooManyRequests = 429;
+  constexpr int ServiceUnavailable = 503;
+  for (const bool IsResent : {false, true})
+    for (const int Status : {TooManyRequests, ServiceUnavailable}) {
+      FakeHttp Http;
+      WebReply Rejection{Status, "{}"};
+      Rejection.Resent_ = IsResent;
+      Http.Replies_.emplace_back(Rejection);
+      const auto Store = makeRowStore(Http, "10.0.0.9:1");
+      std::optional<Effect> ReportedEffect;
+      Store->transact(RowTransaction{},
+                      [&](const Result<TransactionOutcome> &Outcome) {
+                        if (!Outcome)
+                          ReportedEffect = Outcome.error().Effect_;
+                      });
+      BOOST_TEST(
+          (ReportedEffect == (IsResent ? Effect::Unknown : Effect::None)),
+          "status " << Status << " resent " << IsResent);
+    }
+}
+
 // Guards against the same because of a reply of a worker or of the advice
 // service.
 BOOST_AUTO_TEST_CASE(OrderRepliesWithFieldsOfOtherTypesAreDecoded) {
