cell: Offer rejected jobs to parts whose failure is long past

Nothing reads a spare part or writes to it while the main one works. A spare part that had failed once, for instance while the whole store was down, thus stayed marked as failing, and the jobs of the next transaction that the main part rejected were refused although a spare part was served. A part whose last failure is a second ago is now offered such jobs.

--- a/cell/part_recorder.cpp
+++ b/cell/part_recorder.cpp
@@ -24,6 +24,9 @@
 // A transaction without a reply for this long counts as a sign of failure. Its
 // timeout is six times longer.
 constexpr Millis UnansweredLimit{300};
+// A partition to which nothing is written stays marked as failing, so it is
+// tried again once its last failure is this long ago.
+constexpr Millis RetrialDelay{1000};
 
 } // namespace
 
@@ -49,14 +52,21 @@
   scheduleFlush(GroupDelay);
 }
 
-bool PartRecorder::isResponsive() const {
-  if (FailingSince_ > Millis{})
-    return false;
-  return BatchesInFlight_.empty() ||
-         Ports_.Clock_.monotonic() <=
+bool PartRecorder::isOverdue() const {
+  return !BatchesInFlight_.empty() &&
+         Ports_.Clock_.monotonic() >
              BatchesInFlight_.begin()->second.SentAt_ + UnansweredLimit;
 }
 
+bool PartRecorder::isResponsive() const {
+  return FailingSince_ == Millis{} && !isOverdue();
+}
+
+bool PartRecorder::mayBeServedAgain() const {
+  return FailingSince_ > Millis{} && !isOverdue() &&
+         Ports_.Clock_.monotonic() > LastFailureAt_ + RetrialDelay;
+}
+
 void PartRecorder::handleReadSuccess(Millis SentAt) {
   updateConfirmedAt(SentAt);
   if (BatchesInFlight_.empty() && queuesEmpty())
--- a/cell/part_recorder.h
+++ b/cell/part_recorder.h
@@ -85,6 +85,9 @@
   /// Whether a new job is likely to be recorded soon: the last transaction has
   /// not failed, and none has waited long for its reply.
   bool isResponsive() const;
+  /// Whether the last transaction failed so long ago that the failure may be
+  /// over.
+  bool mayBeServedAgain() const;
   /// When the last transaction failed; zero if none has.
   Millis lastFailureAt() const { return LastFailureAt_; }
   /// When the store last answered a transaction; zero if it never has.
@@ -126,6 +129,8 @@
     ConfirmedAt_ = std::max(ConfirmedAt_, SentAt);
   }
   void endFailure();
+  /// Whether a transaction has waited long for its reply.
+  bool isOverdue() const;
   void scheduleFlush(Millis Delay);
   bool canFlush() const;
   void flush();
--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -81,7 +81,7 @@
   Part->recordJob(Id, [this, Id, Part, Offered, Done](const Status &Outcome) {
     const bool IsRejected = !Outcome && Outcome.error().Effect_ == Effect::None;
     const PartRecorder *Next = IsRejected ? choosePart(Offered) : nullptr;
-    if (Next && Next->isResponsive())
+    if (Next && (Next->isResponsive() || Next->mayBeServedAgain()))
       return offerJob(Id, Offered, Done);
     if (IsRejected) {
       PartsOfJobs_.erase(Id);
--- a/tests/cell/store_parts_test.cpp
+++ b/tests/cell/store_parts_test.cpp
@@ -205,4 +205,26 @@
   BOOST_TEST(Cell.leader() == Leader);
 }
 
+// Guards against jobs that are refused when the main part fails, since the
+// spare ones failed long before and have not been tried since.
+BOOST_AUTO_TEST_CASE(SparePartsThatFailedLongBeforeAreTriedAgain) {
+  constexpr int Jobs = 3;
+  FakeCell Cell(3, 4);
+  const std::string Leader = waitForLeader(Cell);
+  Cell.StoreState_.RejectedParts_ = {cell::SpareParts.begin(),
+                                     cell::SpareParts.end()};
+  Cell.StoreState_.RejectedParts_.insert(cell::MainPart);
+  submitJobs(Cell, 1, Jobs);
+  Cell.StoreState_.RejectedParts_.clear();
+  Cell.Loop_.run(Millis{5000});
+  Cell.StoreState_.RejectedParts_ = {cell::MainPart};
+  std::vector<PendingAnswer> Answers;
+  for (int Job = Jobs + 1; Job <= 2 * Jobs; ++Job)
+    Answers.push_back(Cell.submit(Leader, jobId(Job), Tasks, TaskDuration));
+  Cell.Loop_.run(Millis{1000});
+  BOOST_TEST(Cell.leader() == Leader);
+  BOOST_TEST(std::all_of(Answers.begin(), Answers.end(), accepted));
+  checkEachRanOnce(Cell, Leader, Jobs + 1, 2 * Jobs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
