node: Cancel jobs at the home that the row names

A home that lost its lease for a while (paused, or cut off from the table) keeps the jobs that another node has adopted meanwhile until its next write conflicts. A service writes nothing until it is canceled: the old home took the cancellation, answered with success, found the conflict and dropped the job, and the new home never learned of the cancellation. The kept logs of process_PauseOwnerPastLease show this: node-8 adopts the service at 11:16:10.554, the row of node-1 conflicts at 11:16:21.920. The home now reads the row before it takes a cancellation, and the entry node forwards it if the row names another home. While the table does not answer, the home takes it as before.

An adoption whose write had an unknown effect left a job whose row names a home that does not hold it, until the home lists its own rows again (every 60 s); cancellations were refused with not_found. Such writes are now followed up like those of submissions.

Functions about which node is the home move to node/job_takeover.cpp.

--- a/node/job_home.cpp
+++ b/node/job_home.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr std::size_t MaxQueuedPlacements = 256;
-// A write that has not taken effect within this time never will.
-constexpr Millis UnresolvedWriteTimeout{30000};
 
 policy::QueuedJob makeQueuedJob(const JobRecord &Record, Millis Now) {
   const JobSpec &Spec = Record.Spec_;
@@ -142,32 +140,6 @@
     enqueue(Entry);
 }
 
-void JobHome::trackUnresolvedWrite(const std::string &Id) {
-  const MutexLock Lock(QueueMutex_);
-  UnresolvedWrites_[Id] = Ports_.Clock_.monotonic() + UnresolvedWriteTimeout;
-}
-
-// Reads the rows of submissions whose write had an unknown effect. A row that
-// exists is an accepted job, although its caller may not know it yet.
-void JobHome::resolveUnknownWrites() {
-  std::map<std::string, Millis> Writes;
-  {
-    const MutexLock Lock(QueueMutex_);
-    Writes = UnresolvedWrites_;
-  }
-  for (const auto &[Id, CheckEnd] : Writes) {
-    const auto Row = Store_.read(Id, Settings_.StoreTimeout_);
-    if (!Row)
-      return;
-    if (Row.value() && isHomeOf(*Row.value()) && !isFinal(Row.value()->State_))
-      addRecordedJob(*Row.value());
-    if (!Row.value() && Ports_.Clock_.monotonic() < CheckEnd)
-      continue;
-    const MutexLock Lock(QueueMutex_);
-    UnresolvedWrites_.erase(Id);
-  }
-}
-
 // Refuses a job before anything is written; otherwise reserves a place in the
 // queue until the write has ended.
 Status JobHome::admit(const JobRecord &Record) {
@@ -357,16 +329,21 @@
     Queue_.remove(Id);
   }
   JobTable::Guard Job(Jobs_, Id);
+  const Error NotHome{Reason::NotFound, Effect::None, "cancel job", Id,
+                      "this node is not the home of the job"};
   if (!Job)
-    return Error{Reason::NotFound, Effect::None, "cancel job", Id,
-                 "this node is not the home of the job"};
+    return NotHome;
   JobEntry &Entry = Job.entry();
+  if (!isFinal(Entry.Record_.State_) && !confirmHome(Job))
+    return NotHome;
   if (isFinal(Entry.Record_.State_))
     return Entry.Record_;
   Entry.CancelRequested_ = true;
   Job.store();
   if (!hasActiveMember(Entry)) {
     finishCancel(Job);
+    if (!Job)
+      return NotHome;
     return Entry.Record_;
   }
   for (std::size_t Member = 0; Member < Entry.Members_.size(); ++Member) {
@@ -380,30 +357,4 @@
   return Entry.Record_;
 }
 
-bool JobHome::adopt(const JobRecord &Record) {
-  JobRecord Updated = Record;
-  Updated.Home_ = Self_.Id_;
-  Updated.HomeIncarnation_ = Incarnation_();
-  const auto Written = Store_.update(Updated, Settings_.StoreTimeout_);
-  if (!Written)
-    return false;
-  const JobEntry Entry = makeEntry(Written.value());
-  if (!Jobs_.add(Entry)) {
-    JobTable::Guard Job(Jobs_, Record.Id_);
-    if (!Job)
-      return false;
-    Job.entry() = Entry;
-    Job.store();
-  }
-  Ports_.Metrics_.count("jobs_adopted");
-  const bool Waiting =
-      std::any_of(Entry.Members_.begin(), Entry.Members_.end(),
-                  [](const MemberState &State) {
-                    return State.Phase_ == MemberState::Phase::Waiting;
-                  });
-  if (Waiting && !hasActiveMember(Entry))
-    enqueue(Entry);
-  return true;
-}
-
 } // namespace damaskglade::node
--- a/node/job_home.h
+++ b/node/job_home.h
@@ -82,8 +82,6 @@
   Status admit(const JobRecord &Record);
   bool isHomeOf(const JobRecord &Record) const;
   void addRecordedJob(const JobRecord &Record);
-  void trackUnresolvedWrite(const std::string &Id);
-  void resolveUnknownWrites();
   void finishRestart(JobTable::Guard &Job);
   void enqueue(const JobEntry &Entry);
   Result<JobRecord> writeRecord(JobTable::Guard &Job, const JobRecord &Updated);
@@ -109,11 +107,17 @@
                    ReserveRequest &Remaining, std::vector<Attempt> &Reserved);
   bool recordAttempts(JobTable::Guard &Job,
                       const std::vector<Attempt> &Reserved);
-  bool refreshStale(JobTable::Guard &Job);
   void startMembers(JobTable::Guard &Job, const std::vector<Attempt> &Reserved);
   void stopPartialGang(JobTable::Guard &Job);
   void requeue(const policy::Candidate &Chosen);
 
+  // job_takeover.cpp
+  void trackUnresolvedWrite(const std::string &Id);
+  void resolveUnknownWrites();
+  bool confirmHome(JobTable::Guard &Job);
+  bool refreshStale(JobTable::Guard &Job);
+  bool applyRow(JobTable::Guard &Job, const JobRecord &Current);
+
   // job_monitor.cpp
   void runMonitor();
   void checkJob(const std::string &Id);
--- a/node/job_placement.cpp
+++ b/node/job_placement.cpp
@@ -249,26 +249,6 @@
   return true;
 }
 
-bool JobHome::refreshStale(JobTable::Guard &Job) {
-  const auto Row =
-      Store_.read(Job.entry().Record_.Id_, Settings_.StoreTimeout_);
-  if (!Row || !Row.value())
-    return false;
-  const JobRecord &Current = *Row.value();
-  if (Current.Home_ != Self_.Id_) {
-    setCharged(Job.entry(), false);
-    Job.erase();
-    return false;
-  }
-  // Attempts that were recorded but never started are resolved like all others
-  // whose state is unknown: by a status query to the shard owner.
-  const bool Charged = Job.entry().Charged_;
-  Job.entry() = makeEntry(Current);
-  Job.entry().Charged_ = Charged;
-  Job.store();
-  return true;
-}
-
 void JobHome::startMembers(JobTable::Guard &Job,
                            const std::vector<Attempt> &Reserved) {
   const Millis Now = Ports_.Clock_.monotonic();
