cell: Flush changes of parts in a fixed order

Follows a review of the spare parts: changes and removals were grouped by the address of the recorder, so that the order of flushes differed between runs, and jobs_in_spare_partition counted writes of unknown effect.

Tests of cell: StorePartTests, TakeoverTests, CellTests, RecorderOfWorkers and SparePartExplorer pass.

--- a/cell/recorder.cpp
+++ b/cell/recorder.cpp
@@ -86,7 +86,7 @@
     if (IsRejected) {
       PartsOfJobs_.erase(Id);
       Dispatcher_.dropJob(Id);
-    } else if (Part != &main()) {
+    } else if (Outcome && Part != &main()) {
       Metrics_.count("jobs_in_spare_partition");
     }
     Done(Outcome);
@@ -94,11 +94,11 @@
 }
 
 void Recorder::collectChanges() {
-  std::map<PartRecorder *, std::vector<std::string>> Changes;
+  std::map<std::string, std::vector<std::string>> Changes; // By partition.
   for (std::string &Id : Dispatcher_.takeChangedJobs())
-    Changes[&partOf(Id)].push_back(std::move(Id));
+    Changes[partOf(Id).part()].push_back(std::move(Id));
   for (const auto &[Part, Ids] : Changes)
-    Part->recordProgress(Ids);
+    recorderOf(Part).recordProgress(Ids);
 }
 
 void Recorder::whenRecorded(const std::function<void()> &Done) {
@@ -116,13 +116,13 @@
 }
 
 void Recorder::removeJobs(const std::vector<std::string> &Ids) {
-  std::map<PartRecorder *, std::vector<std::string>> Removals;
+  std::map<std::string, std::vector<std::string>> Removals; // By partition.
   for (const std::string &Id : Ids) {
-    Removals[&partOf(Id)].push_back(Id);
+    Removals[partOf(Id).part()].push_back(Id);
     PartsOfJobs_.erase(Id);
   }
   for (const auto &[Part, PartIds] : Removals)
-    Part->removeJobs(PartIds);
+    recorderOf(Part).removeJobs(PartIds);
 }
 
 bool Recorder::allRecorded() const {
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -91,8 +91,9 @@
   void updateStoreClock(Millis SentAt, Millis StoreClock) {
     main().updateStoreClock(SentAt, StoreClock);
   }
-  /// Since when no job could be recorded; zero while the store works. If a
-  /// partition fails for all nodes, no other node could lead.
+  /// Since when this leader has written nothing, so that another node should
+  /// lead; zero while any partition takes its writes. The store then rejects
+  /// the main partition for all nodes, so none could be elected.
   Millis failingSince() const;
 
 private:
