--- a/cell/part_recorder.h
+++ b/cell/part_recorder.h
@@ -29,8 +29,7 @@
     std::function<void()> OnFlush_;
   };
 
-  /// Version is that of the leader row of the partition; see
-  /// setLeaderRowVersion().
+  /// Nothing can be recorded before setLeaderRowVersion() has been called.
   PartRecorder(const CellPorts &Ports, dispatch::Dispatcher &Dispatcher,
                std::string Part, std::int64_t Epoch, Events Handlers);
 
