--- a/review/stand_ins/http.cpp
+++ b/review/stand_ins/http.cpp
@@ -139,11 +139,21 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(Time));
 }
 
+// Below the ports that the system gives to clients, which could take one before
+// the node listens there.
 int findFreePort() {
-  const int Socket = boundSocket(0);
-  const int Port = portOf(Socket);
-  close(Socket);
-  return Port;
+  constexpr int FirstPort = 20000;
+  constexpr int PortCount = 10000;
+  constexpr int PortsOfProcess = 40;
+  static int Next = getpid() * PortsOfProcess % PortCount;
+  for (;;) {
+    Next = (Next + 1) % PortCount;
+    const int Socket = boundSocket(FirstPort + Next);
+    if (Socket < 0)
+      continue;
+    close(Socket);
+    return FirstPort + Next;
+  }
 }
 
 HttpServer::HttpServer(HttpHandler Handler) : Handler_(std::move(Handler)) {
