dispatch: Tell overtaken poll replies by the worker's clock

Cause: the leader ordered poll replies by the times at which it had sent the polls. A run that a long poll showed counted as running since that poll was sent, which was before its start order. A poll that had been sent between the two, and answered before the order was carried out, seemed to be newer. Its late reply ended the run, and the task started again.

Change: of two polls that were open at the same time, the one that the worker answered later on its own clock counts, and a reply that is older tells ends only. Replies of an earlier process of a worker, and rejections that a later reply has overtaken, are ignored; so are clocks and confirmed stops of an earlier process in replies to orders. The leader acknowledges ends only by replies that are used. Every reply carries the worker's clock, and a poll that was sent after a reply had arrived cannot be older, so nothing is ignored for longer than one poll.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -436,37 +436,14 @@
     return scheduleDecision();
   }
   State.FailuresInRow_ = 0;
-  const bool Accepted = Reply.value().Outcome_ == OrderOutcome::Done;
-  if (Accepted && State.WorkerStart_ != Reply.value().ProcessStart_) {
-    State.WorkerStart_ = Reply.value().ProcessStart_;
-    State.LastListedEnd_ = 0;
-    State.LastRecordedEnd_ = 0;
-    WorkersWithUnrecordedEnds_.erase(Id);
-  }
-  Dispatcher_.handlePollReply(Id, Reply.value(), SentAt, now());
+  const bool IsCurrent =
+      Dispatcher_.handlePollReply(Id, Reply.value(), SentAt, now());
   Recorder_.recordWorkers(Dispatcher_.takeUnrecordedWorkers());
-  for (const EndedTask &Ended : Reply.value().Ended_)
-    State.LastListedEnd_ =
-        std::max(State.LastListedEnd_, Ended.SequenceNumber_);
   if (Dispatcher_.fenced())
     return loseLeadership();
   Recorder_.collectChanges();
-  if (State.LastListedEnd_ > State.LastRecordedEnd_) {
-    WorkersWithUnrecordedEnds_.insert(Id);
-    const std::int64_t LastListedEnd = State.LastListedEnd_;
-    const std::int64_t WorkerStart = State.WorkerStart_;
-    Recorder_.whenRecorded(
-        [Self = shared_from_this(), Id, LastListedEnd, WorkerStart] {
-          PollState &CurrentState = Self->PollStates_[Id];
-          if (CurrentState.WorkerStart_ != WorkerStart ||
-              LastListedEnd <= CurrentState.LastRecordedEnd_)
-            return;
-          CurrentState.LastRecordedEnd_ = LastListedEnd;
-          if (CurrentState.LastListedEnd_ == LastListedEnd)
-            Self->WorkersWithUnrecordedEnds_.erase(Id);
-          Self->pollWorker(Id, false);
-        });
-  }
+  if (IsCurrent)
+    recordEnds(Id, Reply.value());
   scheduleDecision();
   if (Probe || State.LongPollOpen_)
     return;
@@ -480,6 +457,36 @@
     pollWorker(Id, false);
 }
 
+void Leader::recordEnds(const std::string &Id, const PollReply &Reply) {
+  PollState &State = PollStates_[Id];
+  const bool Accepted = Reply.Outcome_ == OrderOutcome::Done;
+  if (Accepted && State.WorkerStart_ != Reply.ProcessStart_) {
+    State.WorkerStart_ = Reply.ProcessStart_;
+    State.LastListedEnd_ = 0;
+    State.LastRecordedEnd_ = 0;
+    WorkersWithUnrecordedEnds_.erase(Id);
+  }
+  for (const EndedTask &Ended : Reply.Ended_)
+    State.LastListedEnd_ =
+        std::max(State.LastListedEnd_, Ended.SequenceNumber_);
+  if (State.LastListedEnd_ <= State.LastRecordedEnd_)
+    return;
+  WorkersWithUnrecordedEnds_.insert(Id);
+  const std::int64_t LastListedEnd = State.LastListedEnd_;
+  const std::int64_t WorkerStart = State.WorkerStart_;
+  Recorder_.whenRecorded(
+      [Self = shared_from_this(), Id, LastListedEnd, WorkerStart] {
+        PollState &CurrentState = Self->PollStates_[Id];
+        if (CurrentState.WorkerStart_ != WorkerStart ||
+            LastListedEnd <= CurrentState.LastRecordedEnd_)
+          return;
+        CurrentState.LastRecordedEnd_ = LastListedEnd;
+        if (CurrentState.LastListedEnd_ == LastListedEnd)
+          Self->WorkersWithUnrecordedEnds_.erase(Id);
+        Self->pollWorker(Id, false);
+      });
+}
+
 void Leader::scheduleDecision() {
   if (DecisionScheduled_ || Stopped_)
     return;
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -131,6 +131,8 @@
   void pollWorker(const std::string &Worker, bool Probe);
   void handlePollReply(const std::string &Worker, bool Probe, Millis SentAt,
                        const Result<PollReply> &Reply);
+  /// Records the ends that a worker lists, and lets it forget them then.
+  void recordEnds(const std::string &Worker, const PollReply &Reply);
   void schedulePoll(const std::string &Worker, Millis Delay);
   void scheduleDecision();
   void decide();
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -208,8 +208,9 @@
   /// Workers removed since the last call, whose stored rows can be deleted.
   std::vector<std::string> takeForgottenWorkers();
   /// Applies a poll reply, which lists the running and ended tasks of a worker.
-  /// SentAt is when the poll was sent.
-  void handlePollReply(const std::string &Worker, const PollReply &Reply,
+  /// SentAt is when the poll was sent. False if the reply is out of date and
+  /// its ends are not those of the worker's process.
+  bool handlePollReply(const std::string &Worker, const PollReply &Reply,
                        Millis SentAt, Millis Now);
   /// Marks a worker unreachable after a failed call.
   void handlePollFailure(const std::string &Worker, const Error &Failure,
@@ -314,6 +315,7 @@
   dropCrashedRuns(Worker &W, const std::string &Cause,
                   const std::function<bool(const TaskRef &, const Run &)> &Keep,
                   Millis Now);
+  bool handleOvertakenReply(Worker &W, const PollReply &Reply, Millis Now);
   void handleRestart(Worker &W, const PollReply &Reply, Millis SentAt,
                      Millis Now);
   std::vector<StartingRun> startingRuns(const Worker &W) const;
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -25,14 +25,16 @@
   const auto WorkerEntry = Workers_.find(Id);
   const bool WrongWorker =
       Reply && Reply.value().Outcome_ == OrderOutcome::WrongWorker;
-  if (WorkerEntry != Workers_.end() && Reply && !WrongWorker)
-    updateClock(WorkerEntry->second, Reply.value().Clock_, Now);
   TaskState *Task = task(Order.Task_);
   if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Order_.Attempt_ ||
       Task->Run_->Worker_ != Id)
     return;
   JobRun &Job = *job(Order.Task_.Job_);
   Run &Attempt = *Task->Run_;
+  // An earlier process of the worker may have sent the reply.
+  if (WorkerEntry != Workers_.end() && Reply && !WrongWorker &&
+      Attempt.OrderedAt_ >= WorkerEntry->second.LatestPoll_.ProcessKnownSince_)
+    updateClock(WorkerEntry->second, Reply.value().Clock_, Now);
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Order.Task_.Step_)];
   if (Reply && Reply.value().Outcome_ == OrderOutcome::Done) {
@@ -106,7 +108,11 @@
   // whether the run has ended, even if the stop order was repeated since.
   Run &Attempt = *Task->Run_;
   if (Reply.value().Outcome_ == OrderOutcome::Done) {
-    if (Attempt.StopConfirmedAt_ == Millis{})
+    // The confirmation of an earlier process does not bind the new one.
+    const bool IsOfKnownProcess =
+        Attempt.StopSentAt_ >=
+        Workers_[Attempt.Worker_].LatestPoll_.ProcessKnownSince_;
+    if (IsOfKnownProcess && Attempt.StopConfirmedAt_ == Millis{})
       Attempt.StopConfirmedAt_ = Now;
   } else
     log(Ref.value().Job_, Order.Task_, Order.Target_.Worker_,
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -209,6 +209,7 @@
   forgetUnseenRuns(W);
   W.Reachability_ = Reachability::Unknown;
   W.MovedAt_ = Now;
+  W.LatestPoll_ = LatestPoll{};
   W.WorkerClock_ = Millis{};
   W.LeaseExpiry_ = Millis{};
   W.UnreachableSince_ = Millis{};
@@ -264,27 +265,47 @@
   }
 }
 
-void Dispatcher::handlePollReply(const std::string &Id, const PollReply &Reply,
+// The tasks that it lists as running may have ended since, but an end stands
+// whenever it is told.
+bool Dispatcher::handleOvertakenReply(Worker &W, const PollReply &Reply,
+                                      Millis Now) {
+  log("", "look at worker", W.Info_.Id_,
+      "reply overtaken by a later one, clock_ms=" +
+          std::to_string(Reply.Clock_.Value_) + " latest_clock_ms=" +
+          std::to_string(W.LatestPoll_.WorkerClock_.Value_));
+  if (Reply.Outcome_ != OrderOutcome::Done ||
+      Reply.ProcessStart_ != W.ProcessStart_)
+    return false;
+  for (const EndedTask &End : Reply.Ended_)
+    handleEnd(W, End, Now);
+  return true;
+}
+
+bool Dispatcher::handlePollReply(const std::string &Id, const PollReply &Reply,
                                  Millis SentAt, Millis Now) {
   const auto WorkerEntry = Workers_.find(Id);
   if (WorkerEntry == Workers_.end())
-    return;
+    return false;
   Worker &W = WorkerEntry->second;
   if (Reply.Outcome_ == OrderOutcome::Fenced) {
     Fenced_ = true;
-    return;
+    return true;
   }
   // The poll went to an address that the worker has left.
   if (SentAt < W.MovedAt_)
-    return;
-  if (Reply.Outcome_ == OrderOutcome::WrongWorker)
-    return handleReplacement(W, SentAt, Now);
+    return false;
+  if (isOvertaken(W, Reply, SentAt))
+    return handleOvertakenReply(W, Reply, Now);
+  if (Reply.Outcome_ == OrderOutcome::WrongWorker) {
+    handleReplacement(W, SentAt, Now);
+    return true;
+  }
   if (Reply.Outcome_ != OrderOutcome::Done) {
     handlePollFailure(Id,
                       Error{Reason::StartFailed, Effect::None, "look at worker",
                             Id, "worker refused the poll"},
                       Now);
-    return;
+    return true;
   }
   const bool Restarted =
       W.ProcessStart_ != 0 && Reply.ProcessStart_ != W.ProcessStart_;
@@ -293,7 +314,11 @@
     handleRestart(W, Reply, SentAt, Now);
     W.LastEnd_ = 0;
   }
+  if (Restarted || W.LatestPoll_.ReceivedAt_ == Millis{})
+    W.LatestPoll_.ProcessKnownSince_ = Now;
   W.ProcessStart_ = Reply.ProcessStart_;
+  W.LatestPoll_.WorkerClock_ = Reply.Clock_;
+  W.LatestPoll_.ReceivedAt_ = Now;
   if (W.Reachability_ != Reachability::Reachable)
     log("", "look at worker", Id,
         "reachable, running=" + std::to_string(Reply.Running_.size()));
@@ -324,6 +349,7 @@
     setLeaseRow(W, LeaseRow::Open);
   if (W.Fillers_ > 0)
     WorkersToPace_.insert(Id);
+  return true;
 }
 
 } // namespace damaskglade::dispatch
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -27,6 +27,17 @@
 
 } // namespace
 
+// A poll that was sent after a reply had arrived is answered after it.
+// Otherwise only the clock of the same process tells which reply is newer.
+bool isOvertaken(const Worker &W, const PollReply &Reply, Millis SentAt) {
+  const LatestPoll &Latest = W.LatestPoll_;
+  if (Reply.Outcome_ != OrderOutcome::Done)
+    return SentAt < Latest.ReceivedAt_;
+  if (Reply.ProcessStart_ != W.ProcessStart_)
+    return SentAt < Latest.ProcessKnownSince_;
+  return SentAt < Latest.ReceivedAt_ && Reply.Clock_ <= Latest.WorkerClock_;
+}
+
 bool isSuspect(const Worker &W, Millis Now) {
   return W.Health_.FailuresInRow_ > 0 &&
          Now < W.Health_.LastFailureAt_ + SuspectDuration;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -2,6 +2,7 @@
 #define DAMASKGLADE_DISPATCH_FLEET_H
 
 #include "dispatch/job.h"
+#include "ports/task_worker.h"
 
 #include <optional>
 #include <set>
@@ -89,6 +90,15 @@
                          const UnexpectedRun &) = default;
 };
 
+/// The newest poll reply of a worker.
+struct LatestPoll {
+  Millis ProcessKnownSince_{}; ///< First reply of the process that sent it.
+  Millis WorkerClock_{};       ///< When the worker wrote it, on its own clock.
+  Millis ReceivedAt_{};
+
+  friend bool operator==(const LatestPoll &, const LatestPoll &) = default;
+};
+
 /// The leader's state of one worker.
 struct Worker {
   WorkerInfo Info_;
@@ -103,6 +113,7 @@
   Reachability Reachability_ = Reachability::Unknown;
   /// Start time of the worker process, Unix milliseconds; changes on a restart.
   std::int64_t ProcessStart_ = 0;
+  LatestPoll LatestPoll_;
   /// Largest capacity reported so far; a worker may shrink and grow again.
   Size LargestCapacity_;
   Size Used_; ///< Resources reserved by runs, unexpected ones included.
@@ -143,6 +154,11 @@
   Millis PaceChangedAt_{}; ///< When FillerPercent_ last changed.
 };
 
+/// Whether a reply to a poll is older than the newest one, or may be. Replies
+/// on different connections overtake each other. SentAt is when the poll was
+/// sent.
+bool isOvertaken(const Worker &W, const PollReply &Reply, Millis SentAt);
+
 /// Capacity that no run has reserved. Fillers reserve memory and accelerators
 /// but no processors.
 inline Size freeCapacity(const Worker &W) {
--- /dev/null
+++ b/tests/dispatch/poll_reply_test.cpp
@@ -0,0 +1,202 @@
+#include "tests/dispatch/fixture.h"
+
+using namespace damaskglade;
+using namespace damaskglade::dispatch;
+using namespace damaskglade::dispatch::testing;
+
+namespace {
+
+/// The reply of a worker that runs the given tasks, written at this moment of
+/// the leader's clock.
+PollReply makeReply(Millis WrittenAt, std::vector<RunningEntry> Running = {},
+                    std::int64_t ProcessStart = 1) {
+  PollReply Reply;
+  Reply.Clock_ = WrittenAt + Millis{50000};
+  Reply.ProcessStart_ = ProcessStart;
+  Reply.Running_ = std::move(Running);
+  return Reply;
+}
+
+/// Orders the only waiting task; the worker does not answer the order.
+StartAction startUnanswered(DispatcherFixture &Fixture) {
+  constexpr Millis OrderTimeout{250};
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  Fixture.advance(OrderTimeout);
+  Fixture.Dispatcher_.handleStartReply(
+      Pass.Starts_.front(), startError(Effect::Unknown), Fixture.Now_);
+  return Pass.Starts_.front();
+}
+
+RunningEntry entryOf(const StartAction &Start) {
+  return RunningEntry{Start.Order_.Task_, Start.Order_.Attempt_, "", 5, 0};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OvertakenReplies)
+
+// Guards against a task that runs twice: a worker carries out a start order
+// late, and the reply to a poll from before arrives after one that lists the
+// run.
+BOOST_AUTO_TEST_CASE(OvertakenReplyEndsNoRun) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  Fixture.advance(Millis{1});
+  const Millis LongPollSentAt = Fixture.Now_;
+  Fixture.advance(Millis{1});
+  const StartAction Start = startUnanswered(Fixture);
+  const Millis ProbeSentAt = Fixture.Now_;
+  Fixture.advance(Millis{150});
+  BOOST_TEST(Fixture.Dispatcher_.handlePollReply(
+      "w1", makeReply(Fixture.Now_, {entryOf(Start)}), LongPollSentAt,
+      Fixture.Now_));
+  Fixture.advance(Millis{150});
+  Fixture.Dispatcher_.handlePollReply("w1", makeReply(ProbeSentAt), ProbeSentAt,
+                                      Fixture.Now_);
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST(Pass.Starts_.empty());
+  BOOST_TEST(Pass.Stops_.empty());
+  BOOST_TEST(Fixture.Dispatcher_.hasRuns(Start.Task_.Job_));
+}
+
+// Guards against the same if both replies were written in one millisecond.
+BOOST_AUTO_TEST_CASE(OverlappingReplyOfTheSameMomentEndsNoRun) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Millis LongPollSentAt = Fixture.Now_;
+  Fixture.advance(Millis{1});
+  const StartAction Start = startUnanswered(Fixture);
+  const Millis WrittenAt = Fixture.Now_ + Millis{1};
+  Fixture.advance(Millis{2});
+  Fixture.Dispatcher_.handlePollReply("w1",
+                                      makeReply(WrittenAt, {entryOf(Start)}),
+                                      LongPollSentAt, Fixture.Now_);
+  Fixture.Dispatcher_.handlePollReply("w1", makeReply(WrittenAt),
+                                      WrittenAt - Millis{1}, Fixture.Now_);
+  BOOST_TEST(Fixture.Dispatcher_.decide(Fixture.Now_).Starts_.empty());
+  BOOST_TEST(Fixture.Dispatcher_.hasRuns(Start.Task_.Job_));
+}
+
+// Guards against a run that has ended without a trace and keeps its capacity:
+// a poll that was sent after a reply had arrived is newer whatever its clock
+// says.
+BOOST_AUTO_TEST_CASE(ReplyToALaterPollIsNotOvertaken) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  BOOST_TEST_REQUIRE(Fixture.decideAndExecute().Starts_.size() == 1U);
+  Fixture.advance(Millis{5});
+  BOOST_TEST(Fixture.Dispatcher_.handlePollReply(
+      "w1", makeReply(Millis{-50000}), Fixture.Now_, Fixture.Now_));
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against an end that is lost because two replies were written in the
+// same millisecond.
+BOOST_AUTO_TEST_CASE(EndInAnOverlappingReplyCounts) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 1000)});
+  Fixture.submit(Job);
+  const Actions Pass = Fixture.decideAndExecute();
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  const Millis SentAt = Fixture.Now_;
+  Fixture.advance(Millis{5});
+  PollReply Reply = makeReply(Fixture.Now_, {entryOf(Pass.Starts_.front())});
+  Fixture.Dispatcher_.handlePollReply("w1", Reply, SentAt, Fixture.Now_);
+  Reply.Running_.clear();
+  Reply.Ended_.push_back(
+      EndedTask{1, taskNameOf(Job, 0, 0), 1, TaskEnd::Done, ""});
+  BOOST_TEST(
+      Fixture.Dispatcher_.handlePollReply("w1", Reply, SentAt, Fixture.Now_));
+  BOOST_TEST(
+      (Fixture.Dispatcher_.findJob(Job.Id_)->State_ == JobState::Complete));
+}
+
+// Guards against ends that the new process of a worker forgets before they are
+// recorded: a late reply of the process before counted as a restart, and the
+// number of its last end was acknowledged to the new one.
+BOOST_AUTO_TEST_CASE(ReplyOfAnEarlierProcessIsIgnored) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const Millis SentAt = Fixture.Now_;
+  const PollReply LateReply = makeReply(SentAt);
+  Fixture.advance(Millis{5});
+  Fixture.pollWorker("w1", {}, 2);
+  const Worker Before = *Fixture.Dispatcher_.findWorker("w1");
+  Fixture.advance(Millis{5});
+  BOOST_TEST(!Fixture.Dispatcher_.handlePollReply("w1", LateReply, SentAt,
+                                                  Fixture.Now_));
+  const Worker &After = *Fixture.Dispatcher_.findWorker("w1");
+  BOOST_TEST(After.ProcessStart_ == 2);
+  BOOST_TEST((After.WorkerClock_ == Before.WorkerClock_));
+  BOOST_TEST((After.LeaseExpiry_ == Before.LeaseExpiry_));
+}
+
+// Guards against a task that runs twice: another worker had its address for a
+// moment, and its rejection arrives after a reply that lists the run.
+BOOST_AUTO_TEST_CASE(OvertakenRejectionEndsNoRun) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1"), makeWorker("w2")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Actions Pass = Fixture.decideAndExecute();
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  Fixture.advance(Millis{1});
+  const Millis SentAt = Fixture.Now_;
+  Fixture.advance(Millis{5});
+  const std::string &Worker = Pass.Starts_.front().Target_.Worker_;
+  Fixture.pollWorker(Worker);
+  PollReply Rejection;
+  Rejection.Outcome_ = OrderOutcome::WrongWorker;
+  BOOST_TEST(!Fixture.Dispatcher_.handlePollReply(Worker, Rejection, SentAt,
+                                                  Fixture.Now_));
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+}
+
+// Guards against leases that last longer than counted: the clock of a worker
+// was taken from the reply of its process before.
+BOOST_AUTO_TEST_CASE(LateReplyToAnOrderDoesNotSetTheClockOfANewProcess) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  Fixture.advance(Millis{5});
+  PollReply Restarted;
+  Restarted.Clock_ = Millis{3};
+  Restarted.ProcessStart_ = 2;
+  Fixture.Dispatcher_.handlePollReply("w1", Restarted, Fixture.Now_,
+                                      Fixture.Now_);
+  Fixture.advance(Millis{5});
+  Fixture.Dispatcher_.handleStartReply(
+      Pass.Starts_.front(),
+      OrderReply{OrderOutcome::Done, Fixture.Now_ + Millis{50000}},
+      Fixture.Now_);
+  BOOST_TEST((Fixture.Dispatcher_.findWorker("w1")->WorkerClock_ == Millis{3}));
+}
+
+// Guards against a start order that the new process of a worker carries out
+// although the process before has confirmed the stop.
+BOOST_AUTO_TEST_CASE(LateConfirmationOfAStopDoesNotBindANewProcess) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  startUnanswered(Fixture);
+  Fixture.pollWorker("w1");
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Stops_.size() == 1U);
+  Fixture.advance(Millis{5});
+  Fixture.pollWorker("w1", {}, 2);
+  Fixture.advance(Millis{5});
+  Fixture.Dispatcher_.handleStopReply(
+      Pass.Stops_.front(), OrderReply{OrderOutcome::Done, Fixture.Now_},
+      Fixture.Now_);
+  Fixture.advance(Millis{5});
+  Fixture.pollWorker("w1", {}, 2);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
