dispatch: Start no task while a worker stops a run of it

The leader had given up a run, then saw the worker list it and told the worker to stop it, and started the task on another worker 5 ms later.

Cause: a run that is not assigned to its worker reserves capacity there, but did not keep its task from starting.

Change: a task counts the runs of it that workers list although they are not assigned. It does not start while there are any, and the next leader is not told that it runs nowhere. The count ends with the run, with the process of the worker or with its leases.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -299,6 +299,11 @@
   /// Whether an attempt of an earlier leader may run the task on a worker that
   /// was not polled yet.
   bool mayRunUnseen(const JobRun &Job, const TaskState &Task) const;
+  /// Whether the task may be running although it has no run, so that it must
+  /// not start.
+  bool mayBeRunning(const JobRun &Job, const TaskState &Task) const {
+    return Task.UnexpectedRuns_ > 0 || mayRunUnseen(Job, Task);
+  }
 
   void addRun(TaskState &Task, const TaskRef &Ref, const StepSpec &Step,
               Run Attempt);
@@ -380,6 +385,8 @@
   void removeMissingRuns(Worker &W, const PollReply &Reply, Millis SentAt,
                          Millis Now);
   void stopUnexpectedRun(Worker &W, const RunningEntry &Entry, Millis Now);
+  /// Called when the run has ended.
+  void releaseUnexpectedRun(Worker &W, const UnexpectedRun &Ended);
   void markDone(JobRun &Job, const TaskRef &Ref, Millis Now);
   /// The task on which failed and crashed attempts of the given one count.
   static TaskState &attemptCounter(JobRun &Job, const TaskRef &Ref);
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -117,7 +117,7 @@
     bool Continues = false;
     for (int Index = 0; Index < static_cast<int>(Tasks.size()); ++Index) {
       const TaskState &Task = Tasks[static_cast<std::size_t>(Index)];
-      const bool Waits = !Task.Done_ && !Task.Run_ && !mayRunUnseen(Job, Task);
+      const bool Waits = !Task.Done_ && !Task.Run_ && !mayBeRunning(Job, Task);
       if (Waits && Continues)
         Ranges.back().Last_ = Index;
       else if (Waits && Ranges.size() < MaxRanges)
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -89,6 +89,8 @@
       // worker.
       NewRun.Reserved_ = positivePart(freeCapacity(W));
     W.Used_ = W.Used_ + NewRun.Reserved_;
+    if (TaskState *Task = Ref ? task(Ref.value()) : nullptr)
+      ++Task->UnexpectedRuns_;
     log(Entry.Task_.substr(0, Entry.Task_.find('.')), Entry.Task_, W.Info_.Id_,
         "stopping attempt " + std::to_string(Entry.Attempt_) +
             " that is not assigned to this worker");
@@ -102,6 +104,15 @@
       StopAction{target(W), Entry.Task_, Entry.Attempt_, "foreign"});
 }
 
+void Dispatcher::releaseUnexpectedRun(Worker &W, const UnexpectedRun &Ended) {
+  W.Used_ = W.Used_ - Ended.Reserved_;
+  const auto Ref = parseTaskName(Ended.Task_);
+  TaskState *Task = Ref ? task(Ref.value()) : nullptr;
+  // A job that was removed and added again has no count of its earlier runs.
+  if (Task && Task->UnexpectedRuns_ > 0)
+    --Task->UnexpectedRuns_;
+}
+
 // Removes runs that are missing from a poll reply. A run whose start or stop
 // was confirmed before the poll was sent has ended: the worker would list it.
 // No result is applied. A run whose start order got no reply is stopped first,
@@ -123,7 +134,7 @@
       ++UnexpectedEntry;
       continue;
     }
-    W.Used_ = W.Used_ - UnexpectedEntry->Reserved_;
+    releaseUnexpectedRun(W, *UnexpectedEntry);
     UnexpectedEntry = W.UnexpectedRuns_.erase(UnexpectedEntry);
   }
   for (auto NextTask = W.Tasks_.begin(); NextTask != W.Tasks_.end();) {
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -301,7 +301,7 @@
     TaskState &Task = State.Tasks_[Index];
     if (Task.Done_ || Task.Run_)
       continue;
-    if (Task.RetryAt_ > Now || mayRunUnseen(*Ranked.Job_, Task)) {
+    if (Task.RetryAt_ > Now || mayBeRunning(*Ranked.Job_, Task)) {
       AllCombinationsChecked = false;
       continue;
     }
@@ -388,7 +388,7 @@
   std::int64_t Attempt = (Epoch_ - 1) * AttemptsPerEpoch + 1;
   std::string Checkpoint;
   for (const TaskState &Task : State.Tasks_) {
-    if (Task.RetryAt_ > Now || mayRunUnseen(*Ranked.Job_, Task))
+    if (Task.RetryAt_ > Now || mayBeRunning(*Ranked.Job_, Task))
       return false;
     Attempt = std::max(Attempt, Task.LastAttempt_ + 1);
     if (!Task.Checkpoint_.empty())
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -117,6 +117,8 @@
       continue;
     }
     forgetUnseenRuns(WorkerEntry->second);
+    for (const UnexpectedRun &UnexpectedEntry : W.UnexpectedRuns_)
+      releaseUnexpectedRun(WorkerEntry->second, UnexpectedEntry);
     RemovedWorkers_.push_back(WorkerEntry->first);
     WorkersByIndex_[static_cast<std::size_t>(W.Index_)] = nullptr;
     WorkersById_.erase(positionById(WorkerEntry->first));
@@ -173,9 +175,9 @@
     if (Step.Gang_)
       stopStepRuns(*Job, Ref.Step_, "gang member lost", Now);
   }
-  for (const UnexpectedRun &UnexpectedEntry : W.UnexpectedRuns_)
-    W.Used_ = W.Used_ - UnexpectedEntry.Reserved_;
-  W.UnexpectedRuns_.clear();
+  for (const UnexpectedRun &UnexpectedEntry :
+       std::exchange(W.UnexpectedRuns_, {}))
+    releaseUnexpectedRun(W, UnexpectedEntry);
 }
 
 // Drops the runs that ended with the previous worker process. The new process
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -59,6 +59,7 @@
   bool Located_ = false;
   /// Workers not reached yet on which an earlier leader has left it running.
   int UnseenRuns_ = 0;
+  int UnexpectedRuns_ = 0; ///< Its entries in Worker::UnexpectedRuns_.
 };
 
 /// The state of a step and of its tasks.
--- a/tests/dispatch/poll_reply_test.cpp
+++ b/tests/dispatch/poll_reply_test.cpp
@@ -156,6 +156,48 @@
   BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
 }
 
+// Guards against a task that runs twice: the worker still runs an attempt that
+// the leader has given up, and is being told to stop it.
+BOOST_AUTO_TEST_CASE(TaskWaitsForItsRunThatIsBeingStopped) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1"), makeWorker("w2")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Actions First = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(First.Starts_.size() == 1U);
+  const StartAction &Start = First.Starts_.front();
+  const std::string &Worker = Start.Target_.Worker_;
+  Fixture.Dispatcher_.handleStartReply(Start, startError(Effect::None),
+                                       Fixture.Now_);
+  Fixture.RunningTasks_[Worker][Start.Order_.Task_] = entryOf(Start);
+  Fixture.pollWorker(Worker);
+  Fixture.advance(Millis{100});
+  const Actions WhileItRuns = Fixture.decideAndExecute();
+  BOOST_TEST(WhileItRuns.Starts_.empty());
+  BOOST_TEST(WhileItRuns.Stops_.size() == 1U);
+  Fixture.RunningTasks_[Worker].clear();
+  Fixture.pollWorker(Worker);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// The same for a worker that is lost before the run has ended.
+BOOST_AUTO_TEST_CASE(TaskDoesNotWaitForARunOnAWorkerThatHasLeft) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 1000)});
+  Fixture.submit(Job);
+  const StartAction Start =
+      Fixture.Dispatcher_.decide(Fixture.Now_).Starts_.front();
+  Fixture.Dispatcher_.handleStartReply(Start, startError(Effect::None),
+                                       Fixture.Now_);
+  Fixture.RunningTasks_["w1"][Start.Order_.Task_] = entryOf(Start);
+  Fixture.pollWorker("w1");
+  Fixture.addWorkers({makeWorker("w2")});
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.rejectPoll("w1");
+  Fixture.advance(Millis{100});
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
 // Guards against leases that last longer than counted: the clock of a worker
 // was taken from the reply of its process before.
 BOOST_AUTO_TEST_CASE(LateReplyToAnOrderDoesNotSetTheClockOfANewProcess) {
