dispatch: End no run by an incomplete list of ends

Cause: a worker lists at most 500 ends at a time, the rest once the first are acknowledged, which takes the store. A run that a reply did not list counted as lost. A new leader concluded the same of tasks that had ended under the leader before.

Change: a reply with 500 ends ends no run that it does not list, also after a restart of the worker. A new leader starts no restored task that it has not found while a worker has not listed all its ends, and keeps the row of that worker open, or closes it without naming its runs. The simulated workers of the cell tests and of the soak list 500 ends at a time, as real ones do.

--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -150,6 +150,7 @@
     if (TaskState *Task = task(Ref); Task && Task->UnseenRuns_ > 0)
       --Task->UnseenRuns_;
   W.UnseenRunsKnown_ = false;
+  W.HasUnseenEnds_ = false;
 }
 
 std::vector<WorkerInfo> Dispatcher::takeUnrecordedWorkers() {
@@ -176,7 +177,8 @@
 
 LeaseRow Dispatcher::wantedLeaseRow(const Worker &W, Millis MinSilence,
                                     Millis Now) {
-  const bool HasRuns = !W.Tasks_.empty() || !W.UnexpectedRuns_.empty();
+  const bool HasRuns =
+      !W.Tasks_.empty() || !W.UnexpectedRuns_.empty() || W.HasUnseenEnds_;
   const bool IsSilent =
       W.UnreachableSince_ > Millis{} && Now >= W.UnreachableSince_ + MinSilence;
   switch (W.Reachability_) {
@@ -226,8 +228,9 @@
     return Closing;
   ClosedLeases Leases;
   Leases.Expiry_ = W->LeaseExpiry_;
-  // This leader knows all runs of a worker that it has reached.
-  const bool WasReached = W->Reachability_ == Reachability::Unreachable;
+  // This leader knows all runs of a worker that has listed its ends.
+  const bool WasReached =
+      W->Reachability_ == Reachability::Unreachable && !W->HasUnseenEnds_;
   Leases.RunsKnown_ = WasReached || W->UnseenRunsKnown_;
   for (const TaskRef &Ref : W->Tasks_)
     Leases.Runs_.push_back(taskName(Ref));
@@ -271,6 +274,10 @@
   int UnseenWorkers = 0;
   for (Worker *Entry : WorkersById_) {
     Worker &W = *Entry;
+    if (W.HasUnseenEnds_) {
+      AnyTaskMayRunUnseen_ = AnyTaskMayRunUnseen_ || !W.UnseenRunsKnown_;
+      ++UnseenWorkers;
+    }
     const bool IsUnknown = W.Reachability_ == Reachability::Unknown;
     if (!IsUnknown && W.Reachability_ != Reachability::Unreachable)
       continue;
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -114,11 +114,14 @@
 }
 
 // Removes runs that are missing from a poll reply. A run whose start or stop
-// was confirmed before the poll was sent has ended: the worker would list it.
-// No result is applied. A run whose start order got no reply is stopped first,
-// as the order may still be carried out.
+// was confirmed before the poll was sent has ended: the worker would list it,
+// unless it lists only a part of the ends. No result is applied. A run whose
+// start order got no reply is stopped first, as the order may still be carried
+// out.
 void Dispatcher::removeMissingRuns(Worker &W, const PollReply &Reply,
                                    Millis SentAt, Millis Now) {
+  if (!listsAllEnds(Reply))
+    return;
   std::vector<std::pair<std::string_view, std::int64_t>> ReportedRuns;
   ReportedRuns.reserve(Reply.Running_.size());
   for (const RunningEntry &Entry : Reply.Running_)
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -194,7 +194,8 @@
       W, "restart",
       [&](const TaskRef &Ref, const Run &Attempt) {
         const bool StartConfirmed = Attempt.StartedAt_ > Millis{};
-        return !StartConfirmed || Attempt.StartedAt_ >= SentAt ||
+        return !listsAllEnds(Reply) || !StartConfirmed ||
+               Attempt.StartedAt_ >= SentAt ||
                ReportedAttempts.count({taskName(Ref), Attempt.Attempt_}) > 0;
       },
       Now);
@@ -326,8 +327,10 @@
         "reachable, running=" + std::to_string(Reply.Running_.size()));
   // The first poll makes the worker reject orders of earlier leaders, so leases
   // granted by them no longer matter.
-  if (W.Reachability_ == Reachability::Unknown)
+  if (W.Reachability_ == Reachability::Unknown) {
     W.LeaseExpiry_ = Millis{};
+    W.HasUnseenEnds_ = true;
+  }
   // Until its first poll, an earlier leader may have granted leases.
   if (W.Reachability_ != Reachability::Reachable)
     countLease(W, Now);
@@ -337,7 +340,8 @@
     W.LeaseExpiry_ =
         std::max(W.LeaseExpiry_,
                  leaseExpiry(Now + (Limits_.MaxLease_ - Limits_.Lease_)));
-  forgetUnseenRuns(W);
+  if (listsAllEnds(Reply))
+    forgetUnseenRuns(W);
   W.Reachability_ = Reachability::Reachable;
   W.UnreachableSince_ = Millis{};
   updateClock(W, Reply.Clock_, Now);
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -135,6 +135,9 @@
   /// reached. Meaningful if its row was closed with known runs.
   std::vector<TaskRef> UnseenRuns_;
   bool UnseenRunsKnown_ = false;
+  /// Reached by this leader, but tasks that an earlier one has started may have
+  /// ended here unlisted: no reply has listed all ends yet.
+  bool HasUnseenEnds_ = false;
   int Fillers_ = 0;     ///< Number of filler runs (StepSpec::Filler_).
   int ServingRuns_ = 0; ///< Number of runs with a latency target.
   Millis MovedAt_{};    ///< When the registry gave another address for it.
--- a/ports/task_worker.h
+++ b/ports/task_worker.h
@@ -99,6 +99,15 @@
   friend bool operator==(const PollReply &, const PollReply &) = default;
 };
 
+/// Workers list at most this many ended tasks in a reply, the earliest first.
+inline constexpr std::size_t MaxListedEnds = 500;
+
+/// Whether the reply lists all tasks that have ended. If not, a task that it
+/// does not list may have ended.
+inline bool listsAllEnds(const PollReply &Reply) {
+  return Reply.Ended_.size() < MaxListedEnds;
+}
+
 using OrderHandler = std::function<void(Result<OrderReply>)>;
 
 /// Client for orders and status polls to workers. An order that gets no reply
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -306,7 +306,10 @@
       static_cast<int>(Loop_.monotonic().Value_ / Hundred % Hundred);
   for (const auto &[Task, Attempt] : Worker.Running_)
     Reply.Running_.push_back(RunningEntry{Task, Attempt, "", Percent, 0});
-  Reply.Ended_ = Worker.Ended_;
+  Reply.Ended_.assign(Worker.Ended_.begin(),
+                      Worker.Ended_.begin() +
+                          static_cast<std::ptrdiff_t>(
+                              std::min(Worker.Ended_.size(), MaxListedEnds)));
   Poll->Done_(std::move(Reply));
 }
 
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -314,4 +314,39 @@
              Row.Version_);
 }
 
+// Guards against tasks that run twice: while the store is down, more tasks end
+// on a worker than it lists at a time. The leader that started them has to wait
+// for the whole list, and so has a new one.
+BOOST_AUTO_TEST_CASE(TasksThatEndUnlistedDoNotStartAgain) {
+  constexpr int Jobs = 20;
+  constexpr int TasksOfJob = 30;
+  constexpr std::size_t AllTasks = std::size_t{Jobs} * TasksOfJob;
+  for (const bool LeaderIsKilled : {false, true}) {
+    FakeCell Cell(3, 1);
+    FakeWorkerState &Worker = Cell.Fleet_.Workers_["w1"];
+    Worker.Info_.Capacity_ = dispatch::Size{400000, 100000, 0};
+    const std::string First = waitForLeader(Cell);
+    for (int Number = 1; Number <= Jobs; ++Number)
+      Cell.submit(First, jobId(Number), TasksOfJob, Millis{4000});
+    BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+        Millis{3500}, [&] { return Worker.Running_.size() == AllTasks; }));
+    for (const std::string &Name : Cell.nodes())
+      Cell.StoreState_.StoreModes_[Name] = StoreMode::Rejects;
+    BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+        Millis{5000}, [&] { return Worker.Running_.empty(); }));
+    BOOST_TEST(Worker.Ended_.size() > MaxListedEnds);
+    Cell.Loop_.run(Millis{500});
+    if (LeaderIsKilled)
+      Cell.killNode(First);
+    Cell.StoreState_.StoreModes_.clear();
+    BOOST_TEST(Cell.Loop_.runUntil(Millis{15000}, [&] {
+      return Cell.Fleet_.AcknowledgedTasks_.size() == AllTasks;
+    }));
+    Cell.Loop_.run(Millis{1000});
+    BOOST_TEST(Worker.Running_.empty());
+    for (const auto &[Task, Starts] : Cell.Fleet_.Starts_)
+      BOOST_TEST(Starts == 1, Task << " has started " << Starts << " times");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/poll_reply_test.cpp
+++ b/tests/dispatch/poll_reply_test.cpp
@@ -242,3 +242,139 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+constexpr int TaskCount = static_cast<int>(MaxListedEnds) + 20;
+
+/// Starts a job whose tasks are more than a worker lists ends at a time.
+JobSpec startManyTasks(DispatcherFixture &Fixture) {
+  Fixture.addWorkers({makeWorker("w1", 16000)});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(TaskCount, 20)});
+  Fixture.submit(Job);
+  std::size_t Started = 0;
+  for (int Pass = 0; Pass < TaskCount && Started < TaskCount; ++Pass)
+    Started += Fixture.decideAndExecute().Starts_.size();
+  BOOST_TEST_REQUIRE(Started == static_cast<std::size_t>(TaskCount));
+  return Job;
+}
+
+/// The successful ends of so many tasks of the job from the given one on.
+std::vector<EndedTask> endsOf(const JobSpec &Job, int First, int Count) {
+  std::vector<EndedTask> Ends;
+  for (int Index = First; Index < First + Count; ++Index)
+    Ends.push_back(
+        EndedTask{Index + 1, taskNameOf(Job, 0, Index), 1, TaskEnd::Done, ""});
+  return Ends;
+}
+
+/// The reply of a worker that lists the first ends of a job of the leader
+/// before, and runs nothing.
+PollReply makeIncompleteReply(Millis WrittenAt) {
+  PollReply Reply = makeReply(WrittenAt);
+  Reply.Ended_ =
+      endsOf(makeJob("2", "urgent", {}), 0, static_cast<int>(MaxListedEnds));
+  return Reply;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(IncompleteListsOfEnds)
+
+// Guards against tasks that run twice: they have ended while the store was
+// down, and the worker lists only the first of its ends.
+BOOST_AUTO_TEST_CASE(TaskWhoseEndIsNotListedDoesNotStartAgain) {
+  DispatcherFixture Fixture;
+  const JobSpec Job = startManyTasks(Fixture);
+  constexpr auto Listed = static_cast<int>(MaxListedEnds);
+  Fixture.advance(Millis{5});
+  PollReply Reply = makeReply(Fixture.Now_);
+  Reply.Ended_ = endsOf(Job, 0, Listed);
+  Fixture.Dispatcher_.handlePollReply("w1", Reply, Fixture.Now_, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.advance(Millis{5});
+  Reply = makeReply(Fixture.Now_);
+  Reply.Ended_ = endsOf(Job, Listed, TaskCount - Listed);
+  Fixture.Dispatcher_.handlePollReply("w1", Reply, Fixture.Now_, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  BOOST_TEST(
+      (Fixture.Dispatcher_.findJob(Job.Id_)->State_ == JobState::Complete));
+}
+
+// Guards against a task that is lost without an end and never starts again.
+BOOST_AUTO_TEST_CASE(TaskStartsAgainOnceAllEndsAreListed) {
+  DispatcherFixture Fixture;
+  const JobSpec Job = startManyTasks(Fixture);
+  constexpr auto Listed = static_cast<int>(MaxListedEnds);
+  Fixture.advance(Millis{5});
+  PollReply Reply = makeReply(Fixture.Now_);
+  Reply.Ended_ = endsOf(Job, 0, Listed);
+  Fixture.Dispatcher_.handlePollReply("w1", Reply, Fixture.Now_, Fixture.Now_);
+  Fixture.advance(Millis{5});
+  Fixture.Dispatcher_.handlePollReply("w1", makeReply(Fixture.Now_),
+                                      Fixture.Now_, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() ==
+             static_cast<std::size_t>(TaskCount - Listed));
+}
+
+// Guards against the same after a restart that the leader learns of from such
+// a list: the new process may have run and ended a task already.
+BOOST_AUTO_TEST_CASE(TaskMayHaveEndedUnlistedInANewProcess) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  BOOST_TEST_REQUIRE(Fixture.decideAndExecute().Starts_.size() == 1U);
+  Fixture.advance(Millis{5});
+  PollReply Reply = makeIncompleteReply(Fixture.Now_);
+  Reply.ProcessStart_ = 2;
+  Fixture.Dispatcher_.handlePollReply("w1", Reply, Fixture.Now_, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.advance(Millis{5});
+  Fixture.RunningTasks_["w1"].clear();
+  Fixture.pollWorker("w1", {}, 2);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against a new leader that starts tasks which have ended under the
+// leader before.
+BOOST_AUTO_TEST_CASE(RestoredTaskWaitsForTheWholeListOfEnds) {
+  DispatcherFixture Fixture(2);
+  Fixture.Dispatcher_.restoreJob(makeJob("1", "urgent", {makeStep(1, 1000)}),
+                                 JobProgress{}, Fixture.Now_);
+  Fixture.Dispatcher_.restoreWorker(makeWorker("w1"));
+  Fixture.Dispatcher_.finishRestore();
+  Fixture.Dispatcher_.setWorkers({makeWorker("w1")}, Fixture.Now_);
+  Fixture.advance(Millis{5});
+  Fixture.Dispatcher_.handlePollReply("w1", makeIncompleteReply(Fixture.Now_),
+                                      Fixture.Now_, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.advance(Millis{5});
+  Fixture.Dispatcher_.handlePollReply("w1", makeReply(Fixture.Now_),
+                                      Fixture.Now_, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against the next leader: without an open or closed row it would not
+// wait for the worker.
+BOOST_AUTO_TEST_CASE(RowOfAWorkerWithUnseenEndsNamesNoKnownRuns) {
+  DispatcherFixture Fixture(2);
+  WorkerInfo Draining = makeWorker("w1");
+  Draining.Draining_ = true;
+  Fixture.Dispatcher_.restoreWorker(Draining);
+  Fixture.Dispatcher_.finishRestore();
+  Fixture.Dispatcher_.setWorkers({Draining}, Fixture.Now_);
+  Fixture.advance(Millis{5});
+  Fixture.Dispatcher_.handlePollReply("w1", makeIncompleteReply(Fixture.Now_),
+                                      Fixture.Now_, Fixture.Now_);
+  Fixture.Dispatcher_.closeLeaseRows(Millis{}, Fixture.Now_);
+  BOOST_TEST(Fixture.Dispatcher_.takeWorkersToClose().empty());
+  Fixture.Dispatcher_.handlePollFailure("w1", startError(Effect::Unknown),
+                                        Fixture.Now_);
+  Fixture.Dispatcher_.closeLeaseRows(Millis{}, Fixture.Now_);
+  const auto Closing = Fixture.Dispatcher_.leaseClosing("w1");
+  BOOST_TEST_REQUIRE(Closing.has_value());
+  BOOST_TEST_REQUIRE(Closing->Leases_.has_value());
+  BOOST_TEST(!Closing->Leases_->RunsKnown_);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/worker_server.cpp
+++ b/tests/soak/worker_server.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/worker_server.h"
 
 #include "core/codec.h"
+#include "ports/task_worker.h"
 
 #include <algorithm>
 
@@ -230,6 +231,8 @@
     Out["running"].append(Row);
   }
   for (const End &Each : Ended_) {
+    if (Out["finished"].size() == MaxListedEnds)
+      break;
     Json::Value Row(Json::arrayValue);
     Row.append(Json::Int64(Each.Number_));
     Row.append(Each.Task_);
