drivers: Drop all idle connections that may be silent after a timeout

Cause: a call that timed out closed its own connection only. Each of 37 idle connections to a worker then cost a poll of 0.7 s, and the worker counted as unreachable meanwhile. The same pool serves the store, the other nodes and the advice service.

Change: a call that times out after it was sent closes the idle connections to its address on which nothing was received since it began. Connections that have answered meanwhile are kept, so a peer that is slow with one call costs no new connections. The error tells how long the connection had been idle. The relay of the tests can silence the open connections of a link.

--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -24,10 +24,25 @@
 
 class Connection;
 
-/// Idle connections by address and connection group.
-struct IdlePool {
-  std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>>
-      Idle_;
+using SteadyClock = std::chrono::steady_clock;
+
+/// Open connections that carry no call, by address and connection group.
+class IdlePool {
+public:
+  void add(std::shared_ptr<Connection> Idle);
+  /// The one that was used last; null if there is none.
+  std::shared_ptr<Connection> take(const std::string &Address,
+                                   const std::string &Group);
+  /// Closes the connections to the address on which nothing was received since
+  /// the given time.
+  void dropUnheard(const std::string &Address, SteadyClock::time_point Since);
+  void close();
+  bool isClosed() const { return Closed_; }
+
+private:
+  using Connections = std::vector<std::shared_ptr<Connection>>;
+
+  std::unordered_map<std::string, std::map<std::string, Connections>> Idle_;
   bool Closed_ = false;
 };
 
@@ -54,32 +69,29 @@
 /// process that was paused must not do what it was to do before.
 class SendLimit {
 public:
-  using Clock = std::chrono::steady_clock;
-
   explicit SendLimit(Millis Timeout)
-      : End_(Clock::now() +
+      : End_(SteadyClock::now() +
              std::chrono::milliseconds(Timeout.Value_ * MaxTimeouts)) {}
-  bool hasPassed() const { return Clock::now() > End_; }
+  bool hasPassed() const { return SteadyClock::now() > End_; }
 
 private:
   static constexpr std::int64_t MaxTimeouts = 4;
-  Clock::time_point End_;
+  SteadyClock::time_point End_;
 };
 
 /// Ends calls at their deadlines with a single timer. A timer per call would be
 /// armed and cancelled thousands of times a second by a leader.
 class DeadlineQueue : public std::enable_shared_from_this<DeadlineQueue> {
 public:
-  using Clock = std::chrono::steady_clock;
   /// Receives how late the deadline is handled.
   using DeadlineHandler = std::function<void(Millis Lateness)>;
-  using Entries = std::multimap<Clock::time_point, DeadlineHandler>;
+  using Entries = std::multimap<SteadyClock::time_point, DeadlineHandler>;
 
   explicit DeadlineQueue(boost::asio::io_context &Loop) : Timer_(Loop) {}
 
   Entries::iterator add(Millis Timeout, DeadlineHandler OnDeadline) {
     const auto Entry = Entries_.emplace(
-        Clock::now() + std::chrono::milliseconds(Timeout.Value_),
+        SteadyClock::now() + std::chrono::milliseconds(Timeout.Value_),
         std::move(OnDeadline));
     if (!Armed_ || Entry->first < ArmedFor_)
       arm(Entry->first);
@@ -92,7 +104,7 @@
   void stop() { Timer_.cancel(); }
 
 private:
-  void arm(Clock::time_point At) {
+  void arm(SteadyClock::time_point At) {
     Armed_ = true;
     ArmedFor_ = At;
     Timer_.expires_at(At);
@@ -107,7 +119,7 @@
   // Entries of calls that have ended are gone, so the timer may find none due.
   void runDue() {
     Armed_ = false;
-    const auto Now = Clock::now();
+    const auto Now = SteadyClock::now();
     while (!Entries_.empty() && Entries_.begin()->first <= Now) {
       const auto Due = Entries_.extract(Entries_.begin());
       const auto Lateness =
@@ -121,7 +133,7 @@
 
   boost::asio::steady_timer Timer_;
   Entries Entries_;
-  Clock::time_point ArmedFor_{};
+  SteadyClock::time_point ArmedFor_{};
   bool Armed_ = false;
 };
 
@@ -147,14 +159,16 @@
 // Carries one call at a time and returns to the pool after it.
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
-  Connection(boost::asio::io_context &Loop, std::string PoolKey,
+  Connection(boost::asio::io_context &Loop, const WebCall &FirstCall,
              std::shared_ptr<IdlePool> Pool,
              std::shared_ptr<DeadlineQueue> Deadlines)
-      : Loop_(Loop), Socket_(Loop), PoolKey_(std::move(PoolKey)),
-        Pool_(std::move(Pool)), Deadlines_(std::move(Deadlines)) {}
+      : Loop_(Loop), Socket_(Loop), Address_(FirstCall.Address_),
+        Group_(FirstCall.ConnectionGroup_), Pool_(std::move(Pool)),
+        Deadlines_(std::move(Deadlines)) {}
 
   void run(const WebCall &Call, WebReplyHandler Done, bool Reused) {
-    Address_ = Call.Address_;
+    CalledAt_ = SteadyClock::now();
+    IdleTime_ = Reused ? CalledAt_ - HeardAt_ : SteadyClock::duration{};
     Step_ = Call.Method_ + " " + Call.Target_.substr(0, Call.Target_.find('?'));
     Done_ = std::move(Done);
     Sent_ = Reused;
@@ -180,6 +194,9 @@
   }
 
   bool usable() const { return Socket_.is_open() && !Broken_; }
+  const std::string &address() const { return Address_; }
+  const std::string &group() const { return Group_; }
+  SteadyClock::time_point heardAt() const { return HeardAt_; }
 
 private:
   void setDeadline(Millis Timeout) {
@@ -227,6 +244,7 @@
     // The deadline may have closed the socket after the reply had arrived.
     if (TimedOut_)
       return fail(beast::error::timeout);
+    HeardAt_ = SteadyClock::now();
     auto Message = Parser_->release();
     WebReply Reply;
     Reply.Status_ = static_cast<int>(Message.result_int());
@@ -238,8 +256,8 @@
                  MillisPerSecond};
     }
     Reply.Body_ = std::move(Message.body());
-    if (Message.keep_alive() && !Pool_->Closed_)
-      Pool_->Idle_[PoolKey_].push_back(shared_from_this());
+    if (Message.keep_alive() && !Pool_->isClosed())
+      Pool_->add(shared_from_this());
     else
       close();
     finish(std::move(Reply));
@@ -255,6 +273,10 @@
       return setDeadline(std::min(Lateness * TurnsLeft,
                                   std::exchange(MaxExtension_, Millis{})));
     TimedOut_ = true;
+    // What silences one connection without a reset silences all that are open
+    // then. Each of the others would time out another call.
+    if (Sent_)
+      Pool_->dropUnheard(Address_, CalledAt_);
     close();
   }
 
@@ -270,7 +292,7 @@
                   Failure.message()};
     if (TimedOut_) {
       Problem.Reason_ = Reason::Timeout;
-      Problem.Message_ = "timeout";
+      Problem.Message_ = timeoutMessage();
     }
     if (!Sent_) {
       Problem.Effect_ = Effect::None;
@@ -282,6 +304,16 @@
     finish(Problem);
   }
 
+  // A long idle time tells a silent connection from a silent peer.
+  std::string timeoutMessage() const {
+    const auto Idle =
+        std::chrono::duration_cast<std::chrono::milliseconds>(IdleTime_);
+    if (Idle.count() == 0)
+      return "timeout";
+    return "timeout on a connection that was idle for " +
+           std::to_string(Idle.count()) + " ms";
+  }
+
   void finish(Result<WebReply> Outcome) {
     if (Deadline_)
       Deadlines_->remove(*Deadline_);
@@ -294,14 +326,17 @@
 
   boost::asio::io_context &Loop_;
   Socket Socket_;
-  const std::string PoolKey_;
+  const std::string Address_;
+  const std::string Group_;
   const std::shared_ptr<IdlePool> Pool_;
   const std::shared_ptr<DeadlineQueue> Deadlines_;
   std::optional<DeadlineQueue::Entries::iterator> Deadline_;
   std::optional<SendLimit> SendLimit_;
   /// Limit of the time by which the deadline may still be extended.
   Millis MaxExtension_{};
-  std::string Address_;
+  SteadyClock::time_point CalledAt_{};
+  SteadyClock::time_point HeardAt_{}; ///< When the last reply was received.
+  SteadyClock::duration IdleTime_{};  ///< Before the call.
   std::string Step_;
   WebReplyHandler Done_;
   bool Sent_ = false;
@@ -312,6 +347,38 @@
   std::optional<http::response_parser<http::string_body>> Parser_;
 };
 
+void IdlePool::add(std::shared_ptr<Connection> Idle) {
+  Idle_[Idle->address()][Idle->group()].push_back(std::move(Idle));
+}
+
+std::shared_ptr<Connection> IdlePool::take(const std::string &Address,
+                                           const std::string &Group) {
+  Connections &Idle = Idle_[Address][Group];
+  while (!Idle.empty()) {
+    std::shared_ptr<Connection> Latest = std::move(Idle.back());
+    Idle.pop_back();
+    if (Latest->usable())
+      return Latest;
+  }
+  return nullptr;
+}
+
+void IdlePool::dropUnheard(const std::string &Address,
+                           SteadyClock::time_point Since) {
+  const auto Groups = Idle_.find(Address);
+  if (Groups == Idle_.end())
+    return;
+  for (auto &[Group, Idle] : Groups->second)
+    std::erase_if(Idle, [Since](const std::shared_ptr<Connection> &Entry) {
+      return Entry->heardAt() < Since;
+    });
+}
+
+void IdlePool::close() {
+  Closed_ = true;
+  Idle_.clear();
+}
+
 // Keeps connections open between calls. A peer may have closed one meanwhile,
 // which shows when the next call uses it.
 class PooledWebClient : public WebClient {
@@ -321,43 +388,34 @@
         Deadlines_(std::make_shared<DeadlineQueue>(Loop)) {}
 
   ~PooledWebClient() override {
-    Pool_->Closed_ = true;
-    Pool_->Idle_.clear();
+    Pool_->close();
     Deadlines_->stop();
   }
 
   void call(const WebCall &Call, WebReplyHandler Done) override {
-    const std::string Key = Call.Address_ + '/' + Call.ConnectionGroup_;
-    auto &Idle = Pool_->Idle_[Key];
-    while (!Idle.empty()) {
-      const auto Connection = Idle.back();
-      Idle.pop_back();
-      if (!Connection->usable())
-        continue;
-      callReused(Connection, Key, Call, std::move(Done));
-      return;
-    }
-    std::make_shared<class Connection>(Loop_, Key, Pool_, Deadlines_)
+    const auto Idle = Pool_->take(Call.Address_, Call.ConnectionGroup_);
+    if (Idle)
+      return callReused(*Idle, Call, std::move(Done));
+    std::make_shared<Connection>(Loop_, Call, Pool_, Deadlines_)
         ->run(Call, std::move(Done), false);
   }
 
 private:
   // All calls of this product are safe to repeat with the same content, so a
   // reused connection that turns out to be closed is replaced once.
-  void callReused(const std::shared_ptr<class Connection> &Connection,
-                  const std::string &Key, const WebCall &Call,
-                  WebReplyHandler Done) {
-    Connection->run(
+  void callReused(Connection &Idle, const WebCall &Call, WebReplyHandler Done) {
+    Idle.run(
         Call,
-        [this, Call, Key, Pool = Pool_, Limit = SendLimit(Call.Timeout_),
+        [this, Call, Pool = Pool_, CalledAt = SteadyClock::now(),
+         Limit = SendLimit(Call.Timeout_),
          Done = std::move(Done)](Result<WebReply> Outcome) {
           const bool Closed = !Outcome &&
                               Outcome.error().Reason_ == Reason::AnswerLost &&
-                              !Pool->Closed_;
+                              !Pool->isClosed();
           if (!Closed || Limit.hasPassed())
             return Done(std::move(Outcome));
-          Pool->Idle_[Key].clear();
-          std::make_shared<class Connection>(Loop_, Key, Pool, Deadlines_)
+          Pool->dropUnheard(Call.Address_, CalledAt);
+          std::make_shared<Connection>(Loop_, Call, Pool, Deadlines_)
               ->run(Call, keepUnknown(Done), false);
         },
         true);
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -1,9 +1,11 @@
 #include "drivers/beast/event_loop.h"
 #include "drivers/log/bounded_log.h"
+#include "tests/stand_ins/relay.h"
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
+#include <future>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -285,6 +287,153 @@
   BOOST_TEST(Resent == Expected, boost::test_tools::per_element());
 }
 
+namespace {
+
+/// A server behind a link whose open connections can go silent.
+class SilencedServer {
+public:
+  static constexpr const char *UnansweredBody = "unanswered";
+
+  /// Requests are answered once this many of them wait.
+  explicit SilencedServer(std::size_t RequestsTogether)
+      : RequestsTogether_(RequestsTogether),
+        Link_({{LinkName, 0, ServerPort, {}}}) {
+    BOOST_TEST_REQUIRE(
+        Server_
+            .listen(Address, ListenerLimits{},
+                    [this](const WebRequest &Request, const WebReplier &Reply) {
+                      answer(Request, Reply);
+                    })
+            .has_value());
+    Thread_ = std::thread([this] { Server_.run(); });
+  }
+  ~SilencedServer() {
+    Server_.after(Millis{}, [this] { Server_.stop(); });
+    Thread_.join();
+  }
+  SilencedServer(const SilencedServer &) = delete;
+  SilencedServer &operator=(const SilencedServer &) = delete;
+
+  std::string address() {
+    return "127.0.0.1:" + std::to_string(Link_.port(LinkName));
+  }
+  void silenceOpen() {
+    Link_.silenceOpen(LinkName);
+    // The link does so within a turn of its loop.
+    constexpr Millis LinkTime{100};
+    sleepFor(LinkTime);
+    RequestsTogether_ = 1;
+  }
+
+private:
+  static constexpr const char *LinkName = "server";
+  static constexpr int ServerPort = 11431;
+
+  void answer(const WebRequest &Request, const WebReplier &Reply) {
+    if (Request.Body_ == UnansweredBody) {
+      Unanswered_.push_back(Reply);
+      return;
+    }
+    Waiting_.push_back(Reply);
+    if (Waiting_.size() < RequestsTogether_)
+      return;
+    for (const WebReplier &Replier : std::exchange(Waiting_, {}))
+      Replier(WebReply{});
+  }
+
+  EventLoop Server_;
+  std::atomic<std::size_t> RequestsTogether_;
+  std::vector<WebReplier> Waiting_;
+  std::vector<WebReplier> Unanswered_;
+  stand_ins::Relay Link_;
+  std::thread Thread_;
+};
+
+/// A client whose event loop runs on a thread of its own.
+class ClientThread {
+public:
+  ClientThread() {
+    constexpr Millis LongerThanAnyTest{3600000};
+    Loop_.after(LongerThanAnyTest, [] {});
+    Thread_ = std::thread([this] { Loop_.run(); });
+  }
+  ~ClientThread() {
+    Loop_.after(Millis{}, [this] { Loop_.stop(); });
+    Thread_.join();
+  }
+  ClientThread(const ClientThread &) = delete;
+  ClientThread &operator=(const ClientThread &) = delete;
+
+  std::future<Result<WebReply>> call(const WebCall &Call) {
+    const auto Outcome = std::make_shared<std::promise<Result<WebReply>>>();
+    Loop_.after(Millis{}, [this, Call, Outcome] {
+      Client_->call(Call, [Outcome](Result<WebReply> Reply) {
+        Outcome->set_value(std::move(Reply));
+      });
+    });
+    return Outcome->get_future();
+  }
+
+private:
+  EventLoop Loop_;
+  const std::unique_ptr<WebClient> Client_ = Loop_.makeClient();
+  std::thread Thread_;
+};
+
+} // namespace
+
+// Guards against a peer that stays out of use for one timeout for each
+// connection to it that went silent without a reset.
+BOOST_AUTO_TEST_CASE(SilentConnectionTimesOutASingleCall) {
+  const std::vector<std::string> Groups = {"", "", "", "", "look", "look"};
+  SilencedServer Server(Groups.size());
+  ClientThread Client;
+  WebCall Call = post("x");
+  Call.Address_ = Server.address();
+  constexpr Millis EnoughTime{10000};
+  Call.Timeout_ = EnoughTime;
+  const auto CallTogether = [&] {
+    std::vector<std::future<Result<WebReply>>> Replies;
+    for (const std::string &Group : Groups) {
+      Call.ConnectionGroup_ = Group;
+      Replies.push_back(Client.call(Call));
+    }
+    for (auto &Reply : Replies) {
+      const auto Outcome = Reply.get();
+      BOOST_TEST_REQUIRE(Outcome.has_value());
+      BOOST_TEST(!Outcome.value().Resent_);
+    }
+  };
+  CallTogether();
+  Server.silenceOpen();
+  Call.Timeout_ = Millis{200};
+  const auto Silent = Client.call(Call).get();
+  BOOST_TEST_REQUIRE(!Silent.has_value());
+  BOOST_TEST((Silent.error().Reason_ == Reason::Timeout));
+  BOOST_TEST(Silent.error().Message_.find("idle for") != std::string::npos);
+  Call.Timeout_ = EnoughTime;
+  CallTogether();
+}
+
+// Guards against a client that opens all connections anew after a slow call:
+// those that have answered meanwhile are in order.
+BOOST_AUTO_TEST_CASE(ConnectionThatAnswersMeanwhileIsKept) {
+  SilencedServer Server(1);
+  ClientThread Client;
+  WebCall Fast = post("x");
+  Fast.Address_ = Server.address();
+  WebCall Slow = Fast;
+  Slow.Body_ = SilencedServer::UnansweredBody;
+  Slow.Timeout_ = Millis{500};
+  auto SlowReply = Client.call(Slow);
+  BOOST_TEST(Client.call(Fast).get().has_value());
+  BOOST_TEST(!SlowReply.get().has_value());
+  // A call on a new connection would be answered.
+  Server.silenceOpen();
+  Fast.Timeout_ = Millis{100};
+  BOOST_TEST(!Client.call(Fast).get().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(BadAddressIsAnError) {
   EventLoop Loop;
   const auto Client = Loop.makeClient();
--- a/tests/stand_ins/relay.cpp
+++ b/tests/stand_ins/relay.cpp
@@ -132,6 +132,15 @@
   return true;
 }
 
+bool Relay::silenceOpen(const std::string &Name) {
+  const MutexLock Held(Mutex_);
+  const auto Found = Listeners_.find(Name);
+  if (Found == Listeners_.end())
+    return false;
+  Found->second.SilencesOpen_ = true;
+  return true;
+}
+
 int Relay::port(const std::string &Name) {
   const MutexLock Held(Mutex_);
   const auto Found = Listeners_.find(Name);
@@ -157,6 +166,7 @@
     for (auto &[Name, From] : Listeners_) {
       const bool Due = Now >= From.ServedAt_ + DelayedPeriod;
       Listeners[Name] = From;
+      From.SilencesOpen_ = false;
       if (From.State_ != LinkState::Delayed)
         continue;
       Listeners[Name].State_ = Due ? LinkState::Open : LinkState::Cut;
@@ -174,7 +184,10 @@
   for (Connection &Pair : Connections_) {
     const LinkState State = Listeners[Pair.Link_].State_;
     Pair.Broken_ = Pair.Broken_ || State == LinkState::Refuse;
-    if (Pair.Broken_ || State == LinkState::Cut)
+    Pair.Silent_ = Pair.Silent_ || Listeners[Pair.Link_].SilencesOpen_;
+    if (Pair.Silent_)
+      lose(Pair);
+    if (Pair.Broken_ || Pair.Silent_ || State == LinkState::Cut)
       continue;
     Served.push_back(&Pair);
     for (const Flow *Direction : {&Pair.Out_, &Pair.Back_}) {
@@ -262,6 +275,16 @@
     Pair.Broken_ = true;
 }
 
+void Relay::lose(Connection &Pair) {
+  std::array<char, ChunkBytes> Chunk{};
+  const auto Receive = [&Chunk](const Flow &Direction) {
+    return recv(Direction.From_, Chunk.data(), Chunk.size(), MSG_DONTWAIT);
+  };
+  const ssize_t Size = Receive(Pair.Out_);
+  Receive(Pair.Back_);
+  Pair.Broken_ = Size == 0 || (Size < 0 && errno != EAGAIN);
+}
+
 void Relay::close(Connection &Pair) {
   ::close(Pair.Out_.From_);
   ::close(Pair.Out_.To_);
--- a/tests/stand_ins/relay.h
+++ b/tests/stand_ins/relay.h
@@ -71,6 +71,9 @@
 
   /// False if there is no link of this name.
   bool set(const std::string &Name, LinkState State);
+  /// Open connections of the link go silent for good: what arrives on them is
+  /// lost. New ones work. False if there is no link of this name.
+  bool silenceOpen(const std::string &Name);
   /// Listening port of a link, 0 if there is none of this name.
   int port(const std::string &Name);
 
@@ -81,7 +84,8 @@
     int TargetPort_ = 0;
     LinkState State_ = LinkState::Open;
     std::vector<Rewrite> Rewrites_;
-    Millis ServedAt_{}; ///< Last time that delayed bytes went on.
+    Millis ServedAt_{};         ///< Last time that delayed bytes went on.
+    bool SilencesOpen_ = false; ///< Its open connections are to go silent.
   };
   /// One direction of a connection.
   struct Flow {
@@ -96,11 +100,14 @@
     Flow Out_;  ///< Client to target.
     Flow Back_; ///< Target to client.
     bool Broken_ = false;
+    bool Silent_ = false;
   };
 
   void run();
   void pollOnce();
   void accept(const std::string &Name, const Listener &From);
+  /// Loses what has arrived. Ends the connection once the client has.
+  static void lose(Connection &Pair);
   static void move(Connection &Pair, Flow &Direction, bool Readable);
   static void close(Connection &Pair);
 
