drivers: End connections whose peer takes no reply

Cause: the listener had no limit for writing a reply. A reply that its peer does not take, as on a silent connection, stayed open for ever, and a planned stop waited for it until its time was over.

Change: the idle time of the listener, 60 s, holds for the reply as well.

Measured: ReplyThatIsNotTakenEndsTheConnection fails without it (trial).

--- a/drivers/beast/event_loop.h
+++ b/drivers/beast/event_loop.h
@@ -12,7 +12,9 @@
 struct ListenerLimits {
   std::size_t HeaderBytes_ = 16384;
   std::size_t BodyBytes_ = 262144;
-  Millis Idle_{60000}; ///< A connection without a request is closed after it.
+  /// A connection is closed if no request arrives on it for this time, or if
+  /// its peer has not taken a reply by then.
+  Millis Idle_{60000};
 };
 
 /// Boost.Asio event loop with HTTP listeners, a client and timers. All
--- a/drivers/beast/http_session.cpp
+++ b/drivers/beast/http_session.cpp
@@ -103,6 +103,7 @@
     Response_.keep_alive(KeepAlive_ && !Registry_->Draining_);
     Response_.body() = std::move(Reply.Body_);
     Response_.prepare_payload();
+    Stream_.expires_after(std::chrono::milliseconds(Limits_.Idle_.Value_));
     http::async_write(
         Stream_, Response_,
         [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -3,6 +3,9 @@
 #include "tests/stand_ins/relay.h"
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 #include <future>
@@ -434,6 +437,34 @@
   BOOST_TEST(!Client.call(Fast).get().has_value());
 }
 
+// Guards against a request that stays open for ever, and delays a planned stop,
+// because its caller takes no reply.
+BOOST_AUTO_TEST_CASE(ReplyThatIsNotTakenEndsTheConnection) {
+  constexpr std::size_t ReplyBytes = std::size_t{64} * 1024 * 1024;
+  EventLoop Loop;
+  ListenerLimits Limits;
+  Limits.Idle_ = Millis{200};
+  BOOST_TEST_REQUIRE(
+      Loop.listen(Address, Limits,
+                  [](const WebRequest &, const WebReplier &Reply) {
+                    Reply(WebReply{200, std::string(ReplyBytes, 'x')});
+                  })
+          .has_value());
+  boost::asio::io_context Caller;
+  boost::asio::ip::tcp::socket Socket(Caller);
+  Loop.after(Millis{}, [&] {
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), 11431});
+    const std::string Request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    boost::asio::write(Socket, boost::asio::buffer(Request));
+  });
+  std::size_t OpenBefore = 0;
+  Loop.after(Millis{100}, [&] { OpenBefore = Loop.openRequests(); });
+  Loop.after(Millis{2000}, [&] { Loop.stop(); });
+  Loop.run();
+  BOOST_TEST(OpenBefore == 1U);
+  BOOST_TEST(Loop.openRequests() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(BadAddressIsAnError) {
   EventLoop Loop;
   const auto Client = Loop.makeClient();
