soak: Silence the open connections of links

From time to time the open connections to a worker, or from a node to the store, go silent without a reset, while new ones work. The fault has a random source of its own, so the other faults of a seed stay as they are.

--- a/tests/dispatch/poll_reply_test.cpp
+++ b/tests/dispatch/poll_reply_test.cpp
@@ -250,7 +250,7 @@
 /// Starts a job whose tasks are more than a worker lists ends at a time.
 JobSpec startManyTasks(DispatcherFixture &Fixture) {
   Fixture.addWorkers({makeWorker("w1", 16000)});
-  const JobSpec Job = makeJob("1", "urgent", {makeStep(TaskCount, 20)});
+  JobSpec Job = makeJob("1", "urgent", {makeStep(TaskCount, 20)});
   Fixture.submit(Job);
   std::size_t Started = 0;
   for (int Pass = 0; Pass < TaskCount && Started < TaskCount; ++Pass)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -24,6 +24,7 @@
 Soak::Soak(SoakSettings Settings)
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
       EntryRandom_(Settings_.Seed_), PartRandom_(Settings_.Seed_ + 1),
+      SilenceRandom_(Settings_.Seed_ + 2),
       Platform_(Loop_, Time_, Settings_.Seed_) {
   std::filesystem::create_directories(Settings_.Folder_);
   const int Store = process_tests::findFreePorts(
@@ -209,6 +210,7 @@
     shrinkLater();
     overwriteEntryLater();
     faultPartLater();
+    silenceLater();
   });
   const Millis MoreTime = Settings_.DeadlyShare_ > 0 ? DeadlyCalm : Millis{};
   settle(StartedAt_ + Settings_.Length_ + SettleTime + MoreTime);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -72,6 +72,7 @@
   void shrinkLater();
   void overwriteEntryLater();
   void faultPartLater();
+  void silenceLater();
   void changeCapacity(WorkerServer &Each, std::int64_t MilliCpus);
   void submitLater();
   void submit();
@@ -94,6 +95,7 @@
   // Apart, to keep the other faults of a seed.
   std::minstd_rand EntryRandom_;
   std::minstd_rand PartRandom_;
+  std::minstd_rand SilenceRandom_;
   drivers::EventLoop Loop_;
   Observer Watch_{Time_};
   PlatformServer Platform_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -241,6 +241,26 @@
   });
 }
 
+// The open connections of a link go silent without a reset; new ones work.
+void Soak::silenceLater() {
+  constexpr std::size_t MostGap = 8000;
+  const auto Draw = [this](std::size_t Below) {
+    return SilenceRandom_() % Below;
+  };
+  Loop_.after(Millis{static_cast<std::int64_t>(Draw(MostGap))}, [this, Draw] {
+    if (faultsOver())
+      return;
+    silenceLater();
+    const std::size_t Index = Draw(Nodes_.size() + Workers_.size());
+    const std::string Name = Index < Nodes_.size()
+                                 ? "store" + std::to_string(Index)
+                                 : Workers_[Index - Nodes_.size()]->name();
+    report("silent connections " + Name);
+    Relay_->silenceOpen(Name);
+    Watch_.disturbed();
+  });
+}
+
 void Soak::injectFault() {
   static const std::vector<LinkState> Links = {
       LinkState::Cut, LinkState::Refuse, LinkState::Delayed, LinkState::OnlyIn,
