--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -2,16 +2,17 @@
 #include "drivers/log/bounded_log.h"
 #include "tests/stand_ins/relay.h"
 
+#include <arpa/inet.h>
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <condition_variable>
 #include <future>
 #include <mutex>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace damaskglade;
 using namespace damaskglade::drivers;
@@ -19,6 +20,7 @@
 namespace {
 
 // Below the ports of the process tests and the soak, which run beside it.
+constexpr int Port = 11431;
 constexpr const char *Address = "127.0.0.1:11431";
 
 /// Runs the loop until the call is answered.
@@ -299,8 +301,7 @@
 
   /// Requests are answered once this many of them wait.
   explicit SilencedServer(std::size_t RequestsTogether)
-      : RequestsTogether_(RequestsTogether),
-        Link_({{LinkName, 0, ServerPort, {}}}) {
+      : RequestsTogether_(RequestsTogether), Link_({{LinkName, 0, Port, {}}}) {
     BOOST_TEST_REQUIRE(
         Server_
             .listen(Address, ListenerLimits{},
@@ -330,7 +331,6 @@
 
 private:
   static constexpr const char *LinkName = "server";
-  static constexpr int ServerPort = 11431;
 
   void answer(const WebRequest &Request, const WebReplier &Reply) {
     if (Request.Body_ == UnansweredBody) {
@@ -450,17 +450,23 @@
                     Reply(WebReply{200, std::string(ReplyBytes, 'x')});
                   })
           .has_value());
-  boost::asio::io_context Caller;
-  boost::asio::ip::tcp::socket Socket(Caller);
-  Loop.after(Millis{}, [&] {
-    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), 11431});
+  const int Caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  Loop.after(Millis{}, [Caller] {
+    sockaddr_in Server{};
+    Server.sin_family = AF_INET;
+    Server.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Server.sin_port = htons(Port);
+    BOOST_TEST_REQUIRE(connect(Caller,
+                               reinterpret_cast<const sockaddr *>(&Server),
+                               sizeof(Server)) == 0);
     const std::string Request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-    boost::asio::write(Socket, boost::asio::buffer(Request));
+    BOOST_TEST(send(Caller, Request.data(), Request.size(), MSG_NOSIGNAL) > 0);
   });
   std::size_t OpenBefore = 0;
   Loop.after(Millis{100}, [&] { OpenBefore = Loop.openRequests(); });
   Loop.after(Millis{2000}, [&] { Loop.stop(); });
   Loop.run();
+  close(Caller);
   BOOST_TEST(OpenBefore == 1U);
   BOOST_TEST(Loop.openRequests() == 0U);
 }
