leader: Log its load once a second

The leader now logs once a second what its passes have done, its processor time by kind of work, and what waits for which reason; passes have histograms of their duration and starts. No decision changes: the tests of dispatch and cell pass as before.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -47,6 +47,7 @@
 constexpr Millis BasePollDelay{80};
 constexpr std::size_t WorkersPerBaseDelay = 32;
 constexpr Millis EndedJobRemovalPeriod{5000};
+constexpr Millis LoadLogPeriod{1000};
 // The row of an unreachable worker is closed after this time, since many are
 // back before.
 constexpr Millis MinSilenceBeforeClosing{500};
@@ -100,7 +101,8 @@
                              const Result<std::vector<AdvisedWorker>> &Reply) {
                         Dispatcher_.handleAdviceReply(Question, Reply, now());
                         scheduleDecision();
-                      }) {
+                      }),
+      WorkMeter_(Ports.Clock_) {
   Dispatcher_.setAdviceQueue(&AdviceBalancer_);
 }
 
@@ -201,6 +203,8 @@
         Dispatcher_.removeEndedJobs(now() - Settings_.StatusRetention_));
   }
   closeLeaseRows();
+  if (now() > LoadLoggedAt_ + LoadLogPeriod)
+    logLoad();
   scheduleDecision();
   Ports_.Timers_.after(TickPeriod,
                        [Self = shared_from_this(), Due = now() + TickPeriod] {
@@ -212,6 +216,7 @@
 void Leader::recordLoopDelay(Millis Delay) {
   const bool WasLate = isLate(LoopDelay_);
   LoopDelay_ = addDelay(LoopDelay_, Delay);
+  PassCounts_.LongestDelay_ = std::max(PassCounts_.LongestDelay_, Delay);
   if (WasLate != isLate(LoopDelay_))
     logEvent(Ports_, LogLevel::Warning, "", "lead", "",
              std::string(WasLate ? "has caught up" : "has fallen behind") +
@@ -417,6 +422,7 @@
                              const Result<PollReply> &Reply) {
   if (Stopped_)
     return;
+  const WorkMeter::Scope Replies(WorkMeter_, Work::Replies);
   PollState &State = PollStates_[Id];
   (Probe ? State.ProbeOpen_ : State.LongPollOpen_) = false;
   State.ReplyWantedSoon_ = !Reply;
@@ -508,17 +514,25 @@
   LastDecisionAt_ = now();
   // A leader that may have been replaced sends no orders, since the tasks could
   // run twice.
-  bool MoreToPlace = false;
+  dispatch::Actions Actions;
   if (mayIssueOrders()) {
-    const dispatch::Actions Actions = Dispatcher_.decide(now());
-    MoreToPlace =
-        Actions.Starts_.size() >= dispatch::Dispatcher::MaxStartsPerPass;
+    {
+      const WorkMeter::Scope Planning(WorkMeter_, Work::Planning);
+      Actions = Dispatcher_.decide(now());
+    }
+    const WorkMeter::Scope Orders(WorkMeter_, Work::Orders);
     sendOrders(Actions);
   }
-  Recorder_.removeWorkers(Dispatcher_.takeForgottenWorkers());
-  Recorder_.collectChanges();
-  logDecisions();
+  const bool MoreToPlace =
+      Actions.Starts_.size() >= dispatch::Dispatcher::MaxStartsPerPass;
+  {
+    const WorkMeter::Scope Recording(WorkMeter_, Work::Recording);
+    Recorder_.removeWorkers(Dispatcher_.takeForgottenWorkers());
+    Recorder_.collectChanges();
+    logDecisions();
+  }
   LastDecisionDuration_ = now() - LastDecisionAt_;
+  countPass(Actions);
   if (MoreToPlace)
     scheduleDecision();
 }
@@ -581,4 +595,35 @@
              Decision.Peer_, Decision.Text_);
 }
 
+void Leader::countPass(const dispatch::Actions &Actions) {
+  ++PassCounts_.Passes_;
+  if (Actions.Starts_.size() >= dispatch::Dispatcher::MaxStartsPerPass)
+    ++PassCounts_.FullPasses_;
+  PassCounts_.Starts_ += Actions.Starts_.size();
+  PassCounts_.Questions_ += Actions.Questions_.size();
+  PassCounts_.Elapsed_ = PassCounts_.Elapsed_ + LastDecisionDuration_;
+  PassCounts_.Longest_ = std::max(PassCounts_.Longest_, LastDecisionDuration_);
+  constexpr double MillisPerSecond = 1000;
+  Ports_.Metrics_.observe("pass_seconds",
+                          static_cast<double>(LastDecisionDuration_.Value_) /
+                              MillisPerSecond);
+  Ports_.Metrics_.observe("pass_starts",
+                          static_cast<double>(Actions.Starts_.size()));
+}
+
+void Leader::logLoad() {
+  LoadLoggedAt_ = now();
+  const PassCounts Counts = std::exchange(PassCounts_, {});
+  std::string Text = describeLoad(Counts, WorkMeter_.take());
+  const dispatch::Backlog Backlog = Dispatcher_.backlog(now());
+  for (const auto &[Priority, Queue] : Backlog.ByPriority_)
+    Text += " priority=" + std::to_string(Priority) +
+            " waiting=" + std::to_string(Queue.Tasks_) +
+            " unadvised=" + std::to_string(Queue.Unadvised_) +
+            " skipped=" + std::to_string(Queue.Skipped_);
+  Text += " free_milli_cpus=" + std::to_string(Backlog.FreeMilliCpus_) +
+          " milli_cpus=" + std::to_string(Backlog.MilliCpus_);
+  logEvent(Ports_, LogLevel::Info, "", "load", "", Text);
+}
+
 } // namespace damaskglade::cell
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -6,6 +6,7 @@
 #include "cell/loop_delay.h"
 #include "cell/recorder.h"
 #include "cell/relayed_workers.h"
+#include "cell/work_meter.h"
 #include "dispatch/dispatcher.h"
 
 #include <deque>
@@ -65,6 +66,7 @@
   void chooseRelays(const PeerNodes &Nodes, Millis HeardSince);
   /// Takes replies of workers from a relay.
   void handleRelayReplies(const std::string &Params, const RpcReply &Reply) {
+    const WorkMeter::Scope Replies(WorkMeter_, Work::Replies);
     Workers_->handleReplies(Params, Reply);
   }
   /// Whether another node should lead because this one cannot write to the
@@ -138,6 +140,10 @@
   void decide();
   void sendOrders(const dispatch::Actions &Actions);
   void logDecisions();
+  /// Counts a planning pass that has just ended.
+  void countPass(const dispatch::Actions &Actions);
+  /// Logs what the leader has done since the last call.
+  void logLoad();
   void loseLeadership();
 
   const CellPorts Ports_;
@@ -150,6 +156,9 @@
   std::map<std::string, std::size_t> WorkersByZone_; ///< Numbers of workers.
   AdviceBalancer AdviceBalancer_;
   std::map<std::string, PollState> PollStates_;
+  WorkMeter WorkMeter_;
+  PassCounts PassCounts_; ///< Since the last log line.
+  Millis LoadLoggedAt_{};
   std::deque<std::string> WorkersToPoll_; ///< See pollNextWorkers().
   std::set<std::string> WorkersWithUnrecordedEnds_;
   std::set<std::string> UnusableEntries_; ///< In the latest registry snapshot.
--- a/cell/leader_calls.cpp
+++ b/cell/leader_calls.cpp
@@ -12,6 +12,7 @@
 } // namespace
 
 void Leader::submit(const dispatch::JobSpec &Spec, const RpcReply &Reply) {
+  const WorkMeter::Scope Callers(WorkMeter_, Work::Callers);
   if (!active())
     return Reply(notReady("submit"));
   const auto EarlierSubmission = PendingSubmissions_.find(Spec.Id_);
@@ -71,6 +72,7 @@
 }
 
 void Leader::cancel(const std::string &Id, const RpcReply &Reply) {
+  const WorkMeter::Scope Callers(WorkMeter_, Work::Callers);
   if (!active())
     return Reply(notReady("cancel"));
   const dispatch::JobRun *Job = Dispatcher_.findJob(Id);
--- a/core/clock.cpp
+++ b/core/clock.cpp
@@ -21,6 +21,14 @@
 
 Millis SystemClock::wall() const { return readClock(CLOCK_REALTIME); }
 
+std::int64_t SystemClock::processorMicros() const {
+  constexpr std::int64_t MicrosPerSecond = 1000000;
+  constexpr std::int64_t NanosPerMicro = 1000;
+  timespec Used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Used);
+  return Used.tv_sec * MicrosPerSecond + Used.tv_nsec / NanosPerMicro;
+}
+
 void sleepFor(Millis Time) {
   if (Time.Value_ <= 0)
     return;
--- a/core/clock.h
+++ b/core/clock.h
@@ -34,6 +34,9 @@
   virtual Millis monotonic() const = 0;
   /// Milliseconds since the Unix epoch, within the clock error bound.
   virtual Millis wall() const = 0;
+  /// Processor time that the calling thread has used, in microseconds; zero if
+  /// it is not known.
+  virtual std::int64_t processorMicros() const { return 0; }
 };
 
 /// Clock of the operating system.
@@ -41,6 +44,7 @@
 public:
   Millis monotonic() const override;
   Millis wall() const override;
+  std::int64_t processorMicros() const override;
 };
 
 /// Blocks the calling thread for the given time.
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -96,6 +96,25 @@
   }
 };
 
+/// Tasks that could start if they had capacity and advice, and what a planning
+/// pass has left of them.
+struct QueueBacklog {
+  int Tasks_ = 0;     ///< Of ready steps, at the end of the pass.
+  int Unadvised_ = 0; ///< Those of steps without a worker allowed by advice.
+  int Skipped_ = 0;   ///< Those of steps that the pass did not reach.
+
+  friend bool operator==(const QueueBacklog &, const QueueBacklog &) = default;
+};
+
+/// What waits after a planning pass, and what is free for it.
+struct Backlog {
+  std::map<int, QueueBacklog> ByPriority_;
+  std::int64_t FreeMilliCpus_ = 0; ///< Of workers that accept work.
+  std::int64_t MilliCpus_ = 0;     ///< Of the same workers.
+
+  friend bool operator==(const Backlog &, const Backlog &) = default;
+};
+
 /// Log entry of a decision or of an observed change.
 struct Decision {
   std::string Request_;
@@ -246,6 +265,9 @@
 
   /// Runs a planning pass: places waiting tasks and returns the orders to send.
   Actions decide(Millis Now);
+  /// What waits at the given time, and how much of it the last pass has not
+  /// reached. Goes through all active jobs.
+  Backlog backlog(Millis Now);
   /// Timeout of the next long poll of a worker, which waits for a task to end.
   Millis pollTimeout(const std::string &Worker, Millis Now) const;
   /// Log entries since the last call.
@@ -476,6 +498,8 @@
   /// Workers with more free capacity than at the end of the last pass.
   std::vector<Worker *> WorkersWithGainedCapacity_;
   std::int64_t PassNumber_ = 1;
+  /// Steps that the last pass has placed or examined, in its order.
+  std::size_t StepsReached_ = 0;
   int PreemptingSteps_ = 0; ///< Steps that preempted tasks in this pass.
   std::uint64_t WorkerChecks_ = 0;
   Millis StopsCheckedAt_{}; ///< When retryStops() last looked at the runs.
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -79,6 +79,7 @@
       std::max<std::int64_t>(FleetFreeCapacity_.MilliCpus_, 0) +
       FleetCapacity_.MilliCpus_ / FleetShareDivisor;
   bool IsFull = false;
+  StepsReached_ = 0;
   for (const RankedStep &Ranked : rankedSteps(Now)) {
     const StepRun &State =
         Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
@@ -89,6 +90,7 @@
     IsFull = PendingActions_.Starts_.size() >= MaxStartsPerPass;
     if (IsFull)
       break;
+    ++StepsReached_;
     if (State.Ready_)
       placeStep(Ranked, Now);
     requestAdvice(Ranked, CapacityExpected, Now);
@@ -146,6 +148,31 @@
   return Steps;
 }
 
+// The order of the steps has hardly changed since the pass, so the position of
+// a step tells whether the pass has reached it.
+Backlog Dispatcher::backlog(Millis Now) {
+  Backlog Result;
+  Result.FreeMilliCpus_ = FleetFreeCapacity_.MilliCpus_;
+  Result.MilliCpus_ = FleetCapacity_.MilliCpus_;
+  std::size_t Position = 0;
+  for (const RankedStep &Ranked : rankedSteps(Now)) {
+    const StepRun &State =
+        Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
+    const bool IsSkipped = Position++ >= StepsReached_;
+    if (!State.Ready_)
+      continue;
+    const int Tasks = static_cast<int>(State.Tasks_.size()) - State.DoneCount_ -
+                      State.RunCount_;
+    QueueBacklog &Queue = Result.ByPriority_[Ranked.Policy_->Priority_];
+    Queue.Tasks_ += Tasks;
+    if (IsSkipped)
+      Queue.Skipped_ += Tasks;
+    if (Ranked.Policy_->NeedsAdvice_ && State.Advice_.AllowedWorkers_.empty())
+      Queue.Unadvised_ += Tasks;
+  }
+  return Result;
+}
+
 int Dispatcher::countTasksOfStep(const Worker &W, const JobRun &Job, int Step) {
   if (Job.Spec_.Steps_[static_cast<std::size_t>(Step)].MaxPerWorker_ == 0)
     return 0;
--- a/drivers/metrics/metrics.cpp
+++ b/drivers/metrics/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "core/thread.h"
 
+#include <cmath>
 #include <map>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -24,6 +25,16 @@
   return {1e-6, 5e-6, 1e-5, 5e-5, 1e-4, 5e-4, 1e-3, 5e-3};
 }
 
+// Powers of two from about a millisecond, in seconds, to a thousand.
+Buckets wideBuckets() {
+  constexpr int FirstExponent = -10;
+  constexpr int LastExponent = 10;
+  Buckets Bounds;
+  for (int Exponent = FirstExponent; Exponent <= LastExponent; ++Exponent)
+    Bounds.push_back(std::ldexp(1.0, Exponent));
+  return Bounds;
+}
+
 std::vector<prometheus::Counter *>
 makeReasonCounters(prometheus::Registry &Registry, const std::string &Name,
                    const std::string &Help, const prometheus::Labels &Common) {
@@ -75,6 +86,7 @@
   Mutex Mutex_;
   std::map<std::string, prometheus::Counter *> Counters_;
   std::map<std::string, prometheus::Gauge *> Gauges_;
+  std::map<std::string, prometheus::Histogram *> Histograms_;
 };
 
 PrometheusMetrics::PrometheusMetrics(const std::string &Node,
@@ -119,6 +131,18 @@
   Gauge->Set(Value);
 }
 
+void PrometheusMetrics::observe(const std::string &Name, double Value) {
+  const MutexLock Lock(State_->Mutex_);
+  prometheus::Histogram *&Histogram = State_->Histograms_[Name];
+  if (Histogram == nullptr)
+    Histogram = &prometheus::BuildHistogram()
+                     .Name("damaskglade_" + Name)
+                     .Labels(State_->Common_)
+                     .Register(State_->Registry_)
+                     .Add({}, wideBuckets());
+  Histogram->Observe(Value);
+}
+
 void PrometheusMetrics::observeWait(TaskClass Class, Millis Waited) {
   constexpr double MillisPerSecond = 1000.0;
   State_->Waits_.at(static_cast<std::size_t>(Class))
--- a/drivers/metrics/metrics.h
+++ b/drivers/metrics/metrics.h
@@ -18,6 +18,7 @@
   void countRetry(Reason Why) override;
   void count(const std::string &Name, double Amount) override;
   void gauge(const std::string &Name, double Value) override;
+  void observe(const std::string &Name, double Value) override;
   void observeWait(TaskClass Class, Millis Waited) override;
   void observeDecision(double Microseconds) override;
 
--- a/ports/metrics_sink.h
+++ b/ports/metrics_sink.h
@@ -18,6 +18,8 @@
   virtual void count(const std::string &Name, double Amount = 1.0) = 0;
   /// Sets the gauge damaskglade_<Name>.
   virtual void gauge(const std::string &Name, double Value) = 0;
+  /// Adds to the histogram damaskglade_<Name>.
+  virtual void observe(const std::string &Name, double Value) = 0;
   virtual void observeWait(TaskClass Class, Millis Waited) = 0;
   virtual void observeDecision(double Microseconds) = 0;
 };
@@ -29,6 +31,7 @@
   void countRetry(Reason) override {}
   void count(const std::string &, double) override {}
   void gauge(const std::string &, double) override {}
+  void observe(const std::string &, double) override {}
   void observeWait(TaskClass, Millis) override {}
   void observeDecision(double) override {}
 };
--- a/tests/cell/fake_processor.h
+++ b/tests/cell/fake_processor.h
@@ -40,6 +40,7 @@
   /// Time up to which the running task has got.
   Millis monotonic() const override;
   Millis wall() const override { return monotonic(); }
+  std::int64_t processorMicros() const override { return Used_; }
 
 private:
   void charge(Micros Cost);
