leader: Plan again as soon as the event loop is idle

Callers of the large depot saw batch jobs late or not served while a fifth to a half of the fleet was free. Cause: after a planning pass the leader waited three times the duration of the pass, and a pass ended at 64 starts, whatever else there was to do. On a slower or busier machine passes take longer, so pauses did, too.

The next pass now starts when the event loop has nothing else ready; the old pause is only its limit, so that a busy loop keeps three quarters of the time. The starts of a pass follow from its duration: the limit doubles while full passes end within 12 ms, and halves, down to 64, if they take over 25 ms.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -37,6 +37,9 @@
 constexpr Millis MaxDecisionInterval{50};
 // A pass is followed by this many times its own duration without planning.
 constexpr std::int64_t DecisionPauseFactor = 3;
+// Passes that place a backlog take up to this long: half of the pause that
+// lookups can bear.
+constexpr Millis MaxPassDuration{25};
 // Delay of the next poll of a worker after a failed or rejected one.
 constexpr Millis PollRetryDelay{150};
 // Delay between polls of a worker that has ends of tasks that are not recorded
@@ -84,6 +87,17 @@
       std::max(MaxDecisionInterval, LastPassDuration * (LeastPauseFactor + 1)));
 }
 
+std::size_t nextStartLimit(std::size_t LastLimit, bool WasReached,
+                           Millis LastPassDuration) {
+  constexpr std::size_t Least = dispatch::Dispatcher::MaxStartsPerPass;
+  constexpr std::size_t Most = Least * 16;
+  if (LastPassDuration > MaxPassDuration)
+    return std::max(LastLimit / 2, Least);
+  if (WasReached && LastPassDuration * 2 <= MaxPassDuration)
+    return std::min(LastLimit * 2, Most);
+  return LastLimit;
+}
+
 Leader::Leader(const CellPorts &Ports, const CellSettings &Settings,
                LeaderRecord Record, std::function<void()> OnLeadershipLost)
     : Ports_(Ports), Settings_(Settings), LeaderRecord_(std::move(Record)),
@@ -497,13 +511,20 @@
   if (DecisionScheduled_ || Stopped_)
     return;
   DecisionScheduled_ = true;
-  const Millis NextDecisionAt =
+  Ports_.Timers_.after(
+      std::max(LastDecisionAt_ + MinDecisionInterval - now(), Millis{}),
+      [Self = shared_from_this()] { Self->decideWhenIdle(); });
+}
+
+// A pass that waits beside an idle event loop only loses time.
+void Leader::decideWhenIdle() {
+  const Millis LatestAt =
       LastDecisionAt_ + decisionInterval(LastDecisionDuration_);
-  Ports_.Timers_.after(std::max(NextDecisionAt - now(), Millis{}),
-                       [Self = shared_from_this()] {
-                         Self->DecisionScheduled_ = false;
-                         Self->decide();
-                       });
+  Ports_.Timers_.whenIdle(std::max(LatestAt - now(), Millis{}),
+                          [Self = shared_from_this()] {
+                            Self->DecisionScheduled_ = false;
+                            Self->decide();
+                          });
 }
 
 void Leader::decide() {
@@ -518,13 +539,12 @@
   if (mayIssueOrders()) {
     {
       const WorkMeter::Scope Planning(WorkMeter_, Work::Planning);
-      Actions = Dispatcher_.decide(now());
+      Actions = Dispatcher_.decide(now(), StartLimit_);
     }
     const WorkMeter::Scope Orders(WorkMeter_, Work::Orders);
     sendOrders(Actions);
   }
-  const bool MoreToPlace =
-      Actions.Starts_.size() >= dispatch::Dispatcher::MaxStartsPerPass;
+  const bool MoreToPlace = Actions.Starts_.size() >= StartLimit_;
   {
     const WorkMeter::Scope Recording(WorkMeter_, Work::Recording);
     Recorder_.removeWorkers(Dispatcher_.takeForgottenWorkers());
@@ -533,6 +553,7 @@
   }
   LastDecisionDuration_ = now() - LastDecisionAt_;
   countPass(Actions);
+  StartLimit_ = nextStartLimit(StartLimit_, MoreToPlace, LastDecisionDuration_);
   if (MoreToPlace)
     scheduleDecision();
 }
@@ -597,7 +618,7 @@
 
 void Leader::countPass(const dispatch::Actions &Actions) {
   ++PassCounts_.Passes_;
-  if (Actions.Starts_.size() >= dispatch::Dispatcher::MaxStartsPerPass)
+  if (Actions.Starts_.size() >= StartLimit_)
     ++PassCounts_.FullPasses_;
   PassCounts_.Starts_ += Actions.Starts_.size();
   PassCounts_.Questions_ += Actions.Questions_.size();
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -27,13 +27,21 @@
 /// given the number of such workers.
 Millis unrecordedEndsPollDelay(std::size_t Workers);
 
-/// Time from the start of a planning pass to the start of the next one, given
-/// the duration of the first. Answers the load of a leader with too little
-/// processor time: planning may take a quarter of it, or half if passes are
-/// slow, so that leases are renewed and callers are answered however many steps
-/// wait.
+/// Longest time from the start of a planning pass to the start of the next one,
+/// given the duration of the first. Answers the load of a leader with too
+/// little processor time: while other work waits, planning may take a quarter
+/// of it, or half if passes are slow, so that leases are renewed and callers
+/// are answered however many steps wait. The next pass starts earlier if
+/// nothing else waits.
 Millis decisionInterval(Millis LastPassDuration);
 
+/// Limit of the starts of the next planning pass, given that of the last one,
+/// whether it was reached, and the duration of the pass. Answers the load of a
+/// burst: each pass ranks all steps and workers anew, so larger ones start more
+/// in the same time, but replies and callers wait for their end.
+std::size_t nextStartLimit(std::size_t LastLimit, bool WasReached,
+                           Millis LastPassDuration);
+
 /// Schedules the jobs of a cell during one epoch, that is, between two
 /// elections. Loads all rows from the store, then polls the workers and sends
 /// them orders until another node is elected.
@@ -136,7 +144,9 @@
   /// Records the ends that a worker lists, and lets it forget them then.
   void recordEnds(const std::string &Worker, const PollReply &Reply);
   void schedulePoll(const std::string &Worker, Millis Delay);
+  /// Plans soon, but not before the event loop has had its time.
   void scheduleDecision();
+  void decideWhenIdle();
   void decide();
   void sendOrders(const dispatch::Actions &Actions);
   void logDecisions();
@@ -177,6 +187,7 @@
   Millis ConfirmSentAt_{};
   Millis LastDecisionAt_{};
   Millis LastDecisionDuration_{};
+  std::size_t StartLimit_ = dispatch::Dispatcher::MaxStartsPerPass;
   Millis RegistryReadAt_{};
   Millis EndedJobsRemovedAt_{};
   bool RegistryReadOpen_ = false;
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -134,8 +134,9 @@
   /// starting for this long, so that slow replies do not hide the cause of a
   /// crash.
   static constexpr Millis StartingTime{500};
-  /// Limit of the starts that a pass orders. The next pass goes on, so that
-  /// replies and calls are handled while a large backlog is placed.
+  /// Limit of the starts that a pass orders, unless it is given another. The
+  /// next pass goes on, so that replies and calls are handled while a large
+  /// backlog is placed.
   static constexpr std::size_t MaxStartsPerPass = 64;
 
   Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
@@ -263,8 +264,9 @@
                          const Result<std::vector<AdvisedWorker>> &Reply,
                          Millis Now);
 
-  /// Runs a planning pass: places waiting tasks and returns the orders to send.
-  Actions decide(Millis Now);
+  /// Runs a planning pass: places waiting tasks and returns the orders to send,
+  /// with so many starts at most, the members of a last gang excepted.
+  Actions decide(Millis Now, std::size_t StartLimit = MaxStartsPerPass);
   /// What waits at the given time, and how much of it the last pass has not
   /// reached. Goes through all active jobs.
   Backlog backlog(Millis Now);
@@ -433,7 +435,7 @@
   bool isCandidate(const RankedStep &Ranked, const Worker &W, Millis Now) const;
   std::vector<Candidate> findCandidates(const RankedStep &Ranked,
                                         bool GainedCapacityOnly, Millis Now);
-  void placeStep(const RankedStep &Ranked, Millis Now);
+  void placeStep(const RankedStep &Ranked, std::size_t StartLimit, Millis Now);
   void holdWorkersForGang(const StepAdvice &Advice,
                           const std::vector<Candidate> &Candidates);
   /// A candidate for each of so many tasks of the step; fewer if capacity does
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -55,7 +55,7 @@
   ++PassNumber_;
 }
 
-Actions Dispatcher::decide(Millis Now) {
+Actions Dispatcher::decide(Millis Now, std::size_t StartLimit) {
   if (std::exchange(CheckAttempts_, false))
     failExhaustedJobs(Now);
   expireUnreachable(Now);
@@ -87,12 +87,12 @@
         Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
     const bool CapacityExpected = HigherRankedMilliCpus < ExpectedMilliCpus;
     // The steps that follow wait for the next pass, with their advice.
-    IsFull = PendingActions_.Starts_.size() >= MaxStartsPerPass;
+    IsFull = PendingActions_.Starts_.size() >= StartLimit;
     if (IsFull)
       break;
     ++StepsReached_;
     if (State.Ready_)
-      placeStep(Ranked, Now);
+      placeStep(Ranked, StartLimit, Now);
     requestAdvice(Ranked, CapacityExpected, Now);
     const auto WaitingTasks = static_cast<std::int64_t>(State.Tasks_.size()) -
                               State.DoneCount_ - State.RunCount_;
@@ -293,7 +293,8 @@
   }
 }
 
-void Dispatcher::placeStep(const RankedStep &Ranked, Millis Now) {
+void Dispatcher::placeStep(const RankedStep &Ranked, std::size_t StartLimit,
+                           Millis Now) {
   StepRun &State = Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const StepSpec &Spec =
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
@@ -333,7 +334,7 @@
       continue;
     }
     if (!keepsReserve(Ranked, Spec) ||
-        PendingActions_.Starts_.size() >= MaxStartsPerPass)
+        PendingActions_.Starts_.size() >= StartLimit)
       return;
     const std::int64_t Attempt = std::max(Task.LastAttempt_ + 1, FirstAttempt);
     if (isCrashSuspect(Task)) {
--- a/drivers/beast/event_loop.cpp
+++ b/drivers/beast/event_loop.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <deque>
 #include <list>
 
 namespace damaskglade::drivers {
@@ -18,6 +19,12 @@
 
 constexpr int MaxAcceptsPerTurn = 64;
 
+/// Runs a task unless it has been run, and empties it.
+void runOnce(std::function<void()> &Task) {
+  if (Task)
+    std::exchange(Task, nullptr)();
+}
+
 } // namespace
 
 struct EventLoop::State {
@@ -26,6 +33,8 @@
       std::make_shared<SessionRegistry>();
   std::list<tcp::acceptor> Acceptors_;
   asio::signal_set Signals_{Loop_};
+  /// Tasks that wait for the loop to be idle, in order. Empty once run.
+  std::deque<std::shared_ptr<std::function<void()>>> IdleTasks_;
 
   void accept(tcp::acceptor &Acceptor, const ListenerLimits &Limits,
               const WebHandler &Handler) {
@@ -118,6 +127,12 @@
       });
 }
 
+void EventLoop::whenIdle(Millis Limit, std::function<void()> Task) {
+  auto Pending = std::make_shared<std::function<void()>>(std::move(Task));
+  State_->IdleTasks_.push_back(Pending);
+  after(Limit, [Pending] { runOnce(*Pending); });
+}
+
 void EventLoop::onSignal(const std::function<void(int)> &Handler) {
   for (const int Number : {SIGTERM, SIGINT, SIGHUP})
     State_->Signals_.add(Number);
@@ -137,7 +152,20 @@
   return State_->Registry_->OpenRequests_;
 }
 
-void EventLoop::run() { State_->Loop_.run(); }
+void EventLoop::run() {
+  auto &IdleTasks = State_->IdleTasks_;
+  while (!State_->Loop_.stopped()) {
+    while (!IdleTasks.empty() && !*IdleTasks.front())
+      IdleTasks.pop_front();
+    if (IdleTasks.empty()) {
+      State_->Loop_.run_one();
+    } else if (State_->Loop_.poll_one() == 0) {
+      const auto Task = std::move(IdleTasks.front());
+      IdleTasks.pop_front();
+      runOnce(*Task);
+    }
+  }
+}
 
 void EventLoop::stop() { State_->Loop_.stop(); }
 
--- a/drivers/beast/event_loop.h
+++ b/drivers/beast/event_loop.h
@@ -30,6 +30,7 @@
   std::unique_ptr<WebClient> makeClient();
 
   void after(Millis Delay, std::function<void()> Task) override;
+  void whenIdle(Millis Limit, std::function<void()> Task) override;
   /// Calls the handler for SIGTERM, SIGINT and SIGHUP.
   void onSignal(const std::function<void(int)> &Handler);
   /// Takes no new connections and closes idle ones; requests in progress
--- a/ports/async_http.h
+++ b/ports/async_http.h
@@ -70,6 +70,9 @@
 public:
   virtual ~TimerService() = default;
   virtual void after(Millis Delay, std::function<void()> Task) = 0;
+  /// Runs the task as soon as nothing else is ready to run, at the latest after
+  /// the limit. For work that pays to be put off while others wait.
+  virtual void whenIdle(Millis Limit, std::function<void()> Task) = 0;
 };
 
 } // namespace damaskglade
--- a/tests/beast/beast_test.cpp
+++ b/tests/beast/beast_test.cpp
@@ -47,6 +47,42 @@
 
 BOOST_AUTO_TEST_SUITE(Beast)
 
+// Guards against planning that goes before replies and calls that are ready.
+BOOST_AUTO_TEST_CASE(IdleTaskRunsAfterWhatIsReady) {
+  EventLoop Loop;
+  std::string Order;
+  Loop.whenIdle(Millis{5000}, [&] {
+    Order += "i";
+    Loop.stop();
+  });
+  for (int Count = 0; Count < 3; ++Count)
+    Loop.after(Millis{}, [&] {
+      Order += "r";
+      Loop.after(Millis{}, [&] { Order += "r"; });
+    });
+  Loop.run();
+  BOOST_TEST(Order == "rrrrrri");
+}
+
+// Guards against planning that never takes place in a busy event loop.
+BOOST_AUTO_TEST_CASE(IdleTaskOfABusyLoopRunsOnceAtItsLimit) {
+  EventLoop Loop;
+  int Runs = 0;
+  bool Busy = true;
+  const std::function<void()> KeepBusy = [&] {
+    if (Busy)
+      Loop.after(Millis{}, KeepBusy);
+  };
+  KeepBusy();
+  Loop.whenIdle(Millis{20}, [&] {
+    ++Runs;
+    Loop.after(Millis{40}, [&] { Busy = false; });
+    Loop.after(Millis{80}, [&] { Loop.stop(); });
+  });
+  Loop.run();
+  BOOST_TEST(Runs == 1);
+}
+
 BOOST_AUTO_TEST_CASE(RequestAndReplyArriveWhole) {
   EventLoop Loop;
   BOOST_TEST_REQUIRE(
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -22,6 +22,9 @@
     Tasks_.emplace(std::make_pair(Now_ + Delay, ++LastSequence_),
                    std::move(Task));
   }
+  void whenIdle(Millis, std::function<void()> Task) override {
+    after(Millis{}, std::move(Task));
+  }
   Millis monotonic() const override { return Now_; }
   Millis wall() const override { return Now_; }
   void run(Millis Time);
--- a/tests/cell/fake_processor.cpp
+++ b/tests/cell/fake_processor.cpp
@@ -8,6 +8,11 @@
 
 constexpr Micros MicrosPerMilli = 1000;
 
+void runOnce(std::function<void()> &Task) {
+  if (Task)
+    std::exchange(Task, nullptr)();
+}
+
 } // namespace
 
 void FakeProcessor::charge(Micros Cost) {
@@ -28,6 +33,27 @@
   });
 }
 
+void FakeProcessor::whenIdle(Millis Limit, std::function<void()> Task) {
+  auto Pending = std::make_shared<std::function<void()>>(std::move(Task));
+  IdleTasks_.push_back(Pending);
+  after(Limit, [Pending] { runOnce(*Pending); });
+  Loop_.after(lag(), [this] { runIdleTasks(); });
+}
+
+void FakeProcessor::runIdleTasks() {
+  while (!IdleTasks_.empty() && !*IdleTasks_.front())
+    IdleTasks_.pop_front();
+  if (IdleTasks_.empty())
+    return;
+  if (!Queue_.empty() || lag() > Millis{})
+    return Loop_.after(std::max(lag(), Millis{1}), [this] { runIdleTasks(); });
+  const auto Pending = std::move(IdleTasks_.front());
+  IdleTasks_.pop_front();
+  run(TimerCost, [Pending] { runOnce(*Pending); });
+  if (!IdleTasks_.empty())
+    Loop_.after(std::max(lag(), Millis{1}), [this] { runIdleTasks(); });
+}
+
 void FakeProcessor::run(Micros Cost, std::function<void()> Task) {
   if (Cores_ == 0 && !Running_ && lag() == Millis{}) {
     Used_ += Cost;
--- a/tests/cell/fake_processor.h
+++ b/tests/cell/fake_processor.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <utility>
 
 namespace damaskglade::fakes {
@@ -37,6 +38,7 @@
   Micros used() const { return Used_; }
 
   void after(Millis Delay, std::function<void()> Task) override;
+  void whenIdle(Millis Limit, std::function<void()> Task) override;
   /// Time up to which the running task has got.
   Millis monotonic() const override;
   Millis wall() const override { return monotonic(); }
@@ -45,6 +47,7 @@
 private:
   void charge(Micros Cost);
   void runQueue();
+  void runIdleTasks();
   Millis lag() const { return monotonic() - LoopClock_.monotonic(); }
 
   TimerService &Loop_;
@@ -53,6 +56,8 @@
   Micros Used_ = 0;
   Micros BusyUntil_ = 0;
   std::deque<std::pair<Micros, std::function<void()>>> Queue_;
+  /// Tasks that wait until the queue is empty. Empty once run.
+  std::deque<std::shared_ptr<std::function<void()>>> IdleTasks_;
   bool Running_ = false; ///< The queue is being run, or a timer will do so.
 };
 
--- a/tests/cell/large_fleet_test.cpp
+++ b/tests/cell/large_fleet_test.cpp
@@ -66,10 +66,48 @@
   int Offered_ = 0;
 };
 
+/// Offers a burst of tasks to a leader that calls its workers itself. Returns
+/// the share of its processor time that it uses while tasks wait beside free
+/// workers.
+double playBurst(double Cores) {
+  constexpr int FewWorkers = 200;
+  constexpr std::size_t NoRelays = 10000;
+  constexpr int Jobs = 20;
+  constexpr int Tasks = 50;
+  constexpr double MicrosPerMilli = 1000;
+  FakeCell Cell(3, FewWorkers, NoRelays);
+  constexpr std::size_t RowsPerPage = 200;
+  Cell.StoreState_.PageRows_ = RowsPerPage;
+  Cell.Loop_.run(Second * 3);
+  const std::string Leader = Cell.leader();
+  Cell.setSpeed(Cores);
+  for (int Job = 1; Job <= Jobs; ++Job)
+    Cell.submit(Leader, jobId(Job), Tasks, Second * 30);
+  const auto Started = [&] { return Cell.Fleet_.Starts_.size(); };
+  Cell.Loop_.runUntil(Second * 5, [&] { return Started() > 0; });
+  const Millis Begin = Cell.Loop_.monotonic();
+  const Micros UsedBefore = Cell.processor(Leader).used();
+  BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+      Second * 20, [&] { return Started() == std::size_t{Jobs} * Tasks; }));
+  const Millis Time = Cell.Loop_.monotonic() - Begin;
+  const auto Used =
+      static_cast<double>(Cell.processor(Leader).used() - UsedBefore);
+  BOOST_TEST_MESSAGE("placed in " << Time.Value_ << " ms");
+  return Used / (static_cast<double>(Time.Value_) * MicrosPerMilli * Cores);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LargeFleetTests)
 
+// Guards against tasks that wait for the next planning pass beside free workers
+// and an idle leader.
+BOOST_AUTO_TEST_CASE(LeaderIsNotIdleWhileTasksWait) {
+  constexpr double NearlyAll = 0.9;
+  for (const double Slowdown : {1.0, 2.0, 3.0, 4.0})
+    BOOST_TEST(playBurst(NodeCores / Slowdown) >= NearlyAll);
+}
+
 // Guards against a leader whose calls to workers take all of its processor time
 // while the other nodes are idle.
 BOOST_AUTO_TEST_CASE(HalfOfTheProcessorsServesTheWholeLoad) {
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -193,6 +193,21 @@
   }
 }
 
+// Guards against passes that keep callers waiting on a slow processor, and
+// against many small ones that each rank all steps while a backlog waits.
+BOOST_AUTO_TEST_CASE(StartLimitFollowsTheDurationOfPasses) {
+  constexpr std::size_t Least = dispatch::Dispatcher::MaxStartsPerPass;
+  BOOST_TEST(nextStartLimit(Least, true, Millis{6}) == Least * 2);
+  BOOST_TEST(nextStartLimit(Least, true, Millis{20}) == Least);
+  BOOST_TEST(nextStartLimit(Least * 4, false, Millis{6}) == Least * 4);
+  BOOST_TEST(nextStartLimit(Least * 4, true, Millis{30}) == Least * 2);
+  BOOST_TEST(nextStartLimit(Least, false, Millis{1000}) == Least);
+  std::size_t Limit = Least;
+  for (int Pass = 0; Pass < 100; ++Pass)
+    Limit = nextStartLimit(Limit, true, Millis{});
+  BOOST_TEST(Limit <= 1024U);
+}
+
 // Guards against a hand-over in which all nodes write the leader row at once,
 // so that a weak node is elected.
 BOOST_AUTO_TEST_CASE(StrongNodesAreAskedFirst) {
