recorder: Let an idle event loop write first

Changes were written 4 ms after the first one, whatever waited. While the leader is busy, more changes of the same job now share a transaction: it is sent when the event loop is idle, at most 16 ms later than before.

--- a/cell/part_recorder.cpp
+++ b/cell/part_recorder.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t MaxBatchesInFlight = 6;
 // Changes within this time share a transaction.
 constexpr Millis GroupDelay{4};
+// A busy event loop delays a transaction by this at most, in addition.
+constexpr Millis MaxIdleDelay{16};
 // Delay of the next transaction after one has failed.
 constexpr Millis RetryDelay{120};
 // A transaction without a reply for this long counts as a sign of failure. Its
@@ -213,13 +215,22 @@
     return;
   FlushScheduled_ = true;
   Ports_.Timers_.after(Delay, [this, Alive = std::weak_ptr<bool>(Alive_)] {
-    if (Alive.expired())
-      return;
-    FlushScheduled_ = false;
-    flush();
+    if (!Alive.expired())
+      flushWhenIdle();
   });
 }
 
+// Changes that are handled meanwhile share the transaction.
+void PartRecorder::flushWhenIdle() {
+  Ports_.Timers_.whenIdle(MaxIdleDelay,
+                          [this, Alive = std::weak_ptr<bool>(Alive_)] {
+                            if (Alive.expired())
+                              return;
+                            FlushScheduled_ = false;
+                            flush();
+                          });
+}
+
 // Normally one transaction at a time is sent, so that each takes as many
 // changes as possible. If the store is slow, or if changes are left that a full
 // transaction does not hold, several are in flight.
--- a/cell/part_recorder.h
+++ b/cell/part_recorder.h
@@ -131,6 +131,7 @@
   /// Whether a transaction has waited long for its reply.
   bool isOverdue() const;
   void scheduleFlush(Millis Delay);
+  void flushWhenIdle();
   bool canFlush() const;
   void flush();
   /// Sends the next transaction. False if there is nothing that it could hold.
