--- a/cell/work_meter.h
+++ b/cell/work_meter.h
@@ -9,10 +9,9 @@
 
 namespace damaskglade::cell {
 
-/// What a leader spends its processor time on. The rest goes to connections,
-/// and to messages that only this node's followers send.
+/// What a leader spends its processor time on.
 enum class Work {
-  Other,
+  Other,     ///< Connections, the store, and calls of other nodes.
   Planning,  ///< Planning passes, without what they send.
   Orders,    ///< Sending the orders and questions of passes.
   Recording, ///< Collecting the changes of passes for the store.
