config, web_client, log: Tell how old a node's configuration is, and why

Nothing told it. The follower of the configuration is a class of its own, with gauges of the version and of the time since the last read that succeeded, counters of failed reads by reason and of lost histories, and a line a second while reads fail. The client reports bytes, reads and duration of replies of 32 KiB and more, and what had arrived when a call timed out. Each step has ten log lines a second of its own, so that frequent lines do not displace rare ones. No other behaviour changes.

--- a/drivers/beast/event_loop.cpp
+++ b/drivers/beast/event_loop.cpp
@@ -109,8 +109,9 @@
   return success();
 }
 
-std::unique_ptr<WebClient> EventLoop::makeClient() {
-  return makeWebClient(State_->Loop_);
+std::unique_ptr<WebClient>
+EventLoop::makeClient(WebTransferHandler OnTransfer) {
+  return makeWebClient(State_->Loop_, std::move(OnTransfer));
 }
 
 void EventLoop::after(Millis Delay, std::function<void()> Task) {
--- a/drivers/beast/event_loop.h
+++ b/drivers/beast/event_loop.h
@@ -27,7 +27,8 @@
   /// Accepts connections on "ip:port". Errors: connect_failed.
   Status listen(const std::string &Address, const ListenerLimits &Limits,
                 const WebHandler &Handler);
-  std::unique_ptr<WebClient> makeClient();
+  /// The handler, if any, is told how large replies were received.
+  std::unique_ptr<WebClient> makeClient(WebTransferHandler OnTransfer = {});
 
   void after(Millis Delay, std::function<void()> Task) override;
   void whenIdle(Millis Limit, std::function<void()> Task) override;
--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr std::size_t MaxReplyBytes = std::size_t{16} * 1024 * 1024;
+// Replies of at least this size are reported as transfers.
+constexpr std::size_t LargeReplyBytes = std::size_t{32} * 1024;
 
 class Connection;
 
@@ -161,10 +163,11 @@
 public:
   Connection(boost::asio::io_context &Loop, const WebCall &FirstCall,
              std::shared_ptr<IdlePool> Pool,
-             std::shared_ptr<DeadlineQueue> Deadlines)
+             std::shared_ptr<DeadlineQueue> Deadlines,
+             WebTransferHandler OnTransfer)
       : Loop_(Loop), Socket_(Loop), Address_(FirstCall.Address_),
         Group_(FirstCall.ConnectionGroup_), Pool_(std::move(Pool)),
-        Deadlines_(std::move(Deadlines)) {}
+        Deadlines_(std::move(Deadlines)), OnTransfer_(std::move(OnTransfer)) {}
 
   void run(const WebCall &Call, WebReplyHandler Done, bool Reused) {
     CalledAt_ = SteadyClock::now();
@@ -173,6 +176,8 @@
     Done_ = std::move(Done);
     Sent_ = Reused;
     TimedOut_ = false;
+    Reads_ = 0;
+    ReceivedBytes_ = 0;
     MaxExtension_ = Call.Timeout_;
     SendLimit_.emplace(Call.Timeout_);
     Request_ = formatRequest(Call);
@@ -231,13 +236,23 @@
   void read() {
     Parser_.emplace();
     Parser_->body_limit(MaxReplyBytes);
-    http::async_read(
-        Socket_, Buffer_, *Parser_,
-        [Self = shared_from_this()](beast::error_code Failure, std::size_t) {
-          if (Failure)
-            return Self->fail(Failure);
-          Self->onReply();
-        });
+    Parser_->eager(true);
+    readPart();
+  }
+
+  void readPart() {
+    http::async_read_some(Socket_, Buffer_, *Parser_,
+                          [Self = shared_from_this()](beast::error_code Failure,
+                                                      std::size_t Bytes) {
+                            if (++Self->Reads_ == 1)
+                              Self->FirstPartAt_ = SteadyClock::now();
+                            Self->ReceivedBytes_ += Bytes;
+                            if (Failure)
+                              return Self->fail(Failure);
+                            if (Self->Parser_->is_done())
+                              return Self->onReply();
+                            Self->readPart();
+                          });
   }
 
   void onReply() {
@@ -304,20 +319,35 @@
     finish(Problem);
   }
 
-  // A long idle time tells a silent connection from a silent peer.
+  // A long idle time tells a silent connection from a silent peer, and what was
+  // received tells both from a reply that takes long.
   std::string timeoutMessage() const {
     const auto Idle =
         std::chrono::duration_cast<std::chrono::milliseconds>(IdleTime_);
-    if (Idle.count() == 0)
-      return "timeout";
-    return "timeout on a connection that was idle for " +
-           std::to_string(Idle.count()) + " ms";
+    std::string Message = "timeout";
+    if (Idle.count() > 0)
+      Message += " on a connection that was idle for " +
+                 std::to_string(Idle.count()) + " ms";
+    if (ReceivedBytes_ > 0)
+      Message += " after " + std::to_string(ReceivedBytes_) + " bytes in " +
+                 std::to_string(Reads_) + " reads";
+    return Message;
+  }
+
+  void reportTransfer(bool Complete) const {
+    if (!OnTransfer_ || ReceivedBytes_ < LargeReplyBytes)
+      return;
+    const auto Duration = std::chrono::duration_cast<std::chrono::milliseconds>(
+        SteadyClock::now() - FirstPartAt_);
+    OnTransfer_(WebTransfer{Step_, Address_, ReceivedBytes_, Reads_,
+                            Millis{Duration.count()}, Complete});
   }
 
   void finish(Result<WebReply> Outcome) {
     if (Deadline_)
       Deadlines_->remove(*Deadline_);
     Deadline_.reset();
+    reportTransfer(Outcome.has_value());
     auto Done = std::move(Done_);
     Done_ = nullptr;
     if (Done)
@@ -330,6 +360,7 @@
   const std::string Group_;
   const std::shared_ptr<IdlePool> Pool_;
   const std::shared_ptr<DeadlineQueue> Deadlines_;
+  const WebTransferHandler OnTransfer_;
   std::optional<DeadlineQueue::Entries::iterator> Deadline_;
   std::optional<SendLimit> SendLimit_;
   /// Limit of the time by which the deadline may still be extended.
@@ -338,6 +369,9 @@
   SteadyClock::time_point HeardAt_{}; ///< When the last reply was received.
   SteadyClock::duration IdleTime_{};  ///< Before the call.
   std::string Step_;
+  int Reads_ = 0;                 ///< Parts of the reply so far.
+  std::size_t ReceivedBytes_ = 0; ///< Of the reply so far.
+  SteadyClock::time_point FirstPartAt_{};
   WebReplyHandler Done_;
   bool Sent_ = false;
   bool TimedOut_ = false;
@@ -383,9 +417,10 @@
 // which shows when the next call uses it.
 class PooledWebClient : public WebClient {
 public:
-  explicit PooledWebClient(boost::asio::io_context &Loop)
+  PooledWebClient(boost::asio::io_context &Loop, WebTransferHandler OnTransfer)
       : Loop_(Loop), Pool_(std::make_shared<IdlePool>()),
-        Deadlines_(std::make_shared<DeadlineQueue>(Loop)) {}
+        Deadlines_(std::make_shared<DeadlineQueue>(Loop)),
+        OnTransfer_(std::move(OnTransfer)) {}
 
   ~PooledWebClient() override {
     Pool_->close();
@@ -396,7 +431,7 @@
     const auto Idle = Pool_->take(Call.Address_, Call.ConnectionGroup_);
     if (Idle)
       return callReused(*Idle, Call, std::move(Done));
-    std::make_shared<Connection>(Loop_, Call, Pool_, Deadlines_)
+    std::make_shared<Connection>(Loop_, Call, Pool_, Deadlines_, OnTransfer_)
         ->run(Call, std::move(Done), false);
   }
 
@@ -415,7 +450,8 @@
           if (!Closed || Limit.hasPassed())
             return Done(std::move(Outcome));
           Pool->dropUnheard(Call.Address_, CalledAt);
-          std::make_shared<Connection>(Loop_, Call, Pool, Deadlines_)
+          std::make_shared<Connection>(Loop_, Call, Pool, Deadlines_,
+                                       OnTransfer_)
               ->run(Call, keepUnknown(Done), false);
         },
         true);
@@ -438,12 +474,14 @@
   boost::asio::io_context &Loop_;
   const std::shared_ptr<IdlePool> Pool_;
   const std::shared_ptr<DeadlineQueue> Deadlines_;
+  const WebTransferHandler OnTransfer_;
 };
 
 } // namespace
 
-std::unique_ptr<WebClient> makeWebClient(boost::asio::io_context &Loop) {
-  return std::make_unique<PooledWebClient>(Loop);
+std::unique_ptr<WebClient> makeWebClient(boost::asio::io_context &Loop,
+                                         WebTransferHandler OnTransfer) {
+  return std::make_unique<PooledWebClient>(Loop, std::move(OnTransfer));
 }
 
 } // namespace damaskglade::drivers
--- a/drivers/beast/web_client.h
+++ b/drivers/beast/web_client.h
@@ -8,7 +8,8 @@
 
 namespace damaskglade::drivers {
 
-std::unique_ptr<WebClient> makeWebClient(boost::asio::io_context &Loop);
+std::unique_ptr<WebClient> makeWebClient(boost::asio::io_context &Loop,
+                                         WebTransferHandler OnTransfer);
 
 } // namespace damaskglade::drivers
 
--- a/drivers/log/bounded_log.cpp
+++ b/drivers/log/bounded_log.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -36,11 +37,9 @@
     if (Now - PeriodStart_ > BudgetPeriod) {
       PeriodStart_ = Now;
       Lines_ = 0;
+      StepLines_.clear();
     }
-    const bool Urgent =
-        Event.Level_ == LogLevel::Warning || Event.Level_ == LogLevel::Error;
-    if (Queue_.size() >= Budget_.QueuedLines_ ||
-        (!Urgent && ++Lines_ > Budget_.LinesPerSecond_)) {
+    if (Queue_.size() >= Budget_.QueuedLines_ || !isWithinBudget(Event)) {
       ++Dropped_;
       return;
     }
@@ -50,6 +49,16 @@
   }
 
 private:
+  bool isWithinBudget(const LogEvent &Event) {
+    if (Event.Level_ == LogLevel::Warning || Event.Level_ == LogLevel::Error)
+      return true;
+    // Steps of requests are tasks, of which there is no limited number.
+    if (Event.Request_.empty() &&
+        ++StepLines_[Event.Step_] <= Budget_.LinesPerStep_)
+      return true;
+    return ++Lines_ <= Budget_.LinesPerSecond_;
+  }
+
   void run() {
     std::unique_lock<std::mutex> Lock(Mutex_);
     while (!Stopping_ || !Queue_.empty()) {
@@ -78,6 +87,7 @@
   std::condition_variable Wake_;
   std::vector<LogEvent> Queue_;
   std::size_t Lines_ = 0;
+  std::map<std::string, std::size_t> StepLines_; ///< In this period, by step.
   std::size_t Dropped_ = 0;
   Millis PeriodStart_{};
   bool Stopping_ = false;
--- a/drivers/log/bounded_log.h
+++ b/drivers/log/bounded_log.h
@@ -13,6 +13,9 @@
 struct LogBudget {
   std::size_t LinesPerSecond_ = 400; ///< Warnings are not counted.
   std::size_t QueuedLines_ = 2000;   ///< More are dropped.
+  /// Lines a second that each step may write beside those, unless they are
+  /// about a request, so that frequent lines do not displace rare ones.
+  std::size_t LinesPerStep_ = 10;
 
   friend bool operator==(const LogBudget &, const LogBudget &) = default;
 };
--- a/drivers/metrics/metrics.cpp
+++ b/drivers/metrics/metrics.cpp
@@ -85,6 +85,7 @@
   prometheus::Histogram *Decisions_ = nullptr;
   Mutex Mutex_;
   std::map<std::string, prometheus::Counter *> Counters_;
+  std::map<std::string, std::vector<prometheus::Counter *>> ReasonCounters_;
   std::map<std::string, prometheus::Gauge *> Gauges_;
   std::map<std::string, prometheus::Histogram *> Histograms_;
 };
@@ -107,6 +108,18 @@
   State_->Retries_.at(static_cast<std::size_t>(Why))->Increment();
 }
 
+void PrometheusMetrics::countReason(const std::string &Name, Reason Why) {
+  if (Why == Reason::None)
+    return;
+  const MutexLock Lock(State_->Mutex_);
+  std::vector<prometheus::Counter *> &Counters = State_->ReasonCounters_[Name];
+  if (Counters.empty())
+    Counters =
+        makeReasonCounters(State_->Registry_, "damaskglade_" + Name + "_total",
+                           "By reason.", State_->Common_);
+  Counters.at(static_cast<std::size_t>(Why))->Increment();
+}
+
 void PrometheusMetrics::count(const std::string &Name, double Amount) {
   const MutexLock Lock(State_->Mutex_);
   prometheus::Counter *&Counter = State_->Counters_[Name];
--- a/drivers/metrics/metrics.h
+++ b/drivers/metrics/metrics.h
@@ -16,6 +16,7 @@
 
   void countRefusal(Reason Why) override;
   void countRetry(Reason Why) override;
+  void countReason(const std::string &Name, Reason Why) override;
   void count(const std::string &Name, double Amount) override;
   void gauge(const std::string &Name, double Value) override;
   void observe(const std::string &Name, double Value) override;
--- a/main/cell_node.cpp
+++ b/main/cell_node.cpp
@@ -1,5 +1,6 @@
 #include "main/cell_node.h"
 
+#include "cell/config_follower.h"
 #include "cell/gateway.h"
 #include "cell/member.h"
 #include "drivers/beast/event_loop.h"
@@ -25,7 +26,6 @@
 constexpr int ExitUsage = 2;
 constexpr int Ok = 200;
 constexpr int Unavailable = 503;
-constexpr Millis ConfigRetry{200};
 // The balancer needs two failed checks, a second apart, to turn away.
 constexpr Millis LeaveRotation{2300};
 constexpr Millis DrainPoll{50};
@@ -40,7 +40,8 @@
                                                            Settings_.Zone_,
                                                            Settings_.LogLevel_),
                                      Clock_, drivers::LogBudget{})),
-        Http_(Loop_.makeClient()),
+        Http_(Loop_.makeClient(
+            [this](const WebTransfer &Each) { reportTransfer(Each); })),
         Store_(platform::makeRowStore(*Http_, Settings_.StoreAddress_)),
         Configs_(platform::makeConfigSource(*Store_)),
         Registry_(platform::makeWorkerRegistry(*Store_)),
@@ -50,7 +51,12 @@
                                *Advisor_, *Configs_, *Registry_, Peers_,
                                *Log_,     Metrics_},
         Member_(std::make_shared<cell::Member>(Ports_, Settings_)),
-        Gateway_(Ports_, Member_) {}
+        Gateway_(Ports_, Member_),
+        Config_(cell::ConfigPorts{Clock_, Loop_, *Configs_, *Log_, Metrics_},
+                [this](const CellConfig &Config) {
+                  Gateway_.setConfig(Config);
+                  Member_->setConfig(Config);
+                }) {}
 
   int run() {
     Member_->addMethods(Rpc_);
@@ -62,7 +68,7 @@
     Loop_.onSignal([this](int Number) { handleSignal(Number); });
     cell::logEvent(Ports_, LogLevel::Info, "", "start", Settings_.CallerListen_,
                    "listening");
-    followConfig();
+    Config_.start();
     Member_->start();
     Loop_.run();
     cell::logEvent(Ports_, LogLevel::Info, "", "stop", "", "stopped");
@@ -96,34 +102,30 @@
     return Loop_.listen(
         Settings_.MetricsListen_, Callers,
         [this](const WebRequest &, const WebReplier &Reply) {
+          Config_.reportAge();
           Reply(WebReply{Ok, Metrics_.render(), "text/plain; version=0.0.4"});
         });
   }
 
-  void followConfig() {
-    Configs_->next([this](const Result<std::optional<CellConfig>> &Next) {
-      if (!Next) {
-        if (!ConfigLost_)
-          Log_->write(failureEvent(Next.error(), ""));
-        ConfigLost_ = true;
-        Loop_.after(ConfigRetry, [this] { followConfig(); });
-        return;
-      }
-      ConfigLost_ = false;
-      if (Next.value())
-        apply(*Next.value());
-      Loop_.after(Millis{}, [this] { followConfig(); });
-    });
-  }
-
-  void apply(const CellConfig &Config) {
-    // A read after lost history may return what is already in force.
-    if (Gateway_.config() && Config.Version_ <= Gateway_.config()->Version_)
+  // Tells which calls take long because of the size of their replies.
+  void reportTransfer(const WebTransfer &Transfer) {
+    constexpr double MillisPerSecond = 1000;
+    constexpr double BytesPerKib = 1024;
+    constexpr std::size_t LoggedBytes = std::size_t{128} * 1024;
+    Metrics_.observe("transfer_seconds",
+                     static_cast<double>(Transfer.Duration_.Value_) /
+                         MillisPerSecond);
+    Metrics_.observe("transfer_kib",
+                     static_cast<double>(Transfer.Bytes_) / BytesPerKib);
+    Metrics_.observe("transfer_reads", Transfer.Reads_);
+    if (Transfer.Complete_ && Transfer.Bytes_ < LoggedBytes)
       return;
-    cell::logEvent(Ports_, LogLevel::Info, "", "configuration", "",
-                   "in force, version=" + std::to_string(Config.Version_));
-    Gateway_.setConfig(Config);
-    Member_->setConfig(Config);
+    cell::logEvent(Ports_, LogLevel::Info, "", "transfer", Transfer.Peer_,
+                   Transfer.Step_ +
+                       (Transfer.Complete_ ? " complete" : " failed") +
+                       ", bytes=" + std::to_string(Transfer.Bytes_) +
+                       " reads=" + std::to_string(Transfer.Reads_) +
+                       " ms=" + std::to_string(Transfer.Duration_.Value_));
   }
 
   void handleSignal(int Number) {
@@ -169,9 +171,9 @@
   const cell::CellPorts Ports_;
   const std::shared_ptr<cell::Member> Member_;
   cell::Gateway Gateway_;
+  cell::ConfigFollower Config_;
   cell::RpcServer Rpc_;
   Millis StopBy_{};
-  bool ConfigLost_ = false;
   bool Stopping_ = false;
 };
 
--- a/ports/async_http.h
+++ b/ports/async_http.h
@@ -56,6 +56,21 @@
 
 using WebReplyHandler = std::function<void(Result<WebReply>)>;
 
+/// How a large reply was received.
+struct WebTransfer {
+  std::string Step_; ///< Method and path of the call.
+  std::string Peer_;
+  std::size_t Bytes_ = 0; ///< Received, with the header.
+  int Reads_ = 0;         ///< Each took a turn of the event loop.
+  Millis Duration_{};     ///< From the first part to the last one.
+  bool Complete_ = false;
+
+  friend bool operator==(const WebTransfer &, const WebTransfer &) = default;
+};
+
+/// Receives the transfers of a client, those of small replies left out.
+using WebTransferHandler = std::function<void(const WebTransfer &)>;
+
 /// HTTP client over kept-alive connections. Callbacks run on the event loop.
 class WebClient {
 public:
--- a/ports/cell_sources.h
+++ b/ports/cell_sources.h
@@ -27,17 +27,26 @@
   std::int64_t Version_ = 0;
   std::vector<QueueRoute> Routes_;
   std::map<std::string, dispatch::QueuePolicy> Queues_;
+  std::size_t Bytes_ = 0; ///< Size of the text that it was decoded from.
 
   friend bool operator==(const CellConfig &, const CellConfig &) = default;
 };
 
-/// Source of configurations. The callback gets no value if no newer
-/// configuration appears within the wait.
+/// Outcome of a request for a newer configuration.
+struct ConfigRead {
+  std::optional<CellConfig> Config_; ///< Empty: there is no newer one.
+  /// The changes since the last request were no longer known, so all was read.
+  bool HistoryLost_ = false;
+
+  friend bool operator==(const ConfigRead &, const ConfigRead &) = default;
+};
+
+/// Source of configurations.
 class ConfigSource {
 public:
   virtual ~ConfigSource() = default;
-  virtual void
-  next(std::function<void(Result<std::optional<CellConfig>>)> Done) = 0;
+  /// Waits a while for a newer configuration.
+  virtual void next(std::function<void(Result<ConfigRead>)> Done) = 0;
 };
 
 /// The registry of live workers at one moment.
--- a/ports/metrics_sink.h
+++ b/ports/metrics_sink.h
@@ -14,6 +14,8 @@
   virtual ~MetricsSink() = default;
   virtual void countRefusal(Reason Why) = 0;
   virtual void countRetry(Reason Why) = 0;
+  /// Adds to the counter damaskglade_<Name>_total of the reason.
+  virtual void countReason(const std::string &Name, Reason Why) = 0;
   /// Adds to the counter damaskglade_<Name>_total.
   virtual void count(const std::string &Name, double Amount = 1.0) = 0;
   /// Sets the gauge damaskglade_<Name>.
@@ -29,6 +31,7 @@
 public:
   void countRefusal(Reason) override {}
   void countRetry(Reason) override {}
+  void countReason(const std::string &, Reason) override {}
   void count(const std::string &, double) override {}
   void gauge(const std::string &, double) override {}
   void observe(const std::string &, double) override {}
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -346,8 +346,8 @@
   const auto Source = makeConfigSource(*Store);
   const auto NextConfig = [&] {
     std::optional<CellConfig> Received;
-    Source->next([&](const Result<std::optional<CellConfig>> &Config) {
-      Received = Config.value();
+    Source->next([&](const Result<ConfigRead> &Read) {
+      Received = Read.value().Config_;
     });
     return Received;
   };
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -339,7 +339,7 @@
 
 class FakeConfigs : public ConfigSource {
 public:
-  void next(std::function<void(Result<std::optional<CellConfig>>)>) override {}
+  void next(std::function<void(Result<ConfigRead>)>) override {}
 };
 
 class FakeRegistry : public WorkerRegistry {
--- a/tests/cell/recorder_test.cpp
+++ b/tests/cell/recorder_test.cpp
@@ -67,7 +67,7 @@
            std::function<void(Result<std::vector<AdvisedWorker>>)>) override {}
 };
 class NoConfigs : public ConfigSource {
-  void next(std::function<void(Result<std::optional<CellConfig>>)>) override {}
+  void next(std::function<void(Result<ConfigRead>)>) override {}
 };
 class NoRegistry : public WorkerRegistry {
   void list(std::function<void(Result<RegistrySnapshot>)>) override {}
--- a/tests/cell/relay_test.cpp
+++ b/tests/cell/relay_test.cpp
@@ -158,7 +158,7 @@
 
 class NoConfigs : public ConfigSource {
 public:
-  void next(std::function<void(Result<std::optional<CellConfig>>)>) override {}
+  void next(std::function<void(Result<ConfigRead>)>) override {}
 };
 
 class NoRegistry : public WorkerRegistry {
