web_client: Let a large message that keeps moving outlast its timeout

The timeout of a call did not depend on its size. On the code with counters the leader gave up pages of the registry after 197,120 and 211,074 of 211,074 bytes, and the next read began with the first byte. At its deadline a call now goes on while its message moves fast enough to be complete within eight timeouts. A small request whose peer is silent, a reply that stalls and one that trickles end as before. ReplyThatKeepsArrivingIsNotCut fails without it.

--- a/ports/async_http.h
+++ b/ports/async_http.h
@@ -46,7 +46,9 @@
   std::string Target_;
   HttpHeaders Headers_;
   std::string Body_;
-  Millis Timeout_{1000}; ///< From the call until the whole reply is received.
+  /// From the call until the whole reply is received. A large message that
+  /// keeps moving may take some times longer.
+  Millis Timeout_{1000};
   /// Calls of different groups never share a connection, so that a long poll
   /// does not delay a short call.
   std::string ConnectionGroup_;
--- a/tests/beast/large_message_test.cpp
+++ b/tests/beast/large_message_test.cpp
@@ -1,10 +1,15 @@
 // Messages of the largest size on event loops that have other work, too.
 
 #include "drivers/beast/event_loop.h"
+#include "drivers/beast/transfer_progress.h"
 
+#include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace damaskglade;
 using namespace damaskglade::drivers;
@@ -12,6 +17,7 @@
 namespace {
 
 // Below the ports of the process tests and the soak, which run beside it.
+constexpr int Port = 11441;
 constexpr const char *Address = "127.0.0.1:11441";
 // The largest page of the store, and the largest transaction.
 constexpr std::size_t MessageBytes = std::size_t{1024} * 1024;
@@ -75,6 +81,54 @@
   return std::move(*Outcome);
 }
 
+/// Announces a reply of MessageBytes to one call, and sends it in parts.
+class PartServer {
+public:
+  /// After the last part it sends nothing more and keeps the connection.
+  PartServer(std::size_t PartBytes, int Parts, Millis Pause)
+      : Listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    constexpr int Yes = 1;
+    setsockopt(Listener_, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+    sockaddr_in Own{};
+    Own.sin_family = AF_INET;
+    Own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Own.sin_port = htons(Port);
+    BOOST_TEST_REQUIRE(bind(Listener_, reinterpret_cast<const sockaddr *>(&Own),
+                            sizeof(Own)) == 0);
+    BOOST_TEST_REQUIRE(listen(Listener_, 1) == 0);
+    Thread_ = std::thread(
+        [this, PartBytes, Parts, Pause] { serve(PartBytes, Parts, Pause); });
+  }
+  ~PartServer() {
+    Thread_.join();
+    close(Listener_);
+  }
+  PartServer(const PartServer &) = delete;
+  PartServer &operator=(const PartServer &) = delete;
+
+private:
+  void serve(std::size_t PartBytes, int Parts, Millis Pause) const {
+    const int Caller = accept4(Listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    char Request[4096];
+    recv(Caller, Request, sizeof(Request), 0);
+    std::string Part =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(MessageBytes) +
+        "\r\n\r\n";
+    for (int Count = 0; Count <= Parts; ++Count) {
+      if (send(Caller, Part.data(), Part.size(), MSG_NOSIGNAL) < 0)
+        break;
+      Part.assign(PartBytes, 'x');
+      sleepFor(Pause);
+    }
+    // Returns when the caller has closed the connection.
+    recv(Caller, Request, sizeof(Request), 0);
+    close(Caller);
+  }
+
+  const int Listener_;
+  std::thread Thread_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LargeMessages)
@@ -127,4 +181,44 @@
   BOOST_TEST(std::stoi(Reply->value().Body_) <= MaxTurns);
 }
 
+// Guards against a large reply that is cut by the timeout of its call while it
+// keeps arriving, and is then read again from its first byte.
+BOOST_AUTO_TEST_CASE(ReplyThatKeepsArrivingIsNotCut) {
+  constexpr int Parts = 16;
+  const PartServer Server(MessageBytes / Parts, Parts, Millis{50});
+  EventLoop Loop;
+  const auto Reply = exchange(Loop, makeCall("", Millis{200}));
+  BOOST_TEST_REQUIRE(Reply.has_value());
+  BOOST_TEST(Reply.value().Body_.size() == MessageBytes);
+}
+
+// Guards against a call that never ends because its peer stops in the middle of
+// a reply, or sends a few bytes now and then.
+BOOST_AUTO_TEST_CASE(ReplyThatStallsIsATimeout) {
+  constexpr int Parts = 16;
+  for (const std::size_t PartBytes : {MessageBytes / Parts, std::size_t{1}}) {
+    const PartServer Server(PartBytes, Parts / 2, Millis{10});
+    EventLoop Loop;
+    const auto Reply = exchange(Loop, makeCall("", Millis{50}));
+    BOOST_TEST_REQUIRE(!Reply.has_value());
+    BOOST_TEST((Reply.error().Reason_ == Reason::Timeout));
+    BOOST_TEST(Reply.error().Message_.find("bytes in") != std::string::npos);
+  }
+}
+
+// Guards against a longer wait for a silent peer, which tells of its failure.
+BOOST_AUTO_TEST_CASE(OnlyAMessageThatMovesExtendsItsCall) {
+  const TransferProgress Sent{100, 100, 0, 0};
+  BOOST_TEST(!keepsMoving(TransferProgress{100, 0, 0, 0}, Sent));
+  BOOST_TEST(!keepsMoving(Sent, Sent));
+  const TransferProgress PartlySent{8000, 1000, 0, 0};
+  BOOST_TEST(keepsMoving(TransferProgress{8000, 0, 0, 0}, PartlySent));
+  BOOST_TEST(!keepsMoving(PartlySent, PartlySent));
+  const TransferProgress PartlyReceived{100, 100, 8000, 1000};
+  BOOST_TEST(keepsMoving(Sent, PartlyReceived));
+  BOOST_TEST(!keepsMoving(PartlyReceived, PartlyReceived));
+  BOOST_TEST(
+      !keepsMoving(PartlyReceived, TransferProgress{100, 100, 8000, 1999}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
