config: Follow on a thread of its own, and take versions from other nodes

A node had one way to a new version: through its own event loop, behind all of its other work, and through its own path to the store. A third of the nodes that the store turned away had versions 6.7 to 9.7 s after the others, which they could reach all the time; their callers got 404 for routes that existed.

The follower has an event loop of its own on a thread of its own; a version that it has received waits for one turn of the node's loop. Pings tell the version in force, and their replies which newer one there is and which node has it. A node that the store does not serve asks that node, then others. It takes only texts that it decodes as those of the store, and never an older version.

The fake cell changes the configuration at each point of each schedule, and checks that all nodes have the newest version in the end and none went back.

--- a/cell/candidate.h
+++ b/cell/candidate.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -14,7 +15,8 @@
   Millis HeardAt_{};
   /// Processors that the node may use, times their relative speed.
   double Cpu_ = 0;
-  std::string Zone_; ///< Its availability zone.
+  std::string Zone_;               ///< Its availability zone.
+  std::int64_t ConfigVersion_ = 0; ///< Of the configuration in force there.
 
   friend bool operator==(const PeerNode &, const PeerNode &) = default;
 };
--- a/cell/context.h
+++ b/cell/context.h
@@ -23,7 +23,6 @@
   RowStore &Store_;
   TaskWorkers &Workers_;
   Advisor &Advisor_;
-  ConfigSource &Configs_;
   WorkerRegistry &Registry_;
   RpcClient &Peers_;
   EventLog &Log_;
--- a/cell/gateway.h
+++ b/cell/gateway.h
@@ -3,8 +3,6 @@
 
 #include "cell/member.h"
 
-#include <optional>
-
 namespace damaskglade::cell {
 
 /// Operation that a caller requests.
@@ -38,8 +36,9 @@
   Gateway(const CellPorts &Ports, std::shared_ptr<Member> Node)
       : Ports_(Ports), Node_(std::move(Node)) {}
 
-  void setConfig(const CellConfig &Config) { Config_ = Config; }
-  const std::optional<CellConfig> &config() const { return Config_; }
+  void setConfig(SharedConfig Config) { Config_ = std::move(Config); }
+  /// Null until the first one.
+  const SharedConfig &config() const { return Config_; }
   /// Finds the route with the host and the longest matching path prefix; null
   /// if there is none.
   const QueueRoute *findRoute(const std::string &Host,
@@ -49,7 +48,7 @@
 private:
   const CellPorts Ports_;
   const std::shared_ptr<Member> Node_;
-  std::optional<CellConfig> Config_;
+  SharedConfig Config_;
 };
 
 } // namespace damaskglade::cell
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -178,8 +178,9 @@
   OnLeadershipLost_();
 }
 
-void Leader::setConfig(const CellConfig &Config) {
-  Dispatcher_.setQueues(Config.Queues_);
+void Leader::setQueues(
+    const std::map<std::string, dispatch::QueuePolicy> &Queues) {
+  Dispatcher_.setQueues(Queues);
   scheduleDecision();
 }
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -61,7 +61,7 @@
   void resign(const std::function<void()> &Done);
   bool active() const { return Loaded_ && !Stopped_; }
   const LeaderRecord &leaderRecord() const { return LeaderRecord_; }
-  void setConfig(const CellConfig &Config);
+  void setQueues(const std::map<std::string, dispatch::QueuePolicy> &Queues);
   /// Sets the live nodes other than this one, and whether they and this node
   /// are a majority of the known nodes.
   void setNodes(const std::vector<std::string> &Addresses, bool Majority) {
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -69,10 +69,10 @@
   tick();
 }
 
-void Member::setConfig(const CellConfig &Config) {
+void Member::setConfig(const SharedConfig &Config) {
   Config_ = Config;
   if (Leader_)
-    Leader_->setConfig(Config);
+    Leader_->setQueues(Config->Queues_);
 }
 
 bool Member::ready() const {
@@ -119,8 +119,12 @@
   Json::Value Nodes(Json::arrayValue);
   for (const std::string &Address : liveNodes())
     Nodes.append(Address);
-  NodeListDigest_ = digestOf(writeJson(Nodes));
+  std::string Digest = digestOf(writeJson(Nodes));
+  if (Digest == NodeListDigest_)
+    return;
+  NodeListDigest_ = std::move(Digest);
   NodeList_ = std::move(Nodes);
+  reportNodes(liveNodes());
 }
 
 void Member::updateLeader() {
@@ -147,6 +151,7 @@
   Params["cpu"] = Settings_.Cpu_;
   Params["zone"] = Settings_.Zone_;
   Params["nodes_digest"] = ReportedNodesDigest_;
+  Params["config"] = Json::Int64(configVersion());
   const std::string Address = LeaderRecord_.Address_;
   ++OpenPings_;
   Ports_.Peers_.call(
@@ -167,12 +172,18 @@
     LeaderSuspectedAt_ = Millis{};
     Nominations_ = 0;
     StrongestCpu_ = Reply.value()["strongest_cpu"].asDouble();
+    handleConfigVersion(Reply.value()["config"].asInt64(),
+                        Reply.value()["config_holder"].asString());
     if (!Reply.value().isMember("nodes"))
       return;
     ReportedNodes_.clear();
     for (const Json::Value &Node : Reply.value()["nodes"])
       ReportedNodes_.insert(Node.asString());
     ReportedNodesDigest_ = Reply.value()["nodes_digest"].asString();
+    std::vector<std::string> Addresses(ReportedNodes_.begin(),
+                                       ReportedNodes_.end());
+    Addresses.push_back(Address);
+    reportNodes(Addresses);
     return;
   }
   if (LeaderSuspectedAt_ == Millis{})
@@ -382,7 +393,7 @@
       });
   updateLeader();
   if (Config_)
-    Leader_->setConfig(*Config_);
+    Leader_->setQueues(Config_->Queues_);
   Leader_->start();
 }
 
--- a/cell/member.h
+++ b/cell/member.h
@@ -35,6 +35,15 @@
 /// unreachable from this node.
 bool shouldTakeOver(const ElectionInput &Input);
 
+/// What a node learns from pings about the configurations of other nodes.
+struct ConfigHints {
+  /// A node, at Holder, has a newer version in force than this one.
+  std::function<void(std::int64_t Version, const std::string &Holder)>
+      OnNewerVersion_;
+  /// Addresses of the live nodes, this one among them.
+  std::function<void(std::vector<std::string> Addresses)> OnNodes_;
+};
+
 /// One node of the cell: finds the leader, monitors it with pings, and takes
 /// over leadership when it has failed.
 class Member : public std::enable_shared_from_this<Member> {
@@ -44,7 +53,9 @@
   void start();
   /// Hands leadership to another node, then calls back; for a planned stop.
   void resign(const std::function<void()> &Done);
-  void setConfig(const CellConfig &Config);
+  void setConfig(const SharedConfig &Config);
+  /// Sets what is told of other nodes; see ConfigHints.
+  void setConfigHints(ConfigHints Hints) { ConfigHints_ = std::move(Hints); }
   /// Whether the node leads and has loaded all rows.
   bool isActiveLeader() const { return isLeader() && Leader_->active(); }
   /// Whether the node can serve callers: it leads, or it is in contact with the
@@ -123,8 +134,18 @@
   LeaderRecord LeaderRecord_;      ///< Last known leader row.
   std::shared_ptr<Leader> Leader_; ///< Null unless this node leads.
   const std::shared_ptr<Relay> Relay_;
-  std::optional<CellConfig> Config_;
-  PeerNodes PeerNodes_; ///< Nodes that have pinged this one.
+  std::int64_t configVersion() const { return Config_ ? Config_->Version_ : 0; }
+  void handleConfigVersion(std::int64_t Version, const std::string &Holder);
+  /// Adds to the reply to a ping which newer configuration there is, and a node
+  /// that has it.
+  void addNewerConfig(std::int64_t Version, Json::Value &Reply);
+  /// Passes the addresses of the live nodes on if they have changed.
+  void reportNodes(const std::vector<std::string> &Addresses);
+
+  SharedConfig Config_; ///< In force; null until the first one.
+  ConfigHints ConfigHints_;
+  std::int64_t NewestConfigHeard_ = 0; ///< Version, of the nodes that ping.
+  PeerNodes PeerNodes_;                ///< Nodes that have pinged this one.
   /// Addresses of the live nodes, as last reported by the leader.
   std::set<std::string> ReportedNodes_;
   std::string ReportedNodesDigest_; ///< Of that report; see handlePing().
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -24,7 +24,12 @@
 void Member::handlePing(const Json::Value &Params, const RpcReply &Reply) {
   PeerNode &Sender = PeerNodes_[Params["address"].asString()];
   const bool WasLive = Sender.HeardAt_ >= livenessCutoff();
-  Sender = PeerNode{now(), Params["cpu"].asDouble(), Params["zone"].asString()};
+  // A ping on behalf of another node does not tell it.
+  const std::int64_t ConfigVersion =
+      Params.get("config", Json::Int64(Sender.ConfigVersion_)).asInt64();
+  Sender = PeerNode{now(), Params["cpu"].asDouble(), Params["zone"].asString(),
+                    ConfigVersion};
+  handleConfigVersion(ConfigVersion, Params["address"].asString());
   if (!WasLive && isLeader())
     updateNodeList();
   Json::Value Body;
@@ -41,9 +46,40 @@
     Body["nodes"] = NodeList_;
     Body["nodes_digest"] = NodeListDigest_;
   }
+  addNewerConfig(ConfigVersion, Body);
   Reply(std::move(Body));
 }
 
+void Member::handleConfigVersion(std::int64_t Version,
+                                 const std::string &Holder) {
+  NewestConfigHeard_ = std::max(NewestConfigHeard_, Version);
+  if (Version > configVersion() && ConfigHints_.OnNewerVersion_)
+    ConfigHints_.OnNewerVersion_(Version, Holder);
+}
+
+// Nodes without the newest version are sent to different holders of it, since
+// the leader has least time to pass it on.
+void Member::addNewerConfig(std::int64_t Version, Json::Value &Reply) {
+  const std::int64_t Newest = std::max(configVersion(), NewestConfigHeard_);
+  if (Version >= Newest)
+    return;
+  std::vector<std::string> Holders;
+  for (const auto &[Address, Node] : PeerNodes_)
+    if (Node.ConfigVersion_ == Newest && Node.HeardAt_ >= livenessCutoff())
+      Holders.push_back(Address);
+  if (Holders.empty() && configVersion() == Newest)
+    Holders.push_back(Settings_.PeerListen_);
+  if (Holders.empty())
+    return;
+  Reply["config"] = Json::Int64(Newest);
+  Reply["config_holder"] = Holders[Random_() % Holders.size()];
+}
+
+void Member::reportNodes(const std::vector<std::string> &Addresses) {
+  if (ConfigHints_.OnNodes_)
+    ConfigHints_.OnNodes_(Addresses);
+}
+
 // Tells another node whether this node reaches the leader. Pings the leader for
 // this, since an earlier reply does not show that it is still running.
 void Member::handleLeaderCheck(const Json::Value &Params,
--- a/drivers/beast/event_loop.cpp
+++ b/drivers/beast/event_loop.cpp
@@ -4,11 +4,13 @@
 #include "drivers/beast/http_session.h"
 #include "drivers/beast/web_client.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <deque>
 #include <list>
+#include <optional>
 
 namespace damaskglade::drivers {
 
@@ -33,6 +35,8 @@
       std::make_shared<SessionRegistry>();
   std::list<tcp::acceptor> Acceptors_;
   asio::signal_set Signals_{Loop_};
+  std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
+      Work_;
   /// Tasks that wait for the loop to be idle, in order. Empty once run.
   std::deque<std::shared_ptr<std::function<void()>>> IdleTasks_;
 
@@ -153,6 +157,10 @@
   return State_->Registry_->OpenRequests_;
 }
 
+void EventLoop::keepRunning() {
+  State_->Work_.emplace(State_->Loop_.get_executor());
+}
+
 void EventLoop::run() {
   auto &IdleTasks = State_->IdleTasks_;
   while (!State_->Loop_.stopped()) {
--- a/drivers/beast/event_loop.h
+++ b/drivers/beast/event_loop.h
@@ -18,7 +18,8 @@
 };
 
 /// Boost.Asio event loop with HTTP listeners, a client and timers. All
-/// callbacks run on the thread that calls run().
+/// callbacks run on the thread that calls run(). Other threads may call after()
+/// and stop() only.
 class EventLoop : public TimerService {
 public:
   EventLoop();
@@ -39,6 +40,8 @@
   void drain();
   /// Number of requests that are not yet answered.
   std::size_t openRequests() const;
+  /// Lets run() wait for further tasks when there are none.
+  void keepRunning();
   void run();
   void stop();
 
--- a/main/cell_node.cpp
+++ b/main/cell_node.cpp
@@ -3,7 +3,7 @@
 #include "cell/config_follower.h"
 #include "cell/gateway.h"
 #include "cell/member.h"
-#include "drivers/beast/event_loop.h"
+#include "drivers/beast/loop_thread.h"
 #include "drivers/log/bounded_log.h"
 #include "drivers/log/log.h"
 #include "drivers/metrics/metrics.h"
@@ -43,23 +43,31 @@
         Http_(Loop_.makeClient(
             [this](const WebTransfer &Each) { reportTransfer(Each); })),
         Store_(platform::makeRowStore(*Http_, Settings_.StoreAddress_)),
-        Configs_(platform::makeConfigSource(*Store_)),
+        ConfigHttp_(ConfigThread_.loop().makeClient(
+            [this](const WebTransfer &Each) { reportTransfer(Each); })),
+        ConfigStore_(
+            platform::makeRowStore(*ConfigHttp_, Settings_.StoreAddress_)),
+        Configs_(platform::makeConfigSource(*ConfigStore_)),
         Registry_(platform::makeWorkerRegistry(*Store_)),
         Workers_(platform::makeTaskWorkers(*Http_)),
         Advisor_(platform::makeAdvisor(*Http_, Settings_.AdviceAddress_)),
-        Peers_(*Http_), Ports_{Clock_,    Loop_,     *Store_,    *Workers_,
-                               *Advisor_, *Configs_, *Registry_, Peers_,
-                               *Log_,     Metrics_},
+        Peers_(*Http_), Ports_{Clock_,    Loop_,     *Store_,
+                               *Workers_, *Advisor_, *Registry_,
+                               Peers_,    *Log_,     Metrics_},
         Member_(std::make_shared<cell::Member>(Ports_, Settings_)),
-        Gateway_(Ports_, Member_),
-        Config_(cell::ConfigPorts{Clock_, Loop_, *Configs_, *Log_, Metrics_},
-                [this](const CellConfig &Config) {
-                  Gateway_.setConfig(Config);
-                  Member_->setConfig(Config);
+        Gateway_(Ports_, Member_), ConfigPeers_(*ConfigHttp_),
+        Config_(cell::ConfigPorts{Clock_, ConfigThread_.loop(), *Configs_,
+                                  ConfigPeers_, *Log_, Metrics_},
+                Settings_.PeerListen_, [this](const SharedConfig &Config) {
+                  Loop_.after(Millis{},
+                              [this, Config, ReceivedAt = Clock_.monotonic()] {
+                                applyConfig(Config, ReceivedAt);
+                              });
                 }) {}
 
   int run() {
     Member_->addMethods(Rpc_);
+    connectConfig();
     const Status Listening = listen();
     if (!Listening) {
       Log_->write(failureEvent(Listening.error(), ""));
@@ -68,9 +76,11 @@
     Loop_.onSignal([this](int Number) { handleSignal(Number); });
     cell::logEvent(Ports_, LogLevel::Info, "", "start", Settings_.CallerListen_,
                    "listening");
-    Config_.start();
     Member_->start();
+    ConfigThread_.loop().after(Millis{}, [this] { Config_.start(); });
+    ConfigThread_.start();
     Loop_.run();
+    ConfigThread_.stop();
     cell::logEvent(Ports_, LogLevel::Info, "", "stop", "", "stopped");
     return ExitOk;
   }
@@ -99,12 +109,57 @@
         }));
     if (Settings_.MetricsListen_.empty())
       return success();
-    return Loop_.listen(
-        Settings_.MetricsListen_, Callers,
-        [this](const WebRequest &, const WebReplier &Reply) {
-          Config_.reportAge();
-          Reply(WebReply{Ok, Metrics_.render(), "text/plain; version=0.0.4"});
+    return Loop_.listen(Settings_.MetricsListen_, Callers,
+                        [this](const WebRequest &, const WebReplier &Reply) {
+                          onConfigThread([this, Reply] {
+                            Config_.reportAge();
+                            Loop_.after(Millis{}, [this, Reply] {
+                              Reply(WebReply{Ok, Metrics_.render(),
+                                             "text/plain; version=0.0.4"});
+                            });
+                          });
+                        });
+  }
+
+  void onConfigThread(std::function<void()> Task) {
+    ConfigThread_.loop().after(Millis{}, std::move(Task));
+  }
+
+  // The follower has a thread of its own: however much other work the event
+  // loop has, a new configuration waits for one turn of it only.
+  void connectConfig() {
+    Member_->setConfigHints(cell::ConfigHints{
+        [this](std::int64_t Version, const std::string &Holder) {
+          onConfigThread([this, Version, Holder] {
+            Config_.noteVersion(Version, Holder);
+          });
+        },
+        [this](std::vector<std::string> Nodes) {
+          onConfigThread([this, Nodes = std::move(Nodes)]() mutable {
+            Config_.setNodes(std::move(Nodes));
+          });
+        }});
+    Rpc_.add("config.get", [this](const Json::Value &Params,
+                                  const cell::RpcReply &Reply) {
+      onConfigThread([this, Params, Reply] {
+        Config_.serve(Params, [this, Reply](const Result<Json::Value> &Out) {
+          Loop_.after(Millis{}, [Reply, Out] { Reply(Out); });
         });
+      });
+    });
+  }
+
+  void applyConfig(const SharedConfig &Config, Millis ReceivedAt) {
+    constexpr double MillisPerSecond = 1000;
+    const Millis Waited = Clock_.monotonic() - ReceivedAt;
+    Gateway_.setConfig(Config);
+    Member_->setConfig(Config);
+    Metrics_.gauge("config_version", static_cast<double>(Config->Version_));
+    Metrics_.observe("config_apply_seconds",
+                     static_cast<double>(Waited.Value_) / MillisPerSecond);
+    cell::logEvent(Ports_, LogLevel::Info, "", "configuration", "",
+                   "in force, version=" + std::to_string(Config->Version_) +
+                       " waited_ms=" + std::to_string(Waited.Value_));
   }
 
   // Tells which calls take long because of the size of their replies.
@@ -159,10 +214,14 @@
   const cell::CellSettings Settings_;
   const SystemClock Clock_;
   drivers::EventLoop Loop_;
+  drivers::LoopThread ConfigThread_;
   drivers::PrometheusMetrics Metrics_;
   const std::unique_ptr<EventLog> Log_;
   const std::unique_ptr<WebClient> Http_;
   const std::unique_ptr<RowStore> Store_;
+  // Used on the thread of the configuration only.
+  const std::unique_ptr<WebClient> ConfigHttp_;
+  const std::unique_ptr<RowStore> ConfigStore_;
   const std::unique_ptr<ConfigSource> Configs_;
   const std::unique_ptr<WorkerRegistry> Registry_;
   const std::unique_ptr<TaskWorkers> Workers_;
@@ -171,7 +230,8 @@
   const cell::CellPorts Ports_;
   const std::shared_ptr<cell::Member> Member_;
   cell::Gateway Gateway_;
-  cell::ConfigFollower Config_;
+  cell::RpcClient ConfigPeers_;
+  cell::ConfigFollower Config_; ///< On the thread of the configuration.
   cell::RpcServer Rpc_;
   Millis StopBy_{};
   bool Stopping_ = false;
--- a/ports/cell_sources.h
+++ b/ports/cell_sources.h
@@ -6,7 +6,7 @@
 
 #include <functional>
 #include <map>
-#include <optional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -27,14 +27,19 @@
   std::int64_t Version_ = 0;
   std::vector<QueueRoute> Routes_;
   std::map<std::string, dispatch::QueuePolicy> Queues_;
-  std::size_t Bytes_ = 0; ///< Size of the text that it was decoded from.
+  /// As the operators have written it. Nodes pass it on to each other
+  /// unchanged, so that it does not lose what one of them does not know.
+  std::string Text_;
 
   friend bool operator==(const CellConfig &, const CellConfig &) = default;
 };
 
+/// A configuration that the threads of a node share.
+using SharedConfig = std::shared_ptr<const CellConfig>;
+
 /// Outcome of a request for a newer configuration.
 struct ConfigRead {
-  std::optional<CellConfig> Config_; ///< Empty: there is no newer one.
+  SharedConfig Config_; ///< Null: there is no newer one.
   /// The changes since the last request were no longer known, so all was read.
   bool HistoryLost_ = false;
 
@@ -45,8 +50,11 @@
 class ConfigSource {
 public:
   virtual ~ConfigSource() = default;
-  /// Waits a while for a newer configuration.
+  /// Waits a while for a newer configuration. Errors: invalid_field if it
+  /// cannot be used; the next request tries it again.
   virtual void next(std::function<void(Result<ConfigRead>)> Done) = 0;
+  /// Decodes the text of a configuration. Errors: invalid_field.
+  virtual Result<SharedConfig> decode(const std::string &Text) const = 0;
 };
 
 /// The registry of live workers at one moment.
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -1,9 +1,11 @@
 #include "core/codec.h"
+#include "core/thread.h"
 #include "platform/callers.h"
 #include "platform/settings.h"
 #include "platform/store.h"
 #include "platform/workers.h"
 
+#include <boost/beast/core/detail/base64.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
 #include <deque>
@@ -345,7 +347,7 @@
   const auto Store = makeRowStore(Http, "10.0.0.9:1");
   const auto Source = makeConfigSource(*Store);
   const auto NextConfig = [&] {
-    std::optional<CellConfig> Received;
+    SharedConfig Received;
     Source->next([&](const Result<ConfigRead> &Read) {
       Received = Read.value().Config_;
     });
@@ -360,7 +362,7 @@
                   R"("value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdfQ=="}],)"
                   R"("ver":8})");
   const auto Config = NextConfig();
-  BOOST_TEST_REQUIRE(Config.has_value());
+  BOOST_TEST_REQUIRE(Config);
   BOOST_TEST(Config->Version_ == 3);
 }
 
--- a/tests/beast/large_message_test.cpp
+++ b/tests/beast/large_message_test.cpp
@@ -1,9 +1,10 @@
 // Messages of the largest size on event loops that have other work, too.
 
-#include "drivers/beast/event_loop.h"
+#include "drivers/beast/loop_thread.h"
 #include "drivers/beast/transfer_progress.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <netinet/in.h>
 #include <optional>
@@ -221,4 +222,44 @@
       !keepsMoving(PartlyReceived, TransferProgress{100, 100, 8000, 1999}));
 }
 
+// Guards against a configuration that waits for the event loop of a busy node
+// before it has been received.
+BOOST_AUTO_TEST_CASE(LoopThreadReceivesWhileAnotherLoopIsBlocked) {
+  EventLoop Server;
+  BOOST_TEST_REQUIRE(
+      Server
+          .listen(Address, ListenerLimits{},
+                  [](const WebRequest &, const WebReplier &Reply) {
+                    Reply(WebReply{200, std::string(MessageBytes, 'x')});
+                  })
+          .has_value());
+  const LoopOnThread Serving(Server);
+  EventLoop Node;
+  LoopThread Receiver;
+  const auto Client = Receiver.loop().makeClient();
+  std::atomic<bool> Received{false};
+  bool HandedOver = false;
+  Receiver.loop().after(Millis{}, [&] {
+    Client->call(makeCall("", EnoughTime), [&](const Result<WebReply> &Reply) {
+      BOOST_TEST(Reply.has_value());
+      Received = true;
+      Node.after(Millis{}, [&] {
+        HandedOver = true;
+        Node.stop();
+      });
+    });
+  });
+  Node.keepRunning();
+  Node.after(Millis{}, [&] {
+    Receiver.start();
+    for (Millis Waited{}; !Received && Waited < EnoughTime;
+         Waited = Waited + Millis{1})
+      sleepFor(Millis{1});
+    BOOST_TEST(Received.load());
+  });
+  Node.run();
+  Receiver.stop();
+  BOOST_TEST(HandedOver);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -1,6 +1,7 @@
 #include "tests/cell/fake_cell.h"
 
 #include "cell/worker_batch.h"
+#include "core/codec.h"
 
 #include <algorithm>
 
@@ -151,6 +152,58 @@
   });
 }
 
+void FakeConfigs::next(std::function<void(Result<ConfigRead>)> Done) {
+  constexpr Millis LongestWait{1000};
+  poll(Loop_.monotonic() + LongestWait, Done);
+}
+
+void FakeConfigs::poll(Millis Until,
+                       const std::function<void(Result<ConfigRead>)> &Done) {
+  Loop_.after(StoreState_.Delay_, [this, Until, Done] {
+    if (Disconnected_)
+      return;
+    const StoreMode Mode = StoreState_.StoreModes_[Node_];
+    if (Mode == StoreMode::Rejects)
+      return Processor_.run(0, [Done] {
+        Done(Error{Reason::TableUnavailable, Effect::None, "follow", "fake",
+                   "503"});
+      });
+    if (Mode == StoreMode::TimesOut)
+      return Loop_.after(StoreTimeout, [this, Done] {
+        Processor_.run(0, [Done] { Done(timeout("follow")); });
+      });
+    ConfigRead Read;
+    Read.HistoryLost_ = StoreState_.NodesWithLostHistory_.erase(Node_) > 0;
+    if (Read.HistoryLost_ ||
+        StoreState_.Configs_.back()->Version_ > LastVersion_)
+      Read.Config_ = StoreState_.Configs_.back();
+    constexpr Millis PollInterval{20};
+    if (!Read.Config_ && Loop_.monotonic() < Until)
+      return Loop_.after(PollInterval,
+                         [this, Until, Done] { poll(Until, Done); });
+    if (!Read.Config_)
+      return Processor_.run(0, [Done, Read] { Done(Read); });
+    LastVersion_ = Read.Config_->Version_;
+    receive(ConfigParts, [Done, Read] { Done(Read); });
+  });
+}
+
+void FakeConfigs::receive(int Parts, const std::function<void()> &Done) {
+  Processor_.run(ConfigCost / ConfigParts, [this, Parts, Done] {
+    if (Parts == 1)
+      return Done();
+    // The next part has arrived by then, and waits behind what is ready.
+    Loop_.after(Millis{}, [this, Parts, Done] { receive(Parts - 1, Done); });
+  });
+}
+
+Result<SharedConfig> FakeConfigs::decode(const std::string &Text) const {
+  for (const SharedConfig &Config : StoreState_.Configs_)
+    if (Config->Text_ == Text)
+      return Config;
+  return invalidField("decode configuration", "", "is not known");
+}
+
 bool FakeFleet::isRunning(const std::string &Task, Millis Now) const {
   return std::any_of(Workers_.begin(), Workers_.end(), [&](const auto &Entry) {
     return Entry.second.Running_.count(Task) > 0 &&
@@ -337,11 +390,6 @@
   }
 };
 
-class FakeConfigs : public ConfigSource {
-public:
-  void next(std::function<void(Result<ConfigRead>)>) override {}
-};
-
 class FakeRegistry : public WorkerRegistry {
 public:
   FakeRegistry(FakeLoop &Loop, FakeFleet &Fleet, FakeProcessor &Processor)
@@ -365,23 +413,30 @@
   FakeProcessor &Processor_;
 };
 
-CellConfig makeConfig() {
+SharedConfig makeConfig(std::int64_t Version,
+                        const std::vector<std::string> &Queues) {
   CellConfig Config;
-  Config.Version_ = 1;
+  Config.Version_ = Version;
   Config.Routes_ = {QueueRoute{"host", "/q/", "queue"},
                     QueueRoute{"host", "/q/deep/", "deep"}};
   dispatch::QueuePolicy Policy;
   Policy.Service_ = "desk";
   Policy.MaxAttempts_ = 2;
   Config.Queues_["queue"] = Policy;
-  return Config;
+  for (const std::string &Queue : Queues) {
+    Config.Routes_.push_back(QueueRoute{"host", '/' + Queue + '/', Queue});
+    Config.Queues_[Queue] = Policy;
+  }
+  Config.Text_ = std::to_string(Version);
+  return std::make_shared<const CellConfig>(std::move(Config));
 }
 
 } // namespace
 
 struct FakeCell::Node {
   Node(FakeCell &Cell, const std::string &Name)
-      : Processor_(Cell.Loop_, Cell.Loop_),
+      : Cell_(Cell), Name_(Name), Processor_(Cell.Loop_, Cell.Loop_),
+        ConfigProcessor_(Cell.Loop_, Cell.Loop_),
         Store_(Cell.Loop_, Cell.StoreState_, Name),
         Workers_(Cell.Loop_, Cell.Fleet_,
                  [&Cell, Name](const std::string &) {
@@ -392,18 +447,61 @@
         Registry_(Cell.Loop_, Cell.Fleet_, Processor_),
         Http_(Cell, Name, Processor_),
         Rpc_(Http_), Ports_{Processor_,     Processor_, CostlyStore_,
-                            CostlyWorkers_, Advisor_,   Configs_,
-                            Registry_,      Rpc_,       Log_,
-                            Metrics_},
+                            CostlyWorkers_, Advisor_,   Registry_,
+                            Rpc_,           Log_,       Metrics_},
         Member_(
             std::make_shared<cell::Member>(Ports_, makeSettings(Cell, Name))),
-        Gateway_(Ports_, Member_) {
+        Gateway_(Ports_, Member_),
+        Configs_(Cell.Loop_, Cell.StoreState_, ConfigProcessor_, Name),
+        ConfigHttp_(Cell, Name, ConfigProcessor_), ConfigRpc_(ConfigHttp_),
+        Follower_(cell::ConfigPorts{ConfigProcessor_, ConfigProcessor_,
+                                    Configs_, ConfigRpc_, Log_, Metrics_},
+                  Name, [this](const SharedConfig &Config) {
+                    Processor_.run(TimerCost,
+                                   [this, Config] { applyConfig(Config); });
+                  }) {
     Member_->addMethods(Server_);
-    Member_->setConfig(makeConfig());
-    Gateway_.setConfig(makeConfig());
+    connectConfig();
+    applyConfig(Cell.StoreState_.Configs_.front());
+    Follower_.start();
     Member_->start();
   }
 
+  // As in the daemon, the follower has a thread of its own.
+  void connectConfig() {
+    Member_->setConfigHints(cell::ConfigHints{
+        [this](std::int64_t Version, const std::string &Holder) {
+          ConfigProcessor_.run(TimerCost, [this, Version, Holder] {
+            Follower_.noteVersion(Version, Holder);
+          });
+        },
+        [this](const std::vector<std::string> &Nodes) {
+          ConfigProcessor_.run(TimerCost,
+                               [this, Nodes] { Follower_.setNodes(Nodes); });
+        }});
+    Server_.add("config.get", [this](const Json::Value &Params,
+                                     const cell::RpcReply &Reply) {
+      ConfigProcessor_.run(TimerCost, [this, Params, Reply] {
+        Follower_.serve(Params, [this, Reply](const Result<Json::Value> &Out) {
+          Processor_.run(PeerReplyCost, [Reply, Out] { Reply(Out); });
+        });
+      });
+    });
+  }
+
+  void applyConfig(const SharedConfig &Config) {
+    if (Gateway_.config() && Config->Version_ < Gateway_.config()->Version_)
+      Cell_.ConfigRegressions_.push_back(Name_);
+    Gateway_.setConfig(Config);
+    Member_->setConfig(Config);
+  }
+
+  // The thread of the follower gets half of the processor at most.
+  void setSpeed(double Cores) {
+    Processor_.setSpeed(Cores);
+    ConfigProcessor_.setSpeed(Cores / 2);
+  }
+
   static cell::CellSettings makeSettings(const FakeCell &Cell,
                                          const std::string &Name) {
     cell::CellSettings Settings;
@@ -416,13 +514,15 @@
     return Settings;
   }
 
+  FakeCell &Cell_;
+  const std::string Name_;
   FakeProcessor Processor_;
+  FakeProcessor ConfigProcessor_;
   FakeStore Store_;
   FakeWorkerClient Workers_;
   CostlyStore CostlyStore_;
   CostlyWorkers CostlyWorkers_;
   FakeAdvisor Advisor_;
-  FakeConfigs Configs_;
   FakeRegistry Registry_;
   PeerHttp Http_;
   cell::RpcClient Rpc_;
@@ -432,6 +532,10 @@
   std::shared_ptr<cell::Member> Member_;
   cell::Gateway Gateway_;
   cell::RpcServer Server_;
+  FakeConfigs Configs_;
+  PeerHttp ConfigHttp_;
+  cell::RpcClient ConfigRpc_;
+  cell::ConfigFollower Follower_;
 };
 
 namespace {
@@ -520,6 +624,7 @@
 
 FakeCell::FakeCell(int Nodes, int Workers, std::size_t RelayMinWorkers)
     : RelayMinWorkers_(RelayMinWorkers) {
+  StoreState_.Configs_.push_back(makeConfig(1, {}));
   for (int Number = 1; Number <= Workers; ++Number) {
     FakeWorkerState State;
     State.Info_.Id_ = "w" + std::to_string(Number);
@@ -542,6 +647,7 @@
   // Callbacks of the node may still be queued, so the object is kept.
   const auto Entry = Nodes_.find(Name);
   Entry->second->Store_.disconnect();
+  Entry->second->Configs_.disconnect();
   Entry->second->Member_->resign([] {});
   KilledNodes_.push_back(std::move(Entry->second));
   Nodes_.erase(Entry);
@@ -570,6 +676,23 @@
     BlindNodes_.erase(Name);
 }
 
+void FakeCell::pauseNode(const std::string &Name, Millis Time) {
+  Nodes_.at(Name)->Processor_.pause(Time);
+  Nodes_.at(Name)->ConfigProcessor_.pause(Time);
+}
+
+std::int64_t FakeCell::changeConfig(const std::vector<std::string> &Queues) {
+  // Versions rise in uneven steps.
+  constexpr std::int64_t Step = 3;
+  const std::int64_t Version = StoreState_.Configs_.back()->Version_ + Step;
+  StoreState_.Configs_.push_back(makeConfig(Version, Queues));
+  return Version;
+}
+
+std::int64_t FakeCell::configVersion(const std::string &Name) const {
+  return Nodes_.at(Name)->Gateway_.config()->Version_;
+}
+
 void FakeCell::holdBack(const std::string &Name) {
   HeldBackNodes_.insert(Name);
 }
@@ -612,7 +735,7 @@
 
 void FakeCell::setSpeed(double Cores) {
   for (const auto &[Name, NodePtr] : Nodes_)
-    NodePtr->Processor_.setSpeed(Cores);
+    NodePtr->setSpeed(Cores);
 }
 
 std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_TESTS_CELL_FAKE_CELL_H
 #define DAMASKGLADE_TESTS_CELL_FAKE_CELL_H
 
+#include "cell/config_follower.h"
 #include "cell/gateway.h"
 #include "cell/member.h"
 #include "tests/cell/fake_processor.h"
@@ -63,6 +64,10 @@
   int MaxPageRows_ = 0; ///< Reads of larger pages time out; zero: no limit.
   /// Nodes whose reads of the jobs table time out.
   std::set<std::string> NodesWithoutJobReads_;
+  /// All configurations that operators have written, by rising version.
+  std::vector<SharedConfig> Configs_;
+  /// Nodes for which the store has lost its history since their last read.
+  std::set<std::string> NodesWithLostHistory_;
 
   /// Changes what a transaction writes although the reply reports it as
   /// applied; for tests that have to notice wrong rows.
@@ -96,6 +101,31 @@
   bool Disconnected_ = false;
 };
 
+/// Reads the configurations of the store for one node.
+class FakeConfigs : public ConfigSource {
+public:
+  FakeConfigs(FakeLoop &Loop, FakeStoreState &State, FakeProcessor &Processor,
+              std::string Node)
+      : Loop_(Loop), StoreState_(State), Processor_(Processor),
+        Node_(std::move(Node)) {}
+  void next(std::function<void(Result<ConfigRead>)> Done) override;
+  Result<SharedConfig> decode(const std::string &Text) const override;
+  /// Ignores all further calls.
+  void disconnect() { Disconnected_ = true; }
+
+private:
+  void poll(Millis Until, const std::function<void(Result<ConfigRead>)> &Done);
+  /// Receives a configuration in parts; each waits for its turn.
+  void receive(int Parts, const std::function<void()> &Done);
+
+  FakeLoop &Loop_;
+  FakeStoreState &StoreState_;
+  FakeProcessor &Processor_;
+  const std::string Node_;
+  std::int64_t LastVersion_ = 0;
+  bool Disconnected_ = false;
+};
+
 /// State of a simulated worker. Like real workers it rejects orders of an older
 /// epoch and of ended attempts, ends its tasks when its lease expires, and
 /// lists ended tasks until the leader has acknowledged them.
@@ -196,6 +226,13 @@
   void setMuted(const std::string &Name, bool Muted);
   /// Whether a node reaches no worker.
   void setBlind(const std::string &Name, bool Blind);
+  /// Runs nothing on a node for a while, as if its process were stopped.
+  void pauseNode(const std::string &Name, Millis Time);
+  /// Writes a configuration with these queues beside the usual one. Returns its
+  /// version.
+  std::int64_t changeConfig(const std::vector<std::string> &Queues = {});
+  /// Version of the configuration by which a node handles requests.
+  std::int64_t configVersion(const std::string &Name) const;
   /// From now on messages of other nodes to this one are delivered late, by
   /// deliverHeldBack().
   void holdBack(const std::string &Name);
@@ -233,6 +270,8 @@
   /// CPU capacity of the nodes that do not have the default, from their start
   /// on.
   std::map<std::string, double> NodeCpus_;
+  /// Nodes that have replaced a configuration by an older one.
+  std::vector<std::string> ConfigRegressions_;
 
 private:
   struct Node;
--- a/tests/cell/fake_processor.h
+++ b/tests/cell/fake_processor.h
@@ -102,6 +102,8 @@
 inline constexpr Micros RequestCost = 84; ///< Of a caller or another node.
 inline constexpr Micros PeerReplyCost = 20;
 inline constexpr Micros TransactionCost = 400;
+inline constexpr Micros ConfigCost = 12000; ///< To read one of 1,400 routes.
+inline constexpr int ConfigParts = 26;      ///< In which it arrives.
 inline constexpr Micros RowCost =
     16; ///< Of a row read, or a registered worker.
 inline constexpr Micros StartCost = 122; ///< With its share of planning.
--- a/tests/cell/late_leader_test.cpp
+++ b/tests/cell/late_leader_test.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/cell/fake_cell.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace damaskglade;
@@ -66,6 +67,26 @@
            (static_cast<double>(Time.Value_) * MicrosPerMilli);
   }
 
+  /// Offers jobs while the operators change the configuration once a second.
+  /// Returns the longest time until a version was in force on all nodes.
+  Millis changeConfigs(int Changes) {
+    Millis Longest{};
+    for (int Change = 0; Change < Changes; ++Change) {
+      const std::int64_t Version = Cell_.changeConfig();
+      const Millis Written = Cell_.Loop_.monotonic();
+      const auto Names = Cell_.nodes();
+      const auto IsInForce = [&](const std::string &Name) {
+        return Cell_.configVersion(Name) >= Version;
+      };
+      do
+        offerJobs(Millis{10});
+      while (!std::all_of(Names.begin(), Names.end(), IsInForce));
+      Longest = std::max(Longest, Cell_.Loop_.monotonic() - Written);
+      offerJobs(std::max(Written + Second - Cell_.Loop_.monotonic(), Millis{}));
+    }
+    return Longest;
+  }
+
   FakeCell Cell_;
   int Offered_ = 0;
 };
@@ -172,6 +193,26 @@
   playSlowTime(Slowdown);
 }
 
+// Guards against a change that reaches all nodes but the leader in time, since
+// its parts wait for the other work of the leader.
+BOOST_AUTO_TEST_CASE(LateLeaderHasEachConfigurationInTime) {
+  constexpr Millis ApplyLimit{4000};
+  constexpr int Changes = 5;
+  for (const double Slowdown : {1.0, 2.0, 3.0, 4.0}) {
+    BusyCell Busy;
+    const std::int64_t LeaderRowVersion = Busy.leaderRowVersion();
+    Busy.Cell_.setSpeed(Busy.measureLeader(Second * 4) / Slowdown);
+    Busy.offerJobs(Second * 2);
+    const Millis Longest = Busy.changeConfigs(Changes);
+    const bool HasSurvived = Busy.leaderRowVersion() == LeaderRowVersion;
+    BOOST_TEST_MESSAGE("slowdown " << Slowdown << ": in force after "
+                                   << Longest.Value_ << " ms, leader "
+                                   << (HasSurvived ? "kept" : "replaced"));
+    BOOST_TEST((!HasSurvived || Longest <= ApplyLimit));
+    BOOST_TEST(Busy.Cell_.ConfigRegressions_.empty());
+  }
+}
+
 // Has a program run of its own, see CMakeLists.txt.
 BOOST_AUTO_TEST_CASE(ThirdOfTheProcessorServesAThirdOfTheJobs,
                      *boost::unit_test::disabled()) {
--- a/tests/cell/recorder_test.cpp
+++ b/tests/cell/recorder_test.cpp
@@ -66,9 +66,6 @@
   void ask(const std::string &, const std::vector<std::string> &, Millis,
            std::function<void(Result<std::vector<AdvisedWorker>>)>) override {}
 };
-class NoConfigs : public ConfigSource {
-  void next(std::function<void(Result<ConfigRead>)>) override {}
-};
 class NoRegistry : public WorkerRegistry {
   void list(std::function<void(Result<RegistrySnapshot>)>) override {}
 };
@@ -78,8 +75,8 @@
 
 struct RecorderFixture {
   RecorderFixture()
-      : Rpc_(Http_), Ports_{Loop_,    Loop_,     Store_, Workers_, Advisor_,
-                            Configs_, Registry_, Rpc_,   Log_,     Metrics_},
+      : Rpc_(Http_), Ports_{Loop_,     Loop_, Store_, Workers_, Advisor_,
+                            Registry_, Rpc_,  Log_,   Metrics_},
         Dispatcher_({}, 1, Loop_.monotonic()),
         Recorder_(
             Ports_, Dispatcher_, LeaderRecord{}, [] {},
@@ -118,7 +115,6 @@
   HeldStore Store_;
   NoWorkers Workers_;
   NoAdvisor Advisor_;
-  NoConfigs Configs_;
   NoRegistry Registry_;
   NoHttp Http_;
   RpcClient Rpc_;
--- a/tests/cell/relay_test.cpp
+++ b/tests/cell/relay_test.cpp
@@ -156,11 +156,6 @@
            std::function<void(Result<std::vector<AdvisedWorker>>)>) override {}
 };
 
-class NoConfigs : public ConfigSource {
-public:
-  void next(std::function<void(Result<ConfigRead>)>) override {}
-};
-
 class NoRegistry : public WorkerRegistry {
 public:
   void list(std::function<void(Result<RegistrySnapshot>)>) override {}
@@ -246,7 +241,6 @@
   RpcClient Peers_;
   FakeStore Store_;
   NoAdvisor Advisor_;
-  NoConfigs Configs_;
   NoRegistry Registry_;
   NullEventLog Log_;
   NullMetrics Metrics_;
@@ -262,8 +256,8 @@
 
 private:
   CellPorts makePorts(const Clock &Time, TaskWorkers &Workers) {
-    return CellPorts{Time,     Loop_,     Store_, Workers, Advisor_,
-                     Configs_, Registry_, Peers_, Log_,    Metrics_};
+    return CellPorts{Time,      Loop_,  Store_, Workers, Advisor_,
+                     Registry_, Peers_, Log_,   Metrics_};
   }
 };
 
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -117,7 +117,8 @@
   return list("in two places at once", Found.ConcurrentRuns_) +
          list("started after its acknowledged end",
               Found.StartedAfterAcknowledgement_) +
-         list("not running at the end", Found.MissingTasks_);
+         list("not running at the end", Found.MissingTasks_) +
+         list("with an older configuration", Found.StaleNodes_);
 }
 
 TakeoverPlay::TakeoverPlay(const RowFault &Fault, PlaySettings Settings)
@@ -150,6 +151,7 @@
     return Found;
   auto Next = Events.begin();
   for (int Point = 0; Next != Events.end(); ++Point) {
+    Cell_.changeConfig();
     for (; Next != Events.end() && Next->Point_ <= Point; ++Next)
       apply(*Next);
     if (Next != Events.end())
@@ -170,6 +172,10 @@
   Found.ConcurrentRuns_ = Cell_.Fleet_.ConcurrentRuns_;
   Found.StartedAfterAcknowledgement_ =
       Cell_.Fleet_.StartedAfterAcknowledgement_;
+  Found.StaleNodes_ = Cell_.ConfigRegressions_;
+  for (const std::string &Name : Cell_.nodes())
+    if (Cell_.configVersion(Name) < Cell_.StoreState_.Configs_.back()->Version_)
+      Found.StaleNodes_.push_back(Name);
   return Found;
 }
 
@@ -249,7 +255,7 @@
   };
   switch (Kind) {
   case EventKind::PauseLeader:
-    return Cell_.processor(Leader).pause(FaultDuration);
+    return Cell_.pauseNode(Leader, FaultDuration);
   case EventKind::KillLeader:
     Cell_.killNode(Leader);
     return Cell_.Loop_.after(RestartDelay, [this, Leader, IsThere] {
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -63,11 +63,16 @@
   std::vector<std::string> ConcurrentRuns_;
   std::vector<std::string> StartedAfterAcknowledgement_;
   std::vector<std::string> MissingTasks_;
+  /// Nodes without the newest configuration in the end, and those that have
+  /// gone back to an older one.
+  std::vector<std::string> StaleNodes_;
 
   bool repeatedRuns() const {
     return !ConcurrentRuns_.empty() || !StartedAfterAcknowledgement_.empty();
   }
-  bool any() const { return repeatedRuns() || !MissingTasks_.empty(); }
+  bool any() const {
+    return repeatedRuns() || !MissingTasks_.empty() || !StaleNodes_.empty();
+  }
 };
 
 std::string describe(const Violations &Found);
