--- a/cell/rpc.cpp
+++ b/cell/rpc.cpp
@@ -11,11 +11,20 @@
 // Followed by the name of the method.
 constexpr const char *BinaryTarget = "/rpc/";
 
+bool isReply(const Json::Value &Body) {
+  const auto IsObjectOrNull = [](const Json::Value &Value) {
+    return Value.isObject() || Value.isNull();
+  };
+  return Body.isObject() && IsObjectOrNull(Body["result"]) &&
+         IsObjectOrNull(Body["error"]) &&
+         (Body["error"].isNull() || IsObjectOrNull(Body["error"]["data"]));
+}
+
 Result<Json::Value> decodeReply(const WebReply &Reply,
                                 const std::string &Method,
                                 const std::string &Address) {
   auto ParsedBody = parseJson(Reply.Body_, Method);
-  if (!ParsedBody || Reply.Status_ != Ok)
+  if (!ParsedBody || !isReply(ParsedBody.value()) || Reply.Status_ != Ok)
     return Error{Reason::AnswerTruncated, Effect::Unknown, Method, Address,
                  "invalid reply from peer, HTTP status " +
                      std::to_string(Reply.Status_)};
