--- a/cell/config_follower.cpp
+++ b/cell/config_follower.cpp
@@ -94,8 +94,10 @@
   Ports_.Timers_.after(Delay, [this] { request(); });
 }
 
+// A store that has always lost its history is read as seldom as one that fails,
+// since each of these reads is of the whole configuration.
 void ConfigFollower::handleRead(const Result<ConfigRead> &Read) {
-  const bool Succeeded = Read.has_value();
+  const bool Succeeded = Read && !Read.value().HistoryLost_;
   RetryDelay_ = Succeeded
                     ? Millis{}
                     : std::clamp(RetryDelay_ * 2, MinRetryDelay, MaxRetryDelay);
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -366,6 +366,105 @@
   BOOST_TEST(Config->Version_ == 3);
 }
 
+namespace {
+
+/// A reply of the store with one row of the table of configurations.
+std::string configPage(const std::string &Part, const std::string &Text,
+                       int Version) {
+  std::string Value(boost::beast::detail::base64::encoded_size(Text.size()),
+                    '\0');
+  Value.resize(boost::beast::detail::base64::encode(Value.data(), Text.data(),
+                                                    Text.size()));
+  Json::Value Row;
+  Row["table"] = "op";
+  Row["part"] = Part;
+  Row["key"] = "config";
+  Row["ver"] = Version;
+  Row["value"] = Value;
+  Json::Value Body;
+  Body["ver"] = Version;
+  Body["rows"].append(Row);
+  return writeJson(Body);
+}
+
+Result<ConfigRead> readNext(ConfigSource &Source) {
+  std::optional<Result<ConfigRead>> Outcome;
+  Source.next(
+      [&](Result<ConfigRead> Read) { Outcome.emplace(std::move(Read)); });
+  return std::move(*Outcome);
+}
+
+} // namespace
+
+// Guards against a version that a node skips until the next change because its
+// row could not be decoded.
+BOOST_AUTO_TEST_CASE(UnreadableConfigurationIsReadAgain) {
+  FakeHttp Http;
+  const auto Store = makeRowStore(Http, "10.0.0.9:1");
+  const auto Source = makeConfigSource(*Store);
+  Http.queueReply(200, configPage("", R"({"version":3,"routes":[]})", 5));
+  BOOST_TEST_REQUIRE(readNext(*Source).has_value());
+  Http.queueReply(200, configPage("", R"({"version":4,"rou)", 9));
+  const auto Unreadable = readNext(*Source);
+  BOOST_TEST_REQUIRE(!Unreadable.has_value());
+  BOOST_TEST((Unreadable.error().Reason_ == Reason::InvalidField));
+  Http.queueReply(200, configPage("", R"({"version":4,"routes":[]})", 9));
+  const auto Read = readNext(*Source);
+  BOOST_TEST_REQUIRE(Read.has_value());
+  BOOST_TEST(Read.value().Config_->Version_ == 4);
+  BOOST_TEST(Http.Calls_.back().Target_.find("after=5&") != std::string::npos);
+}
+
+// Guards against a row of another name that is taken for the configuration.
+BOOST_AUTO_TEST_CASE(OnlyTheRowWithoutAPartIsTheConfiguration) {
+  FakeHttp Http;
+  const auto Store = makeRowStore(Http, "10.0.0.9:1");
+  const auto Source = makeConfigSource(*Store);
+  Http.queueReply(200, configPage("", R"({"version":3,"routes":[]})", 5));
+  BOOST_TEST_REQUIRE(readNext(*Source).value().Config_);
+  Http.queueReply(200, configPage("x", R"({"version":9,"routes":[]})", 6));
+  const auto Read = readNext(*Source);
+  BOOST_TEST_REQUIRE(Read.has_value());
+  BOOST_TEST(!Read.value().Config_);
+}
+
+// Guards against a configuration that is taken in part, or ends the process.
+BOOST_AUTO_TEST_CASE(InvalidConfigurationIsRejectedWhole) {
+  constexpr const char *ValidRoute =
+      R"({"name":"r","host":"h","pathPrefix":"/a/","service":"s"})";
+  const auto WithRoute = [&](const std::string &Route) {
+    return R"({"version":7,"routes":[)" + std::string(ValidRoute) + ',' +
+           Route + "]}";
+  };
+  BOOST_TEST(decodeConfig(WithRoute(ValidRoute)).has_value());
+  for (const std::string &Text :
+       {std::string(R"({"version":0,"routes":[]})"),
+        std::string(R"({"version":-3,"routes":[]})"),
+        std::string(R"({"version":7})"),
+        std::string(R"({"version":7,"routes":{}})"), std::string("[]"),
+        std::string("7"), WithRoute("7"), WithRoute("{}"),
+        WithRoute(R"({"name":"r","host":"h","pathPrefix":"/a/"})"),
+        WithRoute(R"({"name":"","pathPrefix":"/a/","service":"s"})"),
+        WithRoute(R"({"name":"r","pathPrefix":"","service":"s"})"),
+        WithRoute(R"({"name":"r","pathPrefix":"/a/","service":"s",)"
+                  R"("maxAttempts":[]})")})
+    BOOST_TEST(!decodeConfig(Text).has_value(), Text);
+}
+
+// Guards against a process that ends because the stack of the thread that reads
+// the configuration is small.
+BOOST_AUTO_TEST_CASE(DeeplyNestedConfigurationIsAnErrorOnASmallStack) {
+  bool IsError = false;
+  {
+    Thread Reader([&] {
+      constexpr std::size_t Levels = 100000;
+      const std::string Nested(Levels, '[');
+      IsError = !decodeConfig(R"({"version":7,"routes":)" + Nested);
+    });
+  }
+  BOOST_TEST(IsError);
+}
+
 BOOST_AUTO_TEST_CASE(OrdersCarryEpochAndWorker) {
   FakeHttp Http;
   const auto Workers = makeTaskWorkers(Http);
--- a/tests/cell/config_test.cpp
+++ b/tests/cell/config_test.cpp
@@ -141,6 +141,57 @@
   BOOST_TEST(!Fixture.Peers_.Called_.empty());
 }
 
+// Guards against a store that is read in full again and again without a pause
+// because it has lost its history each time.
+BOOST_AUTO_TEST_CASE(LostHistoryIsNotReadWithoutAPause) {
+  FollowerFixture Fixture;
+  Fixture.Source_.Outcomes_ = {ConfigRead{makeVersion(5), true}};
+  Fixture.Follower_.start();
+  Fixture.Loop_.run(Second * 10);
+  BOOST_TEST(Fixture.Source_.Requests_ <= 15);
+  BOOST_TEST(Fixture.Source_.Requests_ >= 5);
+}
+
+// Guards against a node that never again reads a configuration that it could
+// not use once, and against one that reads it without a pause.
+BOOST_AUTO_TEST_CASE(UnusableConfigurationIsTriedAgain) {
+  FollowerFixture Fixture;
+  Fixture.Source_.Outcomes_ = {FollowerFixture::read(5),
+                               FollowerFixture::failure(Reason::InvalidField)};
+  Fixture.Follower_.start();
+  Fixture.Loop_.run(Second * 10);
+  BOOST_TEST(Fixture.Source_.Requests_ <= 15);
+  Fixture.Source_.Outcomes_ = {FollowerFixture::read(8),
+                               FollowerFixture::failure(Reason::InvalidField)};
+  Fixture.Loop_.run(Second * 2);
+  BOOST_TEST(Fixture.Applied_ == (Versions{5, 8}),
+             boost::test_tools::per_element());
+}
+
+// Guards against a node that ends, or takes over what is no configuration,
+// because of the reply of another node.
+BOOST_AUTO_TEST_CASE(InvalidReplyOfAPeerIsNotTaken) {
+  FollowerFixture Fixture;
+  Fixture.Source_.Outcomes_ = {
+      FollowerFixture::read(5),
+      FollowerFixture::failure(Reason::TableUnavailable)};
+  Fixture.Peers_.Replies_ = {
+      "not JSON",
+      R"({"result":7})",
+      "[1]",
+      R"({"error":"busy"})",
+      R"({"error":{"data":[]}})",
+      R"({"result":{"version":{},"age_ms":0,"text":"9"}})",
+      R"({"result":{"version":9,"age_ms":0,"text":"no configuration"}})",
+      R"({"result":{"version":9,"age_ms":0,"text":7}})",
+      R"({"result":{"version":8,"age_ms":40,"text":"8"}})"};
+  Fixture.Follower_.setNodes({"n2", "n3"});
+  Fixture.Follower_.start();
+  Fixture.Loop_.run(Second * 10);
+  BOOST_TEST(Fixture.Applied_ == (Versions{5, 8}),
+             boost::test_tools::per_element());
+}
+
 // Guards against a node that asks a busy holder alone.
 BOOST_AUTO_TEST_CASE(OtherNodesAreAskedIfTheHolderIsBusy) {
   FollowerFixture Fixture;
