--- a/cell/config_follower.cpp
+++ b/cell/config_follower.cpp
@@ -207,7 +207,8 @@
 
 Status ConfigFollower::takePeerReply(const Json::Value &Reply,
                                      const std::string &Address) {
-  if (!Reply["version"].isInt64() || !Reply["age_ms"].isInt64())
+  if (!Reply.isObject() || !Reply["version"].isInt64() ||
+      !Reply["age_ms"].isInt64())
     return invalidField("receive configuration", Address, "has no version");
   if (Reply["text"].isString()) {
     BOOST_OUTCOME_TRY(Config, Ports_.Source_.decode(Reply["text"].asString()));
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -167,7 +167,8 @@
   if (isLeader() || Address != LeaderRecord_.Address_)
     return;
   ElectionInput_ = ElectionInput{};
-  if (Reply && Reply.value()["leads"].asBool()) {
+  const bool IsAnswer = Reply && Reply.value().isObject();
+  if (IsAnswer && Reply.value()["leads"].asBool()) {
     LeaderHeardAt_ = now();
     LeaderSuspectedAt_ = Millis{};
     Nominations_ = 0;
@@ -191,7 +192,7 @@
   // A node that waits for the reply to its election write may already be the
   // leader, so its answer does not count as a denial.
   ElectionInput_.DeniesLeadership_ =
-      Reply.has_value() && !Reply.value()["electing"].asBool();
+      IsAnswer && !Reply.value()["electing"].asBool();
   ElectionInput_.ConnectionRefused_ =
       !Reply && Reply.error().Reason_ == Reason::ConnectFailed;
   ElectionInput_.LeaderSilence_ = now() - LeaderHeardAt_;
--- a/cell/rpc.cpp
+++ b/cell/rpc.cpp
@@ -11,13 +11,12 @@
 // Followed by the name of the method.
 constexpr const char *BinaryTarget = "/rpc/";
 
+// The types of results differ by method.
 bool isReply(const Json::Value &Body) {
-  const auto IsObjectOrNull = [](const Json::Value &Value) {
-    return Value.isObject() || Value.isNull();
-  };
-  return Body.isObject() && IsObjectOrNull(Body["result"]) &&
-         IsObjectOrNull(Body["error"]) &&
-         (Body["error"].isNull() || IsObjectOrNull(Body["error"]["data"]));
+  if (!Body.isObject())
+    return false;
+  const Json::Value &Failure = Body["error"];
+  return Failure.isNull() || (Failure.isObject() && Failure["data"].isObject());
 }
 
 Result<Json::Value> decodeReply(const WebReply &Reply,
--- a/tests/cell/config_test.cpp
+++ b/tests/cell/config_test.cpp
@@ -192,6 +192,19 @@
              boost::test_tools::per_element());
 }
 
+// Guards against advice, which is a list, that is taken for no reply.
+BOOST_AUTO_TEST_CASE(ListIsAReply) {
+  FollowerFixture Fixture;
+  Fixture.Peers_.Replies_ = {R"({"result":[["w1","ticket"]]})"};
+  bool IsReply = false;
+  Fixture.Rpc_.call("n2", "advice.ask", Json::Value(), Second,
+                    [&](const Result<Json::Value> &Reply) {
+                      IsReply = Reply && Reply.value().size() == 1;
+                    });
+  Fixture.Loop_.run(Second);
+  BOOST_TEST(IsReply);
+}
+
 // Guards against a node that asks a busy holder alone.
 BOOST_AUTO_TEST_CASE(OtherNodesAreAskedIfTheHolderIsBusy) {
   FollowerFixture Fixture;
