soak: Change the configuration under the faults, and check every node's answers

The soak now writes versions of 1,400 routes in series, some in quick succession, which add and remove a route; the store turns nodes away for up to 14 s and drops its history. Each node is asked, one request at a time, for a route that changed: its answers have to be those of a version that is not overdue (4 s, unless the node did not run or the store served nobody) and not older than one that it had.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -17,6 +17,8 @@
               "one in so many jobs crashes the workers that start it; 0: none");
 DEFINE_uint32(relay_min_workers, 400,
               "leaders use relays if there are at least so many workers");
+DEFINE_uint32(routes, 1400, "unused routes of the configuration");
+DEFINE_bool(worker_faults, true, "workers crash, are replaced and cut off");
 DEFINE_string(logs, "", "folder for logs; empty: a new temporary folder");
 
 int main(int Count, char **Arguments) {
@@ -36,6 +38,8 @@
   Settings.Workers_ = FLAGS_workers;
   Settings.DeadlyShare_ = FLAGS_deadly;
   Settings.RelayMinWorkers_ = FLAGS_relay_min_workers;
+  Settings.Routes_ = FLAGS_routes;
+  Settings.WorkerFaults_ = FLAGS_worker_faults;
   soak::Soak Run(Settings);
   return Run.run();
 }
--- a/tests/soak/platform_server.cpp
+++ b/tests/soak/platform_server.cpp
@@ -55,16 +55,18 @@
 
 } // namespace
 
-Status PlatformServer::listen(const std::string &StoreAddress,
+Status PlatformServer::listen(const std::vector<std::string> &StoreAddresses,
                               const std::vector<std::string> &AdviceAddresses) {
   drivers::ListenerLimits Limits;
   constexpr std::size_t MostBytes = std::size_t{2} * 1024 * 1024;
   Limits.BodyBytes_ = MostBytes;
-  BOOST_OUTCOME_TRYV(
-      Loop_.listen(StoreAddress, Limits,
-                   [this](const WebRequest &Request, const WebReplier &Reply) {
-                     handleStore(Request, Reply);
-                   }));
+  for (std::size_t Caller = 0; Caller < StoreAddresses.size(); ++Caller) {
+    const auto Handle = [this, Caller](const WebRequest &Request,
+                                       const WebReplier &Reply) {
+      handleStore(Caller, Request, Reply);
+    };
+    BOOST_OUTCOME_TRYV(Loop_.listen(StoreAddresses[Caller], Limits, Handle));
+  }
   for (const std::string &Each : AdviceAddresses) {
     const auto Handle = [this, Each](const WebRequest &Request,
                                      const WebReplier &Reply) {
@@ -93,7 +95,11 @@
   wakeFeeds();
 }
 
-StoreFault PlatformServer::faultOf(const WebRequest &Request) const {
+StoreFault PlatformServer::faultOf(std::size_t Caller,
+                                   const WebRequest &Request) const {
+  const auto CallerFault = CallerFaults_.find(Caller);
+  if (CallerFault != CallerFaults_.end())
+    return CallerFault->second;
   if (Fault_ != StoreFault::None || PartFaults_.empty())
     return Fault_;
   auto Query = parseQuery(Request.Target_);
@@ -107,9 +113,9 @@
   return Fault == PartFaults_.end() ? Fault_ : Fault->second;
 }
 
-void PlatformServer::handleStore(const WebRequest &Request,
+void PlatformServer::handleStore(std::size_t Caller, const WebRequest &Request,
                                  const WebReplier &Reply) {
-  switch (faultOf(Request)) {
+  switch (faultOf(Caller, Request)) {
   case StoreFault::Refuses:
     return Reply(WebReply{Unavailable, "{}"});
   case StoreFault::Silent:
@@ -239,7 +245,10 @@
 
 void PlatformServer::follow(const std::map<std::string, std::string> &Query,
                             const WebReplier &Reply) {
+  constexpr int HistoryGone = 410;
   const Feed Waiting{Query.at("table"), number(Query, "after"), Reply};
+  if (Waiting.After_ < HistoryFrom_)
+    return Reply(WebReply{HistoryGone, "{}"});
   if (answerFeed(Waiting))
     return;
   Feeds_.push_back(Waiting);
--- a/tests/soak/platform_server.h
+++ b/tests/soak/platform_server.h
@@ -30,14 +30,25 @@
   PlatformServer(drivers::EventLoop &Loop, const Clock &Time, unsigned Seed)
       : Loop_(Loop), Time_(Time), Random_(Seed) {}
 
-  /// Advice has an address for each calling machine, whose calls wait in turn.
-  Status listen(const std::string &StoreAddress,
+  /// The store and the advice service have an address for each calling node.
+  /// The calls of a node for advice wait in turn.
+  Status listen(const std::vector<std::string> &StoreAddresses,
                 const std::vector<std::string> &AdviceAddresses);
   void setFault(StoreFault Fault) { Fault_ = Fault; }
   /// The same for the calls that concern one part of the store.
   void setFaultOfPart(const std::string &Part, StoreFault Fault) {
     PartFaults_[Part] = Fault;
   }
+  /// The same for the calls of a node, by the place of its address.
+  void setFaultOfCaller(std::size_t Caller, StoreFault Fault) {
+    CallerFaults_[Caller] = Fault;
+  }
+  void clearFaultsOfCallers() { CallerFaults_.clear(); }
+  bool servesNobody() const {
+    return Fault_ == StoreFault::Refuses || Fault_ == StoreFault::Silent;
+  }
+  /// Changes up to now are no longer known to feeds.
+  void dropHistory() { HistoryFrom_ = Version_; }
   /// Writes a row of the operator or of a worker.
   void put(const std::string &Table, const std::string &Key,
            const Json::Value &Value);
@@ -58,8 +69,9 @@
     WebReplier Reply_;
   };
 
-  void handleStore(const WebRequest &Request, const WebReplier &Reply);
-  StoreFault faultOf(const WebRequest &Request) const;
+  void handleStore(std::size_t Caller, const WebRequest &Request,
+                   const WebReplier &Reply);
+  StoreFault faultOf(std::size_t Caller, const WebRequest &Request) const;
   void answer(const WebRequest &Request, const WebReplier &Reply);
   WebReply transact(const std::string &Body);
   WebReply read(const std::map<std::string, std::string> &Query) const;
@@ -80,6 +92,8 @@
   std::map<std::string, Millis> AdviceFreeAt_; ///< By address.
   StoreFault Fault_ = StoreFault::None;
   std::map<std::string, StoreFault> PartFaults_;
+  std::map<std::size_t, StoreFault> CallerFaults_;
+  std::int64_t HistoryFrom_ = 0; ///< Feeds after an older version get 410.
 };
 
 } // namespace damaskglade::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -24,26 +24,32 @@
 Soak::Soak(SoakSettings Settings)
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
       EntryRandom_(Settings_.Seed_), PartRandom_(Settings_.Seed_ + 1),
-      SilenceRandom_(Settings_.Seed_ + 2),
+      SilenceRandom_(Settings_.Seed_ + 2), ConfigRandom_(Settings_.Seed_ + 3),
       Platform_(Loop_, Time_, Settings_.Seed_) {
   std::filesystem::create_directories(Settings_.Folder_);
+  // The store has a port for each node, so that it can turn some away.
   const int Store = process_tests::findFreePorts(
-      1 + Settings_.Workers_ + Settings_.Nodes_ * PortsOfNode);
-  const int FirstNode = Store + 1 + Settings_.Workers_;
+      Settings_.Workers_ + Settings_.Nodes_ * (1 + PortsOfNode));
+  const int FirstWorker = Store + Settings_.Nodes_;
+  const int FirstNode = FirstWorker + Settings_.Workers_;
+  std::vector<std::string> StoreAddresses;
+  StoreAddresses.reserve(static_cast<std::size_t>(Settings_.Nodes_));
+  for (int Number = 0; Number < Settings_.Nodes_; ++Number)
+    StoreAddresses.push_back(local(Store + Number));
   std::vector<std::string> Advice;
   Advice.reserve(static_cast<std::size_t>(Settings_.Nodes_));
   for (int Number = 0; Number < Settings_.Nodes_; ++Number)
     Advice.push_back(local(FirstNode + Number * PortsOfNode + PortsOfDaemon));
-  const Status Listening = Platform_.listen(local(Store), Advice);
+  const Status Listening = Platform_.listen(StoreAddresses, Advice);
   if (!Listening) {
     std::fprintf(stderr, "soak: %s\n", describe(Listening.error()).c_str());
     std::exit(EXIT_FAILURE);
   }
   std::vector<stand_ins::Link> Links;
-  addWorkers(Store + 1, Links);
+  addWorkers(FirstWorker, Links);
   for (int Number = 0; Number < Settings_.Nodes_; ++Number)
     Links.push_back(
-        stand_ins::Link{"store" + std::to_string(Number), 0, Store});
+        stand_ins::Link{"store" + std::to_string(Number), 0, Store + Number});
   Relay_ = std::make_unique<stand_ins::Relay>(Links);
   addNodes(FirstNode);
 }
@@ -94,6 +100,7 @@
       Settings_.Folder_ + "/" + Each.Name_ + ".log");
   Each.Down_ = false;
   Each.Paused_ = false;
+  Configs_.restarted(Each.Name_, Time_.monotonic());
 }
 
 // A daemon that ends is started again, as on the users' platform. One that
@@ -129,24 +136,6 @@
   Platform_.put("servers", Each.id(), entryOf(Each));
 }
 
-void Soak::writeDesiredState() {
-  Json::Value Config;
-  Config["version"] = 1;
-  Json::Value Route;
-  Route["name"] = "queue";
-  Route["host"] = QueueHost;
-  Route["pathPrefix"] = QueuePrefix;
-  Route["service"] = "desk";
-  Route["maxAttempts"] = 1000; // Jobs do not fail by what is done to workers.
-  Route["slackFactor"] = 1.5;
-  Route["targetLatencyMs"] = 250;
-  Route["hint"]["decisionMs"] = Json::Int64(AdviceTime.Value_);
-  Route["hint"]["intervalMs"] = 0;
-  Route["hint"]["validMs"] = 2500;
-  Config["routes"].append(Route);
-  Platform_.put("op", "config", Config);
-}
-
 void Soak::cancelUnending() {
   std::vector<std::string> Ids;
   for (const auto &[Id, Job] : Watch_.jobs())
@@ -162,7 +151,7 @@
 bool Soak::isOver() {
   if (!faultsOver() || !Disturbances_.empty() || !Watch_.calm())
     return false;
-  if (!std::exchange(LastFaultMade_, true)) {
+  if (!std::exchange(LastFaultMade_, true) && Settings_.WorkerFaults_) {
     replaceAllWorkers();
     return false;
   }
@@ -180,6 +169,7 @@
   constexpr Millis Period{200};
   constexpr Millis LastStops{1500};
   Watch_.checkLongRunning();
+  excuseNodes();
   if (isOver()) {
     Loop_.after(LastStops, [this] { Loop_.stop(); });
     return;
@@ -199,7 +189,7 @@
   StartedAt_ = Time_.monotonic();
   for (const auto &Each : Workers_)
     registerWorker(*Each);
-  writeDesiredState();
+  writeConfig();
   for (Node &Each : Nodes_)
     startNode(Each);
   restartEnded();
@@ -207,23 +197,35 @@
   Loop_.after(Warmup, [this] {
     submitLater();
     scheduleFault();
-    shrinkLater();
-    overwriteEntryLater();
+    if (Settings_.WorkerFaults_) {
+      shrinkLater();
+      overwriteEntryLater();
+    }
     faultPartLater();
     silenceLater();
+    changeConfigLater(0);
+    turnAwayLater();
+    dropHistoryLater();
+    for (std::size_t Number = 0; Number < Nodes_.size(); ++Number)
+      probeConfig(Number);
   });
   const Millis MoreTime = Settings_.DeadlyShare_ > 0 ? DeadlyCalm : Millis{};
   settle(StartedAt_ + Settings_.Length_ + SettleTime + MoreTime);
   Loop_.run();
   Watch_.finish();
-  for (const std::string &Each : Watch_.findings())
+  std::vector<std::string> Findings = Watch_.findings();
+  Findings.insert(Findings.end(), Configs_.findings().begin(),
+                  Configs_.findings().end());
+  for (const std::string &Each : Findings)
     std::printf("FOUND %s\n", Each.c_str());
-  std::printf("seed %u: %d jobs, %d starts, %d faults, %zu findings, logs in "
-              "%s\n",
-              Settings_.Seed_, Jobs_, Watch_.starts(), Faults_,
-              Watch_.findings().size(), Settings_.Folder_.c_str());
-  return Watch_.findings().empty() && Watch_.starts() > 0 ? EXIT_SUCCESS
-                                                          : EXIT_FAILURE;
+  std::printf(
+      "seed %u: %d jobs, %d starts, %zu versions, %lld answers by them, "
+      "%d faults, %zu findings, logs in %s\n",
+      Settings_.Seed_, Jobs_, Watch_.starts(), Configs_.versions(),
+      static_cast<long long>(Configs_.answers()), Faults_, Findings.size(),
+      Settings_.Folder_.c_str());
+  const bool Worked = Watch_.starts() > 0 && Configs_.answers() > 0;
+  return Findings.empty() && Worked ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
 } // namespace damaskglade::soak
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,14 +2,17 @@
 #define DAMASKGLADE_TESTS_SOAK_SOAK_H
 
 #include "tests/process/launcher.h"
+#include "tests/soak/config_watch.h"
 #include "tests/soak/platform_server.h"
 #include "tests/soak/worker_server.h"
 #include "tests/stand_ins/relay.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,8 @@
   int Workers_ = 12;
   unsigned DeadlyShare_ = 0;       ///< One in so many jobs is deadly; 0: none.
   unsigned RelayMinWorkers_ = 400; ///< Setting of the daemons.
+  unsigned Routes_ = 1400; ///< Of the configuration, besides those used.
+  bool WorkerFaults_ = true;
 };
 
 struct Node {
@@ -56,7 +61,13 @@
   void restartEnded();
   Json::Value entryOf(const WorkerServer &Each) const;
   void registerWorker(const WorkerServer &Each);
-  void writeDesiredState();
+  void writeConfig();
+  void changeConfig();
+  void changeConfigLater(int QuickChanges);
+  void turnAwayLater();
+  void dropHistoryLater();
+  void probeConfig(std::size_t Number);
+  void excuseNodes();
   void scheduleFault();
   void injectFault();
   void report(const std::string &What);
@@ -96,8 +107,10 @@
   std::minstd_rand EntryRandom_;
   std::minstd_rand PartRandom_;
   std::minstd_rand SilenceRandom_;
+  std::minstd_rand ConfigRandom_;
   drivers::EventLoop Loop_;
   Observer Watch_{Time_};
+  ConfigWatch Configs_;
   PlatformServer Platform_;
   std::unique_ptr<WebClient> Callers_ = Loop_.makeClient();
   std::vector<std::unique_ptr<WorkerServer>> Workers_;
@@ -105,6 +118,9 @@
   std::unique_ptr<stand_ins::Relay> Relay_;
   std::vector<Node> Nodes_;
   std::map<std::string, int> Disturbances_;
+  std::int64_t ConfigVersion_ = 0;
+  std::set<std::string> AddedRoutes_;     ///< Of the newest version.
+  std::deque<std::string> ChangedRoutes_; ///< The latest first.
   Millis StartedAt_{};
   int Jobs_ = 0;
   int Faults_ = 0;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -48,7 +48,9 @@
 } // namespace
 
 void Soak::scheduleFault() {
-  constexpr std::size_t MostGap = 1500;
+  // Without faults of workers nearly each one hits all nodes or a whole one,
+  // which may be late then.
+  const std::size_t MostGap = Settings_.WorkerFaults_ ? 1500 : 6000;
   Loop_.after(Millis{static_cast<std::int64_t>(200 + draw(MostGap))}, [this] {
     if (faultsOver())
       return;
@@ -100,8 +102,16 @@
         [] {});
   default:
     return disturb(
-        "pause " + Each.Name_, [&Each] { Each.Process_->signal(SIGSTOP); },
-        [&Each] { Each.Process_->signal(SIGCONT); });
+        "pause " + Each.Name_,
+        [&Each] {
+          Each.Paused_ = true;
+          Each.Process_->signal(SIGSTOP);
+        },
+        [this, &Each] {
+          Each.Process_->signal(SIGCONT);
+          Each.Paused_ = false;
+          Configs_.excuse(Each.Name_, Time_.monotonic());
+        });
   }
 }
 
@@ -299,8 +309,12 @@
     return FaultLink("store" + std::to_string(draw(Nodes_.size())));
   case 7:
   case 8:
+    if (!Settings_.WorkerFaults_)
+      return FaultLink("store" + std::to_string(draw(Nodes_.size())));
     return FaultLink(Workers_[draw(Workers_.size())]->name());
   default:
+    if (!Settings_.WorkerFaults_)
+      return faultNode(Nodes_[draw(Nodes_.size())]);
     return faultWorker(*Workers_[draw(Workers_.size())]);
   }
 }
