--- a/cell/config_follower.cpp
+++ b/cell/config_follower.cpp
@@ -19,7 +19,10 @@
 // If the store has not confirmed the version for this long, other nodes are
 // asked whether they have a newer one. Its long poll takes a second.
 constexpr Millis MaxUnconfirmed{1500};
-constexpr Millis PeerCheckPeriod{250};
+// How often other nodes are asked for a version that is known to exist, and
+// whether there is one.
+constexpr Millis KnownVersionPeriod{250};
+constexpr Millis UnknownVersionPeriod{1000};
 constexpr Millis PeerTimeout{1500};
 // A node sends the configuration to one other node in this time. The others
 // find one that has received it meanwhile.
@@ -43,6 +46,7 @@
 
 void ConfigFollower::start() {
   Known_.ConfirmedAt_ = now();
+  ServedAt_ = now() - ServePeriod;
   request();
 }
 
@@ -69,7 +73,7 @@
   Body["age_ms"] = Json::Int64((now() - Known_.ConfirmedAt_).Value_);
   if (!Config_ || Params["version"].asInt64() >= Known_.Version_)
     return Reply(std::move(Body));
-  if (ServedAt_ > Millis{} && now() < ServedAt_ + ServePeriod)
+  if (now() < ServedAt_ + ServePeriod)
     return Reply(Error{Reason::QueueFull, Effect::None, "send configuration",
                        OwnAddress_, "another node is being served"});
   ServedAt_ = now();
@@ -169,10 +173,12 @@
 void ConfigFollower::checkPeersLater() {
   if (std::exchange(PeerCheckOpen_, true))
     return;
-  Ports_.Timers_.after(PeerCheckPeriod, [this] {
-    PeerCheckOpen_ = false;
-    checkPeers();
-  });
+  const bool IsKnown = Known_.NewestVersion_ > Known_.Version_;
+  Ports_.Timers_.after(IsKnown ? KnownVersionPeriod : UnknownVersionPeriod,
+                       [this] {
+                         PeerCheckOpen_ = false;
+                         checkPeers();
+                       });
 }
 
 // The known holder is asked once. If it fails, or is busy, any other node may
