--- a/cell/member.h
+++ b/cell/member.h
@@ -139,7 +139,7 @@
   /// Adds to the reply to a ping which newer configuration there is, and a node
   /// that has it.
   void addNewerConfig(std::int64_t Version, Json::Value &Reply);
-  /// Passes the addresses of the live nodes on if they have changed.
+  /// Passes the addresses of the live nodes on when they have changed.
   void reportNodes(const std::vector<std::string> &Addresses);
 
   SharedConfig Config_; ///< In force; null until the first one.
--- a/main/cell_node.cpp
+++ b/main/cell_node.cpp
@@ -41,10 +41,10 @@
                                                            Settings_.LogLevel_),
                                      Clock_, drivers::LogBudget{})),
         Http_(Loop_.makeClient(
-            [this](const WebTransfer &Each) { reportTransfer(Each); })),
+            [this](const WebTransfer &Transfer) { reportTransfer(Transfer); })),
         Store_(platform::makeRowStore(*Http_, Settings_.StoreAddress_)),
         ConfigHttp_(ConfigThread_.loop().makeClient(
-            [this](const WebTransfer &Each) { reportTransfer(Each); })),
+            [this](const WebTransfer &Transfer) { reportTransfer(Transfer); })),
         ConfigStore_(
             platform::makeRowStore(*ConfigHttp_, Settings_.StoreAddress_)),
         Configs_(platform::makeConfigSource(*ConfigStore_)),
--- a/tests/beast/large_message_test.cpp
+++ b/tests/beast/large_message_test.cpp
@@ -61,6 +61,25 @@
   std::thread Thread_;
 };
 
+/// Answers each call with MessageBytes.
+class LargeReplyServer {
+public:
+  LargeReplyServer() {
+    BOOST_TEST_REQUIRE(
+        Loop_
+            .listen(Address, ListenerLimits{},
+                    [](const WebRequest &, const WebReplier &Reply) {
+                      Reply(WebReply{200, std::string(MessageBytes, 'x')});
+                    })
+            .has_value());
+    Serving_.emplace(Loop_);
+  }
+
+private:
+  EventLoop Loop_;
+  std::optional<LoopOnThread> Serving_;
+};
+
 WebCall makeCall(const std::string &Body, Millis Timeout) {
   WebCall Call;
   Call.Address_ = Address;
@@ -137,15 +156,7 @@
 // Guards against a configuration or a page of rows that a busy node receives in
 // pieces of some hundred bytes, each of which waits for its other work.
 BOOST_AUTO_TEST_CASE(LargeReplyTakesFewTurnsOfABusyLoop) {
-  EventLoop Server;
-  BOOST_TEST_REQUIRE(
-      Server
-          .listen(Address, ListenerLimits{},
-                  [](const WebRequest &, const WebReplier &Reply) {
-                    Reply(WebReply{200, std::string(MessageBytes, 'x')});
-                  })
-          .has_value());
-  const LoopOnThread Serving(Server);
+  const LargeReplyServer Server;
   EventLoop Loop;
   BusyTurns Busy(Loop);
   Busy.start();
@@ -225,15 +236,7 @@
 // Guards against a configuration that waits for the event loop of a busy node
 // before it has been received.
 BOOST_AUTO_TEST_CASE(LoopThreadReceivesWhileAnotherLoopIsBlocked) {
-  EventLoop Server;
-  BOOST_TEST_REQUIRE(
-      Server
-          .listen(Address, ListenerLimits{},
-                  [](const WebRequest &, const WebReplier &Reply) {
-                    Reply(WebReply{200, std::string(MessageBytes, 'x')});
-                  })
-          .has_value());
-  const LoopOnThread Serving(Server);
+  const LargeReplyServer Server;
   EventLoop Node;
   LoopThread Receiver;
   const auto Client = Receiver.loop().makeClient();
