--- a/tests/soak/soak_config.cpp
+++ b/tests/soak/soak_config.cpp
@@ -14,6 +14,7 @@
 // Routes that changed last; one of them tells two versions apart.
 constexpr std::size_t ProbedRoutes = 6;
 constexpr std::size_t MaxAddedRoutes = 8;
+constexpr Millis ShortestTurnAway{500};
 
 Json::Value makeRoute(const std::string &Name, const std::string &Prefix) {
   Json::Value Route;
@@ -89,7 +90,6 @@
 // other faults, since callers go on meanwhile and the end of a run has a limit.
 void Soak::turnAwayLater() {
   constexpr std::size_t MostGap = 6000;
-  constexpr Millis ShortestTime{500};
   constexpr std::size_t MostMore = 14000;
   const auto Draw = [this](std::size_t Below) {
     return static_cast<std::int64_t>(ConfigRandom_() % Below);
@@ -107,8 +107,8 @@
       if (Number != Served && ConfigRandom_() % 2 == 0)
         Platform_.setFaultOfCaller(Number, Fault);
     const Millis TimeLeft = StartedAt_ + Settings_.Length_ - Time_.monotonic();
-    const Millis Length = std::min(ShortestTime + Millis{Draw(MostMore)},
-                                   std::max(TimeLeft, ShortestTime));
+    const Millis Length = std::min(ShortestTurnAway + Millis{Draw(MostMore)},
+                                   std::max(TimeLeft, ShortestTurnAway));
     Loop_.after(Length, [this] {
       Platform_.clearFaultsOfCallers();
       --Disturbances_["turn away"];
