config_follower: Reject malformed calls for the configuration

A call config.get whose version was missing or of another type ended the process: it is handled on the thread of the configuration, where nobody catches errors of the JSON library. A negative age made a node take its version for confirmed in the future, and a ping's fields were read without a check of their type. Found by reading; InvalidCallForTheConfigurationIsRejected and InvalidReplyOfAPeerIsNotTaken failed before.

--- a/cell/config_follower.cpp
+++ b/cell/config_follower.cpp
@@ -68,6 +68,9 @@
 }
 
 void ConfigFollower::serve(const Json::Value &Params, const RpcReply &Reply) {
+  if (!Params.isObject() || !Params["version"].isInt64())
+    return Reply(
+        invalidField("send configuration", "version", "is not a whole number"));
   Json::Value Body;
   Body["version"] = Json::Int64(Known_.Version_);
   Body["age_ms"] = Json::Int64((now() - Known_.ConfirmedAt_).Value_);
@@ -214,8 +217,9 @@
 Status ConfigFollower::takePeerReply(const Json::Value &Reply,
                                      const std::string &Address) {
   if (!Reply.isObject() || !Reply["version"].isInt64() ||
-      !Reply["age_ms"].isInt64())
-    return invalidField("receive configuration", Address, "has no version");
+      !Reply["age_ms"].isInt64() || Reply["age_ms"].asInt64() < 0)
+    return invalidField("receive configuration", Address,
+                        "has no version or no age");
   if (Reply["text"].isString()) {
     BOOST_OUTCOME_TRY(Config, Ports_.Source_.decode(Reply["text"].asString()));
     take(Config, Address);
--- a/cell/config_follower.h
+++ b/cell/config_follower.h
@@ -59,8 +59,8 @@
   void noteVersion(std::int64_t Version, const std::string &Holder);
   /// Sets the addresses of the nodes that can be asked. May list this one.
   void setNodes(std::vector<std::string> Addresses);
-  /// Handles the call "config.get" of another node. Errors: queue_full while
-  /// the configuration is sent to others.
+  /// Handles the call "config.get" of another node. Errors: invalid_field;
+  /// queue_full while the configuration is sent to others.
   void serve(const Json::Value &Params, const RpcReply &Reply);
   /// Updates the gauge of the time since the version was last confirmed to be
   /// the newest one.
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -173,8 +173,10 @@
     LeaderSuspectedAt_ = Millis{};
     Nominations_ = 0;
     StrongestCpu_ = Reply.value()["strongest_cpu"].asDouble();
-    handleConfigVersion(Reply.value()["config"].asInt64(),
-                        Reply.value()["config_holder"].asString());
+    const Json::Value &NewerConfig = Reply.value()["config"];
+    const Json::Value &Holder = Reply.value()["config_holder"];
+    if (NewerConfig.isInt64() && Holder.isString())
+      handleConfigVersion(NewerConfig.asInt64(), Holder.asString());
     if (!Reply.value().isMember("nodes"))
       return;
     ReportedNodes_.clear();
--- a/tests/cell/config_test.cpp
+++ b/tests/cell/config_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <optional>
 
 using namespace damaskglade;
 using namespace damaskglade::cell;
@@ -184,6 +185,7 @@
       R"({"result":{"version":{},"age_ms":0,"text":"9"}})",
       R"({"result":{"version":9,"age_ms":0,"text":"no configuration"}})",
       R"({"result":{"version":9,"age_ms":0,"text":7}})",
+      R"({"result":{"version":9,"age_ms":-5,"text":"9"}})",
       R"({"result":{"version":8,"age_ms":40,"text":"8"}})"};
   Fixture.Follower_.setNodes({"n2", "n3"});
   Fixture.Follower_.start();
@@ -302,6 +304,27 @@
       Second * 4, [&] { return Cell.configVersion(Rejected) == Version; }));
 }
 
+// Guards against a node that ends because of the call of another one: it is
+// handled on a thread where nobody else catches errors of the JSON library.
+BOOST_AUTO_TEST_CASE(InvalidCallForTheConfigurationIsRejected) {
+  FollowerFixture Fixture;
+  Fixture.Source_.Outcomes_ = {
+      FollowerFixture::read(5),
+      FollowerFixture::failure(Reason::TableUnavailable)};
+  Fixture.Follower_.start();
+  Json::Value WrongType;
+  WrongType["version"] = "5";
+  for (const Json::Value &Params :
+       {Json::Value(), Json::Value(7), Json::Value(Json::arrayValue),
+        Json::Value(Json::objectValue), WrongType}) {
+    std::optional<Reason> Why;
+    Fixture.Follower_.serve(Params, [&](const Result<Json::Value> &Reply) {
+      Why = Reply ? Reason::None : Reply.error().Reason_;
+    });
+    BOOST_TEST((Why == Reason::InvalidField));
+  }
+}
+
 // Guards against jobs of a new queue that are lost, or started on workers of
 // another service, because the leader does not know the queue yet.
 BOOST_AUTO_TEST_CASE(JobOfAQueueThatTheLeaderDoesNotKnowYetWaits) {
