codec: Limit the nesting of messages to 100 levels

The JSON library reads up to 1000 levels by recursion, which overflows the stack of a thread of 512 KiB there; the configuration is decoded on such a thread. A message of the store or of a peer could have ended the process, on a machine whose frames are as large. Messages have less than ten levels. The test passes now with and without ThreadSanitizer.

--- a/core/codec.cpp
+++ b/core/codec.cpp
@@ -73,10 +73,14 @@
 
 Result<Json::Value> parseJson(const std::string &Text,
                               const std::string &Step) {
+  // The default of 1000 levels overflows the stack of a thread of 512 KiB with
+  // ThreadSanitizer. Messages have less than ten levels.
+  constexpr int MaxNesting = 100;
   // Creating a reader costs more than parsing a short message.
   thread_local const std::unique_ptr<Json::CharReader> Reader = [] {
     Json::CharReaderBuilder Builder;
     Json::CharReaderBuilder::strictMode(&Builder.settings_);
+    Builder["stackLimit"] = MaxNesting;
     return std::unique_ptr<Json::CharReader>(Builder.newCharReader());
   }();
   Json::Value Root;
