--- a/review/stand_ins_2/bed.cpp
+++ b/review/stand_ins_2/bed.cpp
@@ -51,7 +51,7 @@
     : FirstPort_(process_tests::findFreePorts(MaxPorts)),
       Folder_(process_tests::makeTemporaryFolder()),
       Ledger_(Settings.RecordFile_), Store_(Loop_, FirstPort_) {
-  writeConfig();
+  changeConfig(1, true);
   int Port = FirstPort_ + 1 + Settings.Nodes_ * PortsPerNode;
   for (std::size_t Index = 0; Index < Settings.Workers_.size(); ++Index)
     Workers_.push_back(std::make_unique<Worker>(
@@ -69,29 +69,36 @@
     std::filesystem::remove_all(Folder_, Ignored);
 }
 
-void Bed::writeConfig() {
-  Json::Value Route;
-  Route["name"] = "tags";
-  Route["host"] = QueueHost;
-  Route["pathPrefix"] = QueuePrefix;
-  Route["kind"] = "non_idempotent";
-  Route["timeoutMs"] = Json::Int64(Deadline.Value_);
-  Route["targetLatencyMs"] = 250;
-  Route["priority"] = 0;
-  Route["service"] = "depot-desk";
-  Route["maxAttempts"] = 2;
-  Route["slackFactor"] = 1.5;
+void Bed::changeConfig(int Version, bool WithRoute) {
+  Json::Value Config;
+  Config["version"] = Version;
+  Config["routes"] = Json::arrayValue;
+  for (const std::string Name : {"tags", "idle"}) {
+    if (Name == "tags" && !WithRoute)
+      continue;
+    Json::Value Route;
+    Route["name"] = Name;
+    Route["host"] = QueueHost;
+    Route["pathPrefix"] = Name == "tags" ? QueuePrefix : "/idle/";
+    Route["kind"] = "non_idempotent";
+    Route["timeoutMs"] = Json::Int64(Deadline.Value_);
+    Route["targetLatencyMs"] = 250;
+    Route["priority"] = 0;
+    Route["service"] = "depot-desk";
+    Route["maxAttempts"] = 2;
+    Route["slackFactor"] = 1.5;
+    Config["routes"].append(Route);
+  }
   Json::Value Service;
   Service["name"] = "depot-desk";
   Service["healthPath"] = "/healthz";
   Service["maxConns"] = 64;
   Service["preconditions"] = false;
-  Json::Value Config;
-  Config["version"] = 1;
-  Config["routes"].append(Route);
   Config["services"].append(Service);
   Config["limits"] = Json::objectValue;
   Store_.put("op", "config", Config);
+  Ledger_.write("the operator writes version " + std::to_string(Version) +
+                (WithRoute ? "" : ", without the route of the queue"));
 }
 
 void Bed::addNode(int Number) {
@@ -192,6 +199,8 @@
       Phase["constraints"] = Described.Traits_.Label_;
     if (!Each.Image_.empty())
       Phase["image"] = Each.Image_;
+    if (Each.Gang_)
+      Phase["gang"] = true;
     for (const int Earlier : Each.After_)
       Phase["after"].append(Earlier);
     Body["phases"].append(Phase);
--- a/review/stand_ins_2/bed.h
+++ b/review/stand_ins_2/bed.h
@@ -27,6 +27,7 @@
   int Count_ = 1;
   std::vector<int> After_;
   std::string Image_;
+  bool Gang_ = false;
 };
 
 /// A job and what its requester has been told.
@@ -65,6 +66,8 @@
   void runFor(Millis Time);
   /// Waits until all nodes report that they are ready.
   bool waitUntilReady(Millis Timeout);
+  /// Writes the desired state anew, with or without the route of the queue.
+  void changeConfig(int Version, bool WithRoute);
   /// Node that the leader row names, if there is one.
   std::optional<std::size_t> leader() const;
 
@@ -86,7 +89,6 @@
     bool Ready_ = false;
   };
 
-  void writeConfig();
   void addNode(int Number);
   void start(Node &Each);
   void probe(std::size_t Index);
--- a/review/stand_ins_2/cases.cpp
+++ b/review/stand_ins_2/cases.cpp
@@ -260,6 +260,93 @@
   return judge(Cell, Breaches);
 }
 
+// The gang has a task on each of the eight workers.
+Outcome playFlakyWorker(const CaseSettings &Settings) {
+  constexpr std::size_t WorkerCount = 8;
+  constexpr int Crashes = 3;
+  constexpr std::int64_t LargeTask = 9000;
+  const TaskTraits Traits{Millis{4000}, LargeTask, "", false};
+  Bed Cell({Settings.RecordFile_, 3, sameWorkers(WorkerCount)});
+  if (!Cell.waitUntilReady(StartTime))
+    return notRun(Cell, "the nodes are not ready");
+  Cell.runFor(Millis{1000});
+  Job &Gang = Cell.submit(0, {Step{WorkerCount, {}, "", true}}, Traits);
+  Worker &Victim = Cell.worker(0);
+  const auto RunsOnAll = [&] {
+    for (std::size_t Index = 0; Index < Cell.workers(); ++Index)
+      if (!Cell.worker(Index).runs(Gang.Id_))
+        return false;
+    return true;
+  };
+  for (int Number = 0; Settings.Trouble_ && Number < Crashes; ++Number) {
+    if (!Cell.runUntil(RunsOnAll, Millis{15000}))
+      break;
+    Cell.runFor(Millis{400});
+    Victim.loseHost();
+    Cell.runFor(Millis{100});
+    for (std::size_t Index = 1; Index < Cell.workers(); ++Index)
+      Cell.worker(Index).breakGang(Gang.Id_);
+    Cell.runFor(Millis{900});
+    Victim.restoreHost();
+  }
+  if (!Cell.waitForEnds(Millis{40000}))
+    return notRun(Cell, "the job has not ended");
+  int Failed = 0;
+  for (const RunRecord &Run : Cell.log().runs())
+    Failed += Run.How_ == "failed" ? 1 : 0;
+  std::vector<std::string> Breaches;
+  if (Gang.State_ != "complete" && Failed == 0)
+    Breaches.push_back("accepted job " + Gang.Id_ + " is shown as " +
+                       Gang.State_ + ", and none of its runs has failed");
+  return judge(Cell, Breaches);
+}
+
+// The jobs have been accepted before. Their requesters can no longer ask for
+// them, so the workers tell whether all of their tasks run.
+Outcome playRemovedRoute(const CaseSettings &Settings) {
+  constexpr std::size_t WorkerCount = 6;
+  constexpr int Jobs = 3;
+  constexpr int Tasks = 3;
+  // finish_s of the site.
+  constexpr Millis FinishTime{14000};
+  const TaskTraits Traits{Millis{3000}, SmallTask, "", false};
+  Bed Cell({Settings.RecordFile_, 3, sameWorkers(WorkerCount)});
+  if (!Cell.waitUntilReady(StartTime))
+    return notRun(Cell, "the nodes are not ready");
+  for (int Number = 0; Number < Jobs; ++Number)
+    Cell.submit(
+        static_cast<std::size_t>(Number) % Cell.nodes(),
+        {Step{Tasks, {}, ""}, Step{Tasks, {0}, ""}, Step{Tasks, {1}, ""}},
+        Traits);
+  if (!Cell.runUntil([&] { return allAccepted(Cell); }, Millis{10000}))
+    return notRun(Cell, "the jobs are not accepted");
+  Cell.runFor(Millis{1000});
+  if (Settings.Trouble_)
+    Cell.changeConfig(2, false);
+  Cell.runFor(Millis{2500});
+  const auto Former = Cell.leader();
+  if (Settings.Trouble_ && Former) {
+    Cell.log().write("node " + std::to_string(*Former) +
+                     ", the leader, gets SIGTERM");
+    Cell.node(*Former).signal(SIGTERM);
+  }
+  Cell.runFor(Millis{6000} + FinishTime);
+  std::set<std::string> Done;
+  for (const RunRecord &Run : Cell.log().runs())
+    if (Run.How_ == "done")
+      Done.insert(Run.Task_);
+  std::vector<std::string> Breaches;
+  for (const auto &Each : Cell.jobs())
+    for (int Number = 0; Number < 3 * Tasks; ++Number) {
+      const std::string Task = Each->Id_ + ".0." +
+                               std::to_string(Number / Tasks) + "." +
+                               std::to_string(Number % Tasks);
+      if (Done.count(Task) == 0)
+        Breaches.push_back("task of an accepted job was never done: " + Task);
+    }
+  return judge(Cell, Breaches);
+}
+
 // Jobs that need a worker of kind "a" come all the time. One such worker ends
 // and starts again as kind "b", with half of the processors.
 Outcome playOtherKind(const CaseSettings &Settings) {
--- a/review/stand_ins_2/cases.h
+++ b/review/stand_ins_2/cases.h
@@ -22,6 +22,10 @@
 Outcome playFreeze(const CaseSettings &Settings);
 /// A job of which a row exceeds the limit of the store.
 Outcome playLargeJob(const CaseSettings &Settings);
+/// A worker loses power three times, each time soon after a gang has started.
+Outcome playFlakyWorker(const CaseSettings &Settings);
+/// A route is removed while its jobs run, and the leader is stopped as planned.
+Outcome playRemovedRoute(const CaseSettings &Settings);
 /// A worker starts again as another kind.
 Outcome playOtherKind(const CaseSettings &Settings);
 
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cpp
@@ -19,6 +19,8 @@
             {"foreign-entry", review::playForeignEntry},
             {"freeze", review::playFreeze},
             {"large-job", review::playLargeJob},
+            {"flaky-worker", review::playFlakyWorker},
+            {"removed-route", review::playRemovedRoute},
             {"other-kind", review::playOtherKind}};
   constexpr int ExpectedCount = 3;
   const auto Chosen =
--- a/review/stand_ins_2/worker.cpp
+++ b/review/stand_ins_2/worker.cpp
@@ -113,6 +113,21 @@
   boot();
 }
 
+bool Worker::runs(const std::string &Job) const {
+  return std::any_of(Runs_.begin(), Runs_.end(), [&](const auto &Each) {
+    return Each.first.find(Job) == 0;
+  });
+}
+
+void Worker::breakGang(const std::string &Job) {
+  std::vector<std::pair<std::string, std::int64_t>> Broken;
+  for (const auto &[Task, Each] : Runs_)
+    if (Task.find(Job) == 0)
+      Broken.emplace_back(Task, Each.Attempt_);
+  for (const auto &[Task, Attempt] : Broken)
+    endRun(Task, Attempt, "broken");
+}
+
 void Worker::writeEntry() {
   Json::Value Entry;
   Entry["service"] = "depot-desk";
--- a/review/stand_ins_2/worker.h
+++ b/review/stand_ins_2/worker.h
@@ -55,6 +55,10 @@
   /// A process starts again under the same id and address.
   void restart(HostKind Kind);
 
+  /// Ends the runs of a job of which a gang member has ended elsewhere.
+  void breakGang(const std::string &Job);
+  bool runs(const std::string &Job) const;
+
   /// Starts that break LIMIT or ROUTE in this worker's boots.
   const std::vector<std::string> &misplaced() const { return Misplaced_; }
 
