--- a/review/stand_ins_2/bed.cpp
+++ b/review/stand_ins_2/bed.cpp
@@ -260,6 +260,15 @@
              });
 }
 
+void Bed::askPending(std::size_t Node, const std::function<void(int)> &Done) {
+  const auto Each = std::make_shared<Caller>(Loop_, Nodes_[Node].Ports_);
+  Each->send("GET", QueuePrefix, "", Deadline, [Done, Each](const Answer &Got) {
+    const auto Body = parseJson(Got.Body_, "pending");
+    if (Got.Status_ == Ok && Body && Body.value()["pending"].isInt())
+      Done(Body.value()["pending"].asInt());
+  });
+}
+
 bool Bed::waitForEnds(Millis Timeout) {
   const auto HasEnded = [](const Job &Each) {
     return Each.Refused_ || Each.State_ == "complete" ||
--- a/review/stand_ins_2/bed.h
+++ b/review/stand_ins_2/bed.h
@@ -78,6 +78,8 @@
   bool waitForEnds(Millis Timeout);
   /// Asks a node for the state of a job.
   void askState(std::size_t Node, Job &Asked);
+  /// Asks a node how many jobs of the queue wait.
+  void askPending(std::size_t Node, const std::function<void(int)> &Done);
   const std::vector<std::unique_ptr<Job>> &jobs() const { return Jobs_; }
 
 private:
--- a/review/stand_ins_2/cases.cpp
+++ b/review/stand_ins_2/cases.cpp
@@ -260,6 +260,72 @@
   return judge(Cell, Breaches);
 }
 
+// Jobs fill all workers but one. The jobs after them can only start on that
+// one, which is unhealthy.
+Outcome playUnhealthyWorker(const CaseSettings &Settings) {
+  constexpr std::size_t WorkerCount = 12;
+  constexpr int Waiting = 8;
+  constexpr std::int64_t LargeTask = 8000;
+  constexpr Millis UnhealthyTime{6500};
+  // visible_ms of the site, and the age that the count may have.
+  constexpr Millis VisibleTime{3000 + 2000};
+  Bed Cell({Settings.RecordFile_, 3, sameWorkers(WorkerCount)});
+  if (!Cell.waitUntilReady(StartTime))
+    return notRun(Cell, "the nodes are not ready");
+  Cell.runFor(Millis{1000});
+  const TaskTraits Filling{Millis{12000}, LargeTask, "", false};
+  submitJobs(Cell, 2, static_cast<int>(WorkerCount) - 1, Filling);
+  const auto CountRuns = [&] {
+    std::size_t Count = 0;
+    for (std::size_t Index = 0; Index < Cell.workers(); ++Index)
+      Count += Cell.worker(Index).running();
+    return Count;
+  };
+  if (!Cell.runUntil([&] { return CountRuns() == 2 * (WorkerCount - 1); },
+                     Millis{10000}))
+    return notRun(Cell, "the workers are not filled");
+  std::size_t Idle = 0;
+  while (Idle < Cell.workers() && Cell.worker(Idle).running() > 0)
+    ++Idle;
+  if (Idle == Cell.workers())
+    return notRun(Cell, "no worker is idle");
+  if (Settings.Trouble_)
+    Cell.worker(Idle).setHealthy(false);
+  const Millis Start = Cell.log().now();
+  const std::size_t First = Cell.jobs().size();
+  const TaskTraits Small{Millis{500}, SmallTask, "", false};
+  submitJobs(Cell, Waiting, 1, Small);
+  std::vector<std::string> Breaches;
+  while (Cell.log().now() < Start + UnhealthyTime) {
+    int Old = 0;
+    for (std::size_t Index = First; Index < Cell.jobs().size(); ++Index) {
+      const Job &Each = *Cell.jobs()[Index];
+      bool HasBegun = false;
+      for (const RunRecord &Run : Cell.log().runs())
+        HasBegun = HasBegun || Run.Task_.find(Each.Id_) == 0;
+      Old += !HasBegun && Each.AcceptedAt_ &&
+                     Cell.log().now() > *Each.AcceptedAt_ + VisibleTime
+                 ? 1
+                 : 0;
+    }
+    std::optional<int> Pending;
+    Cell.askPending(0, [&](int Count) { Pending = Count; });
+    Cell.runUntil([&] { return Pending.has_value(); }, Millis{3000});
+    if (Pending && *Pending * 2 < Old) {
+      Breaches.push_back(std::to_string(*Pending) + " jobs are said to wait; " +
+                         std::to_string(Old) +
+                         " were accepted over 5 s ago and have not begun");
+      Cell.log().write(Breaches.back());
+    }
+    Cell.runFor(Millis{250});
+  }
+  if (Settings.Trouble_)
+    Cell.worker(Idle).setHealthy(true);
+  if (!Cell.waitForEnds(Millis{40000}))
+    return notRun(Cell, "the jobs have not ended");
+  return judge(Cell, Breaches);
+}
+
 // The gang has a task on each of the eight workers.
 Outcome playFlakyWorker(const CaseSettings &Settings) {
   constexpr std::size_t WorkerCount = 8;
--- a/review/stand_ins_2/cases.h
+++ b/review/stand_ins_2/cases.h
@@ -22,6 +22,8 @@
 Outcome playFreeze(const CaseSettings &Settings);
 /// A job of which a row exceeds the limit of the store.
 Outcome playLargeJob(const CaseSettings &Settings);
+/// A worker rejects all starts while the others have no room.
+Outcome playUnhealthyWorker(const CaseSettings &Settings);
 /// A worker loses power three times, each time soon after a gang has started.
 Outcome playFlakyWorker(const CaseSettings &Settings);
 /// A route is removed while its jobs run, and the leader is stopped as planned.
--- a/review/stand_ins_2/main.cpp
+++ b/review/stand_ins_2/main.cpp
@@ -19,6 +19,7 @@
             {"foreign-entry", review::playForeignEntry},
             {"freeze", review::playFreeze},
             {"large-job", review::playLargeJob},
+            {"unhealthy-worker", review::playUnhealthyWorker},
             {"flaky-worker", review::playFlakyWorker},
             {"removed-route", review::playRemovedRoute},
             {"other-kind", review::playOtherKind}};
--- a/review/stand_ins_2/worker.cpp
+++ b/review/stand_ins_2/worker.cpp
@@ -14,6 +14,7 @@
 constexpr int NotFound = 404;
 constexpr int Conflict = 409;
 constexpr int WrongWorker = 421;
+constexpr int Unhealthy = 503;
 // holdMaxMs, heartbeatMs and a stop time below stopMs.
 constexpr std::int64_t MaxLease = 10000;
 constexpr Millis Heartbeat{1500};
@@ -113,6 +114,12 @@
   boot();
 }
 
+void Worker::setHealthy(bool Healthy) {
+  Log_.write("worker " + Id_ +
+             (Healthy ? " is healthy again" : " rejects all starts"));
+  Healthy_ = Healthy;
+}
+
 bool Worker::runs(const std::string &Job) const {
   return std::any_of(Runs_.begin(), Runs_.end(), [&](const auto &Each) {
     return Each.first.find(Job) == 0;
@@ -215,6 +222,10 @@
 Reply Worker::start(const Json::Value &Body) {
   const std::string Task = Body["task"].asString();
   const std::int64_t Attempt = Body["attempt"].asInt64();
+  if (!Healthy_) {
+    Log_.write("worker " + Id_ + " rejects the start of task " + Task);
+    return Reply{Unhealthy, writeJson(stamp())};
+  }
   if (Body["deadlineMs"].asInt64() <= clock())
     return refuse("late");
   extend(Body);
--- a/review/stand_ins_2/worker.h
+++ b/review/stand_ins_2/worker.h
@@ -59,6 +59,9 @@
   void breakGang(const std::string &Job);
   bool runs(const std::string &Job) const;
 
+  /// While unhealthy, the worker rejects all starts, and has done nothing then.
+  void setHealthy(bool Healthy);
+
   /// Starts that break LIMIT or ROUTE in this worker's boots.
   const std::vector<std::string> &misplaced() const { return Misplaced_; }
 
@@ -105,6 +108,7 @@
   Millis Born_{};
   int Boot_ = 0;
   bool Up_ = true;
+  bool Healthy_ = true;
   std::int64_t Sequence_ = 0;
   std::int64_t Fence_ = 0;
   std::int64_t LeaseEnd_ = 0;
