cell: Date contact with a majority from the ping that completed it

Callers saw tasks that ran twice: a leader in a zone that is cut off with reset connections renewed leases of workers there for up to 2.5 s, while the next leader, elected 0.1 to 0.2 s after the cut, counts leases that are given until 1.2 s after its election.

Cause: nodes counted as heard for 1.5 s after their last ping (LivenessTimeout), and contact with a majority for 1 s more (MajorityTimeout) from the moment of that count.

The contact now dates from the oldest ping that the majority needs, so the former leader stops 1 s after that ping at the latest.

LeaderInACutZoneStopsBeforeItsSuccessorRelies failed at 23 of 23 moments of the cut with the former rule (trial) and passes.

--- a/cell/candidate.cpp
+++ b/cell/candidate.cpp
@@ -1,6 +1,7 @@
 #include "cell/candidate.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace damaskglade::cell {
 
@@ -22,6 +23,32 @@
 
 } // namespace
 
+// A node that was heard long ago may have elected another leader since. So the
+// contact is as old as the ping that completed the majority.
+Millis majorityHeardAt(const PeerNodes &Nodes,
+                       const std::set<std::string> &Expected, Millis KnownSince,
+                       Millis Now) {
+  std::vector<Millis> HeardTimes;
+  for (const auto &[Address, Node] : Nodes)
+    if (Node.HeardAt_ > KnownSince)
+      HeardTimes.push_back(Node.HeardAt_);
+  std::size_t KnownNodes = 1 + HeardTimes.size();
+  for (const std::string &Address : Expected) {
+    const auto Node = Nodes.find(Address);
+    KnownNodes += Node == Nodes.end() || Node->second.HeardAt_ <= KnownSince;
+  }
+  const std::size_t OthersNeeded = KnownNodes / 2;
+  if (OthersNeeded == 0)
+    return Now;
+  if (HeardTimes.size() < OthersNeeded)
+    return Millis{};
+  const auto Completing =
+      HeardTimes.begin() + static_cast<std::ptrdiff_t>(OthersNeeded - 1);
+  std::nth_element(HeardTimes.begin(), Completing, HeardTimes.end(),
+                   std::greater<>());
+  return *Completing;
+}
+
 Millis candidacyDelay(double OwnCpu, double StrongestCpu) {
   const double ReferenceCpu =
       StrongestCpu > 0 ? StrongestCpu : DefaultStrongestCpu;
--- a/cell/candidate.h
+++ b/cell/candidate.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,14 @@
 /// Nodes by address.
 using PeerNodes = std::map<std::string, PeerNode>;
 
+/// When the last contact with a majority of the nodes, this one included, was
+/// complete: a majority has been heard since then. Nodes heard after KnownSince
+/// count, as well as those in Expected, heard or not. Zero if no majority has
+/// been heard, Now if this node is alone.
+Millis majorityHeardAt(const PeerNodes &Nodes,
+                       const std::set<std::string> &Expected, Millis KnownSince,
+                       Millis Now);
+
 /// Time between the moment a node begins to suspect that the leader has failed
 /// and its candidacy for leadership. Zero for nodes whose CPU capacity is close
 /// to that of the strongest known node (zero: none is known), so that a node
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -62,14 +62,13 @@
   bool active() const { return Loaded_ && !Stopped_; }
   const LeaderRecord &leaderRecord() const { return LeaderRecord_; }
   void setQueues(const std::map<std::string, dispatch::QueuePolicy> &Queues);
-  /// Sets the live nodes other than this one, and whether they and this node
-  /// are a majority of the known nodes.
-  void setNodes(const std::vector<std::string> &Addresses, bool Majority) {
+  /// Sets the live nodes other than this one.
+  void setNodes(const std::vector<std::string> &Addresses) {
     AdviceBalancer_.setNodes(Addresses);
     Dispatcher_.setAdviceServerCount(Addresses.size() + 1);
-    if (Majority)
-      MajorityHeardAt_ = now();
   }
+  /// Sets the time of the last contact with a majority of the known nodes.
+  void setMajorityHeardAt(Millis HeardAt) { MajorityHeardAt_ = HeardAt; }
   /// Chooses relays among the nodes that were heard since the given time.
   void chooseRelays(const PeerNodes &Nodes, Millis HeardSince);
   /// Takes replies of workers from a relay.
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -129,19 +129,17 @@
 
 void Member::updateLeader() {
   updateNodeList();
-  Leader_->setNodes(liveNodes(), inContactWithMajority());
+  Leader_->setNodes(liveNodes());
+  Leader_->setMajorityHeardAt(majorityHeardAt());
   Leader_->chooseRelays(PeerNodes_, livenessCutoff());
 }
 
-// The known nodes are this node and those that have pinged it within the
-// retention time. Nodes that have left the cell for good are thus no longer
-// counted after that time.
-bool Member::inContactWithMajority() const {
+// Nodes that have left the cell for good are no longer counted after the
+// retention time.
+Millis Member::majorityHeardAt() const {
   constexpr Millis KnownNodeRetention{15000};
-  std::size_t KnownNodeCount = 1;
-  for (const auto &[Address, Node] : PeerNodes_)
-    KnownNodeCount += now() < Node.HeardAt_ + KnownNodeRetention ? 1 : 0;
-  return (liveNodes().size() + 1) * 2 > KnownNodeCount;
+  return cell::majorityHeardAt(PeerNodes_, {}, now() - KnownNodeRetention,
+                               now());
 }
 
 void Member::ping() {
--- a/cell/member.h
+++ b/cell/member.h
@@ -99,7 +99,8 @@
   /// Makes this node the leader in a new epoch, unless the epoch is no longer
   /// ObservedEpoch.
   void takeOver(std::int64_t ObservedEpoch);
-  bool inContactWithMajority() const;
+  /// Last contact with a majority of the known nodes.
+  Millis majorityHeardAt() const;
   void becomeLeader(const LeaderRecord &Record);
   void followLeader(const LeaderRecord &Record);
   /// Asks a node to take over. The reply comes once that node has decided.
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -32,6 +32,8 @@
   handleConfigVersion(ConfigVersion, Params["address"].asString());
   if (!WasLive && isLeader())
     updateNodeList();
+  if (isLeader())
+    Leader_->setMajorityHeardAt(majorityHeardAt());
   Json::Value Body;
   const bool CanLead =
       isLeader() && (Leader_->active() || now() < LeadingSince_ + LoadTimeout);
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -439,9 +439,10 @@
         ConfigProcessor_(Cell.Loop_, Cell.Loop_),
         Store_(Cell.Loop_, Cell.StoreState_, Name),
         Workers_(Cell.Loop_, Cell.Fleet_,
-                 [&Cell, Name](const std::string &) {
+                 [&Cell, Name](const std::string &Worker) {
                    return Cell.IsolatedNodes_.count(Name) == 0 &&
-                          Cell.BlindNodes_.count(Name) == 0;
+                          Cell.BlindNodes_.count(Name) == 0 &&
+                          !Cell.isAcrossCut(Name, Worker);
                  }),
         CostlyStore_(Processor_, Store_), CostlyWorkers_(Processor_, Workers_),
         Registry_(Cell.Loop_, Cell.Fleet_, Processor_),
@@ -588,7 +589,8 @@
           Cell_.MutedNodes_.count(From_) > 0)
         return;
       const auto Peer = Cell_.Nodes_.find(Call.Address_);
-      if (Peer == Cell_.Nodes_.end())
+      if (Peer == Cell_.Nodes_.end() ||
+          Cell_.isAcrossCut(From_, Call.Address_))
         return Finish(Error{Reason::ConnectFailed,
                             Effect::None,
                             "peer",
@@ -606,7 +608,8 @@
                   Target.Processor_.send(0, [this, Call, Finish, Reply] {
                     Cell_.Loop_.after(PeerDelay, [this, Call, Finish, Reply] {
                       if (Cell_.IsolatedNodes_.count(From_) == 0 &&
-                          Cell_.IsolatedNodes_.count(Call.Address_) == 0)
+                          Cell_.IsolatedNodes_.count(Call.Address_) == 0 &&
+                          !Cell_.isAcrossCut(From_, Call.Address_))
                         Finish(Reply);
                     });
                   });
@@ -662,6 +665,19 @@
     IsolatedNodes_.erase(Name);
 }
 
+void FakeCell::cutZone(const std::set<std::string> &Members) {
+  CutZone_ = Members;
+  for (const auto &[Name, NodePtr] : Nodes_)
+    if (Members.count(Name) > 0)
+      StoreState_.StoreModes_[Name] = StoreMode::TimesOut;
+}
+
+void FakeCell::healZone() {
+  for (const std::string &Name : std::exchange(CutZone_, {}))
+    if (Nodes_.count(Name) > 0)
+      StoreState_.StoreModes_[Name] = StoreMode::Healthy;
+}
+
 void FakeCell::setMuted(const std::string &Name, bool Muted) {
   if (Muted)
     MutedNodes_.insert(Name);
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -221,6 +221,10 @@
   void killNode(const std::string &Name);
   /// Isolates a node: it reaches nothing, and nothing reaches it.
   void setIsolated(const std::string &Name, bool Isolated);
+  /// Cuts nodes and workers off from all others and from the store. They still
+  /// reach each other. Calls across the cut are refused at once.
+  void cutZone(const std::set<std::string> &Members);
+  void healZone();
   /// Whether the calls that a node makes to other nodes are lost. It still
   /// answers theirs.
   void setMuted(const std::string &Name, bool Muted);
@@ -282,7 +286,12 @@
              const dispatch::StepSpec &Step, Millis Duration);
   std::map<std::string, std::unique_ptr<Node>> Nodes_;
   std::vector<std::unique_ptr<Node>> KilledNodes_;
+  /// Whether a zone is cut off that only one of both belongs to.
+  bool isAcrossCut(const std::string &One, const std::string &Other) const {
+    return CutZone_.count(One) != CutZone_.count(Other);
+  }
   std::set<std::string> IsolatedNodes_;
+  std::set<std::string> CutZone_; ///< Nodes and workers; empty: no cut.
   std::set<std::string> MutedNodes_;
   std::set<std::string> BlindNodes_;
   std::set<std::string> HeldBackNodes_;
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -49,6 +49,28 @@
 
 BOOST_AUTO_TEST_SUITE(TakeoverTests)
 
+// Guards against a task that starts elsewhere while a leader that is cut off
+// with its worker renews the lease there: reset connections let the other nodes
+// elect a leader at once, at whatever time since their last pings.
+BOOST_AUTO_TEST_CASE(LeaderInACutZoneStopsBeforeItsSuccessorRelies) {
+  constexpr Millis LongestPoll{2000};
+  constexpr Millis PhaseStep{90};
+  for (Millis Phase{}; Phase < LongestPoll; Phase = Phase + PhaseStep) {
+    FakeCell Cell(7, 4);
+    const std::string First = waitForLeader(Cell);
+    Cell.submitLongRunning(First, jobId(1), 1);
+    Cell.Loop_.run(Millis{1000} + Phase);
+    const std::string Neighbor = First == "n7" ? "n6" : "n7";
+    Cell.cutZone({First, Neighbor, workerOf(Cell, jobId(1))});
+    Cell.Loop_.run(Millis{11000});
+    Cell.healZone();
+    Cell.Loop_.run(Millis{5000});
+    BOOST_TEST(Cell.leader() != First);
+    BOOST_TEST(isRunning(Cell, jobId(1)));
+    BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty(), Phase.Value_);
+  }
+}
+
 // Guards against a wait for workers that were drained and empty when they left.
 BOOST_AUTO_TEST_CASE(TaskStoppedAtAPlannedRestartDoesNotWaitForDrainedWorkers) {
   FakeCell Cell(4, 4);
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -36,6 +36,30 @@
   BOOST_TEST(shouldTakeOver(Input));
 }
 
+// Guards against a leader that counts nodes as heard long after their last
+// ping.
+BOOST_AUTO_TEST_CASE(ContactIsAsOldAsThePingThatCompletedTheMajority) {
+  const auto Heard = [](std::int64_t At) {
+    PeerNode Node;
+    Node.HeardAt_ = Millis{At};
+    return Node;
+  };
+  const PeerNodes Nodes{{"b", Heard(9900)},
+                        {"c", Heard(9000)},
+                        {"d", Heard(8500)},
+                        {"e", Heard(2000)}};
+  const Millis Now{10000};
+  // Of five nodes two others complete the majority, of four as well.
+  BOOST_TEST((majorityHeardAt(Nodes, {}, Millis{}, Now) == Millis{9000}));
+  BOOST_TEST((majorityHeardAt(Nodes, {}, Millis{2000}, Now) == Millis{9000}));
+  BOOST_TEST((majorityHeardAt(Nodes, {}, Millis{8900}, Now) == Millis{9900}));
+  BOOST_TEST((majorityHeardAt({}, {}, Millis{}, Now) == Now));
+  // Nodes that have to be heard still count as known.
+  BOOST_TEST((majorityHeardAt(Nodes, {"b", "f", "g"}, Millis{2000}, Now) ==
+              Millis{8500}));
+  BOOST_TEST((majorityHeardAt({}, {"f"}, Millis{}, Now) == Millis{}));
+}
+
 // Guards against a node that ends because of a row or a call with a field of
 // another type.
 BOOST_AUTO_TEST_CASE(FieldsOfOtherTypesAreErrors) {
