cell: Count the nodes of the leader before as known

Callers saw tasks that ran twice, and more attempts than a queue allows: a leader that had just taken over was cut off with its zone and renewed leases for 12 s, while the others had elected its successor.

Cause: only nodes that have pinged the leader counted as known. Right after a takeover these were the nodes of its own zone, all of them live, so it took itself to be in contact with a majority.

A new leader inherits the nodes that it was told as live, and the former leader, for the 15 s in which a silent node is remembered.

--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -135,11 +135,14 @@
 }
 
 // Nodes that have left the cell for good are no longer counted after the
-// retention time.
+// retention time. A new leader counts the nodes that the one before has told,
+// since those that are cut off from it do not ping it.
 Millis Member::majorityHeardAt() const {
   constexpr Millis KnownNodeRetention{15000};
-  return cell::majorityHeardAt(PeerNodes_, {}, now() - KnownNodeRetention,
-                               now());
+  const bool HasHeardAll = now() > LeadingSince_ + KnownNodeRetention;
+  return cell::majorityHeardAt(
+      PeerNodes_, HasHeardAll ? std::set<std::string>{} : InheritedNodes_,
+      now() - KnownNodeRetention, now());
 }
 
 void Member::ping() {
@@ -378,6 +381,10 @@
 }
 
 void Member::becomeLeader(const LeaderRecord &Record) {
+  InheritedNodes_ = ReportedNodes_;
+  InheritedNodes_.insert(LeaderRecord_.Address_);
+  for (const std::string &None : {std::string(), Settings_.PeerListen_})
+    InheritedNodes_.erase(None);
   LeaderRecord_ = Record;
   Relay_->noteLeader(Record.Epoch_);
   answerWaitingChecks(true);
--- a/cell/member.h
+++ b/cell/member.h
@@ -150,6 +150,9 @@
   /// Addresses of the live nodes, as last reported by the leader.
   std::set<std::string> ReportedNodes_;
   std::string ReportedNodesDigest_; ///< Of that report; see handlePing().
+  /// Nodes that were live when this one became the leader, and the leader
+  /// before.
+  std::set<std::string> InheritedNodes_;
   Json::Value NodeList_{Json::arrayValue}; ///< See updateNodeList().
   std::string NodeListDigest_;
   int OpenPings_ = 0; ///< Pings to the leader in flight.
--- a/tests/cell/takeover_test.cpp
+++ b/tests/cell/takeover_test.cpp
@@ -71,6 +71,43 @@
   }
 }
 
+// Guards against a leader that takes its own zone for a majority: it was cut
+// off with it before the other nodes had pinged it.
+BOOST_AUTO_TEST_CASE(NewLeaderCountsTheNodesOfTheOneBefore) {
+  constexpr Millis ShortestDelay{500};
+  constexpr Millis LongestDelay{1000};
+  constexpr Millis DelayStep{50};
+  for (Millis Delay = ShortestDelay; Delay < LongestDelay;
+       Delay = Delay + DelayStep) {
+    FakeCell Cell(8, 4);
+    const std::string First = waitForLeader(Cell);
+    Cell.submitLongRunning(First, jobId(1), 1);
+    Cell.Loop_.run(Millis{1000});
+    Cell.killNode(First);
+    const std::vector<std::string> Zone =
+        First == "n7" || First == "n8" ? std::vector<std::string>{"n5", "n6"}
+                                       : std::vector<std::string>{"n7", "n8"};
+    const auto MuteOthers = [&](bool Muted) {
+      for (const std::string &Name : Cell.nodes())
+        if (Name != Zone[0] && Name != Zone[1])
+          Cell.setMuted(Name, Muted);
+    };
+    MuteOthers(true);
+    BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+        Millis{3000}, [&] { return !Cell.leader().empty(); }));
+    const std::string Second = Cell.leader();
+    Cell.Loop_.run(Delay);
+    Cell.cutZone({Zone[0], Zone[1], workerOf(Cell, jobId(1))});
+    MuteOthers(false);
+    Cell.Loop_.run(Millis{20000});
+    Cell.healZone();
+    Cell.Loop_.run(Millis{5000});
+    BOOST_TEST(Cell.leader() != Second);
+    BOOST_TEST(isRunning(Cell, jobId(1)));
+    BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty(), Delay.Value_);
+  }
+}
+
 // Guards against a wait for workers that were drained and empty when they left.
 BOOST_AUTO_TEST_CASE(TaskStoppedAtAPlannedRestartDoesNotWaitForDrainedWorkers) {
   FakeCell Cell(4, 4);
