workers: Make calls only to the process that they are meant for

Callers saw tasks that ran twice, or again after their end: workers start again under their ids and are cut off soon after, while long tasks run.

Cause: id and address do not tell the processes of a worker apart. Calls that were under way when a worker started again, and copies that the HTTP client sent on a new connection, were taken by the new process: starts that the leader could not know to be there, lease ends on the clock of the process before, which the worker cuts to 10 s where the leader counts 8, and acknowledged ends, by which it forgot ends of its own.

A TCP connection ends with its process. WorkerTarget now names the process that is meant, and the client of the workers makes starts, stops, renewals and acknowledgements only on connections on which that process has told its time of birth. If none is open, a poll on a new one that renews and acknowledges nothing asks first. An order that meets another process ends as Restarted, which is true: it was not given. Relays get the process with each call. Replies to starts and stops count for the process that they were sent to, so a late confirmation of a first stop no longer binds the next process.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -425,8 +425,7 @@
       State.LastListedEnd_ == State.LastRecordedEnd_)
     PollOrder.Wait_ = Dispatcher_.pollTimeout(Id, now());
   const Millis SentAt = now();
-  Workers_->poll(WorkerTarget{Id, Worker->Info_.Address_, LeaderRecord_.Epoch_},
-                 PollOrder,
+  Workers_->poll(Dispatcher_.target(*Worker), PollOrder,
                  [Self = shared_from_this(), Id, Probe,
                   SentAt](const Result<PollReply> &Reply) {
                    Self->handlePollReply(Id, Probe, SentAt, Reply);
@@ -567,13 +566,17 @@
           if (Self->Stopped_)
             return;
           Self->Dispatcher_.handleStartReply(Start, Reply, Self->now());
+          if (Reply && Reply.value().Outcome_ == OrderOutcome::Restarted)
+            Self->Ports_.Metrics_.count("starts_for_ended_processes");
           const bool Accepted =
               Reply && Reply.value().Outcome_ == OrderOutcome::Done;
           // A poll shows what became of the order or of the worker.
           const bool NeedsPoll =
               Reply ? Reply.value().Outcome_ == OrderOutcome::Superseded ||
-                          Reply.value().Outcome_ == OrderOutcome::WrongWorker
-                    : Reply.error().Effect_ != Effect::None;
+                          Reply.value().Outcome_ == OrderOutcome::WrongWorker ||
+                          Reply.value().Outcome_ == OrderOutcome::Restarted
+                    : Reply.error().Effect_ != Effect::None ||
+                          Reply.error().Reason_ == Reason::Timeout;
           if (NeedsPoll)
             Self->pollWorker(Start.Target_.Worker_, true);
           if (Start.NeedsProbe_)
--- a/cell/worker_batch.cpp
+++ b/cell/worker_batch.cpp
@@ -42,6 +42,7 @@
 public:
   explicit RowReader(const msgpack::object &Row) : Row_(arrayIn(Row)) {}
 
+  bool hasMore() const { return Column_ < Row_.size; }
   std::int64_t number() { return next().as<std::int64_t>(); }
   Millis time() { return Millis{number()}; }
   std::string text() { return next().as<std::string>(); }
@@ -100,7 +101,7 @@
   const WorkerTarget &Target = Call.Target_;
   const auto Pack = [&](CallKind Kind, const auto &...Columns) {
     packRow(Out, Call.Id_, numberOf(Kind), Target.Worker_, Target.Address_,
-            Columns...);
+            Columns..., Target.ProcessStart_);
   };
   if (const auto *Start = std::get_if<StartOrder>(&Call.Content_))
     return Pack(CallKind::Start, Start->Task_, Start->Attempt_,
@@ -164,6 +165,9 @@
   Call.Target_.Address_ = Row.text();
   Call.Target_.FencingToken_ = Epoch;
   Call.Content_ = decodeContent(Kind, Row, Payloads);
+  // Leaders of earlier releases do not tell it.
+  if (Row.hasMore())
+    Call.Target_.ProcessStart_ = Row.number();
   return Call;
 }
 
@@ -187,7 +191,7 @@
 
 PollReply decodePollReply(RowReader &Row) {
   PollReply Reply;
-  Reply.Outcome_ = Row.enumerator(OrderOutcome::Invalid);
+  Reply.Outcome_ = Row.enumerator(OrderOutcome::Restarted);
   Reply.Clock_ = Row.time();
   Reply.ProcessStart_ = Row.number();
   Row.forEach([&](const msgpack::object &Value) {
@@ -230,7 +234,7 @@
   switch (Row.enumerator(ReplyKind::Failure)) {
   case ReplyKind::Order: {
     OrderReply Order;
-    Order.Outcome_ = Row.enumerator(OrderOutcome::Invalid);
+    Order.Outcome_ = Row.enumerator(OrderOutcome::Restarted);
     Order.Clock_ = Row.time();
     Reply.Content_ = Order;
     return Reply;
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -238,6 +238,8 @@
   /// Drops the runs on unreachable workers whose leases have expired.
   void expireUnreachable(Millis Now);
   const Worker *findWorker(const std::string &Id) const;
+  /// The process that has answered last, as the target of orders and polls.
+  WorkerTarget target(const Worker &W) const;
   const std::map<std::string, Worker> &workers() const { return Workers_; }
   /// End of the lease, on the worker's clock, that an order sent now grants;
   /// zero if the worker's clock is unknown.
@@ -313,7 +315,6 @@
   const Run &runOf(const TaskRef &Ref) const;
   const QueuePolicy &policyOf(const JobRun &Job) const;
   const QueuePolicy &policyOf(const std::string &Queue) const;
-  WorkerTarget target(const Worker &W) const;
   void markChanged(const std::string &Id) { ChangedJobs_.insert(Id); }
   void log(const std::string &Request, const std::string &Step,
            const std::string &Peer, const std::string &Text);
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -33,7 +33,7 @@
   Run &Attempt = *Task->Run_;
   // An earlier process of the worker may have sent the reply.
   if (WorkerEntry != Workers_.end() && Reply && !WrongWorker &&
-      Attempt.OrderedAt_ >= WorkerEntry->second.LatestPoll_.ProcessKnownSince_)
+      Order.Target_ == target(WorkerEntry->second))
     updateClock(WorkerEntry->second, Reply.value().Clock_, Now);
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Order.Task_.Step_)];
@@ -110,8 +110,7 @@
   if (Reply.value().Outcome_ == OrderOutcome::Done) {
     // The confirmation of an earlier process does not bind the new one.
     const bool IsOfKnownProcess =
-        Attempt.StopSentAt_ >=
-        Workers_[Attempt.Worker_].LatestPoll_.ProcessKnownSince_;
+        Order.Target_ == target(Workers_[Attempt.Worker_]);
     if (IsOfKnownProcess && Attempt.StopConfirmedAt_ == Millis{})
       Attempt.StopConfirmedAt_ = Now;
   } else
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -5,7 +5,7 @@
 namespace damaskglade::dispatch {
 
 WorkerTarget Dispatcher::target(const Worker &W) const {
-  return WorkerTarget{W.Info_.Id_, W.Info_.Address_, Epoch_};
+  return WorkerTarget{W.Info_.Id_, W.Info_.Address_, Epoch_, W.ProcessStart_};
 }
 
 const Worker *Dispatcher::findWorker(const std::string &Id) const {
--- a/drivers/beast/web_client.cpp
+++ b/drivers/beast/web_client.cpp
@@ -4,6 +4,7 @@
 #include "drivers/beast/message_parts.h"
 #include "drivers/beast/transfer_progress.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -34,18 +35,26 @@
 class IdlePool {
 public:
   void add(std::shared_ptr<Connection> Idle);
-  /// The one that was used last; null if there is none.
+  /// The one that was used last; null if there is none. Only connections to the
+  /// peer count unless it is empty.
   std::shared_ptr<Connection> take(const std::string &Address,
-                                   const std::string &Group);
+                                   const std::string &Group,
+                                   const std::string &Peer);
+  /// Sets the peer of a connection, and closes those to other peers.
+  void setPeer(const std::string &Address, std::uint64_t Number,
+               const std::string &Peer);
   /// Closes the connections to the address on which nothing was received since
   /// the given time.
   void dropUnheard(const std::string &Address, SteadyClock::time_point Since);
   void close();
   bool isClosed() const { return Closed_; }
+  /// Number of a new connection, above zero.
+  std::uint64_t nextNumber() { return ++LastNumber_; }
 
 private:
   using Connections = std::vector<std::shared_ptr<Connection>>;
 
+  std::uint64_t LastNumber_ = 0;
   std::unordered_map<std::string, std::map<std::string, Connections>> Idle_;
   bool Closed_ = false;
 };
@@ -169,7 +178,8 @@
              WebTransferHandler OnTransfer)
       : Loop_(Loop), Socket_(Loop), Address_(FirstCall.Address_),
         Group_(FirstCall.ConnectionGroup_), Pool_(std::move(Pool)),
-        Deadlines_(std::move(Deadlines)), OnTransfer_(std::move(OnTransfer)) {}
+        Number_(Pool_->nextNumber()), Deadlines_(std::move(Deadlines)),
+        OnTransfer_(std::move(OnTransfer)) {}
 
   void run(const WebCall &Call, WebReplyHandler Done, bool Reused) {
     CalledAt_ = SteadyClock::now();
@@ -205,6 +215,9 @@
   bool usable() const { return Socket_.is_open() && !Broken_; }
   const std::string &address() const { return Address_; }
   const std::string &group() const { return Group_; }
+  std::uint64_t number() const { return Number_; }
+  const std::string &peer() const { return Peer_; }
+  void setPeer(const std::string &Peer) { Peer_ = Peer; }
   SteadyClock::time_point heardAt() const { return HeardAt_; }
 
 private:
@@ -290,10 +303,12 @@
                  MillisPerSecond};
     }
     Reply.Body_ = std::move(Message.body());
-    if (Message.keep_alive() && !Pool_->isClosed())
+    if (Message.keep_alive() && !Pool_->isClosed()) {
+      Reply.Connection_ = Number_;
       Pool_->add(shared_from_this());
-    else
+    } else {
       close();
+    }
     finish(std::move(Reply));
   }
 
@@ -382,6 +397,8 @@
   const std::string Address_;
   const std::string Group_;
   const std::shared_ptr<IdlePool> Pool_;
+  const std::uint64_t Number_;
+  std::string Peer_; ///< Empty while it is not known.
   const std::shared_ptr<DeadlineQueue> Deadlines_;
   const WebTransferHandler OnTransfer_;
   std::optional<DeadlineQueue::Entries::iterator> Deadline_;
@@ -411,15 +428,35 @@
 }
 
 std::shared_ptr<Connection> IdlePool::take(const std::string &Address,
-                                           const std::string &Group) {
+                                           const std::string &Group,
+                                           const std::string &Peer) {
   Connections &Idle = Idle_[Address][Group];
-  while (!Idle.empty()) {
-    std::shared_ptr<Connection> Latest = std::move(Idle.back());
-    Idle.pop_back();
-    if (Latest->usable())
-      return Latest;
-  }
-  return nullptr;
+  std::erase_if(Idle, [](const std::shared_ptr<Connection> &Entry) {
+    return !Entry->usable();
+  });
+  const auto Latest =
+      std::find_if(Idle.rbegin(), Idle.rend(),
+                   [&Peer](const std::shared_ptr<Connection> &Entry) {
+                     return Peer.empty() || Entry->peer() == Peer;
+                   });
+  if (Latest == Idle.rend())
+    return nullptr;
+  std::shared_ptr<Connection> Taken = std::move(*Latest);
+  Idle.erase(std::next(Latest).base());
+  return Taken;
+}
+
+void IdlePool::setPeer(const std::string &Address, std::uint64_t Number,
+                       const std::string &Peer) {
+  const auto Groups = Idle_.find(Address);
+  if (Groups == Idle_.end())
+    return;
+  for (auto &[Group, Idle] : Groups->second)
+    std::erase_if(Idle, [&](const std::shared_ptr<Connection> &Entry) {
+      if (Entry->number() == Number)
+        Entry->setPeer(Peer);
+      return !Entry->peer().empty() && Entry->peer() != Peer;
+    });
 }
 
 void IdlePool::dropUnheard(const std::string &Address,
@@ -453,16 +490,30 @@
   }
 
   void call(const WebCall &Call, WebReplyHandler Done) override {
-    const auto Idle = Pool_->take(Call.Address_, Call.ConnectionGroup_);
+    const auto Idle =
+        Call.NeedsNewConnection_
+            ? nullptr
+            : Pool_->take(Call.Address_, Call.ConnectionGroup_, Call.Peer_);
+    if (Idle && !Call.Peer_.empty())
+      return Idle->run(Call, std::move(Done), true);
     if (Idle)
       return callReused(*Idle, Call, std::move(Done));
+    if (!Call.Peer_.empty())
+      return Done(Error{Reason::ConnectFailed, Effect::None, Call.Target_,
+                        Call.Address_, "no connection to the process is open"});
     std::make_shared<Connection>(Loop_, Call, Pool_, Deadlines_, OnTransfer_)
         ->run(Call, std::move(Done), false);
   }
 
+  void setPeer(const std::string &Address, std::uint64_t Connection,
+               const std::string &Peer) override {
+    Pool_->setPeer(Address, Connection, Peer);
+  }
+
 private:
-  // All calls of this product are safe to repeat with the same content, so a
-  // reused connection that turns out to be closed is replaced once.
+  // The calls are safe to repeat with the same content, but for those that are
+  // meant for one process of their peer. So a reused connection that turns out
+  // to be closed is replaced once.
   void callReused(Connection &Idle, const WebCall &Call, WebReplyHandler Done) {
     Idle.run(
         Call,
--- a/ports/async_http.h
+++ b/ports/async_http.h
@@ -3,6 +3,7 @@
 
 #include "core/error.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -31,6 +32,9 @@
   /// Set by clients: the call was sent again after its connection had been
   /// lost, so an earlier copy of it may have had an effect.
   bool Resent_ = false;
+  /// Set by clients: the connection that has carried the call, if it stays open;
+  /// zero otherwise. See WebClient::setPeer().
+  std::uint64_t Connection_ = 0;
 
   friend bool operator==(const WebReply &, const WebReply &) = default;
 };
@@ -52,6 +56,11 @@
   /// Calls of different groups never share a connection, so that a long poll
   /// does not delay a short call.
   std::string ConnectionGroup_;
+  /// If not empty, only an open connection to this peer may carry the call,
+  /// which is sent once then. See WebClient::setPeer().
+  std::string Peer_;
+  /// The call is sent on a connection of its own, which stays open after it.
+  bool NeedsNewConnection_ = false;
 
   friend bool operator==(const WebCall &, const WebCall &) = default;
 };
@@ -77,9 +86,15 @@
 class WebClient {
 public:
   virtual ~WebClient() = default;
-  /// Errors: connect_failed with no effect; timeout and answer_lost with
-  /// unknown effect.
+  /// Errors: connect_failed with no effect, also if no connection to the wanted
+  /// peer is open; timeout and answer_lost with unknown effect.
   virtual void call(const WebCall &Call, WebReplyHandler Done) = 0;
+  /// Tells which process has sent a reply on a connection. A connection ends
+  /// with the process at its other end, so later calls on it reach that process
+  /// or none. Connections to other peers at the address are closed.
+  virtual void setPeer(const std::string & /*Address*/,
+                       std::uint64_t /*Connection*/,
+                       const std::string & /*Peer*/) {}
 };
 
 /// Runs callbacks later on the event loop.
--- a/ports/task_worker.h
+++ b/ports/task_worker.h
@@ -15,6 +15,11 @@
   std::string Worker_;
   std::string Address_;
   std::int64_t FencingToken_ = 0; ///< Epoch of the leader that gives the order.
+  /// Start time of the process that is meant, Unix milliseconds; zero if it is
+  /// not known. A worker that starts again under its id and at its address
+  /// takes what was meant for the process before, so starts, stops and lease
+  /// ends are passed only to a process that has told this time.
+  std::int64_t ProcessStart_ = 0;
 
   friend bool operator==(const WorkerTarget &, const WorkerTarget &) = default;
 };
@@ -41,6 +46,7 @@
   WrongWorker, ///< Another process listens at the address.
   Unhealthy,   ///< The worker refused the order; it had no effect.
   Invalid,
+  Restarted, ///< Another process answers as the worker, and has no such order.
 };
 
 struct OrderReply {
@@ -111,7 +117,9 @@
 using OrderHandler = std::function<void(Result<OrderReply>)>;
 
 /// Client for orders and status polls to workers. An order that gets no reply
-/// may still have been carried out.
+/// may still have been carried out. A poll that finds another process than its
+/// target names returns what that one lists, and renews and acknowledges
+/// nothing.
 class TaskWorkers {
 public:
   virtual ~TaskWorkers() = default;
--- /dev/null
+++ b/tests/adapter/worker_process_test.cpp
@@ -0,0 +1,225 @@
+// Calls that are meant for one process of a worker, over connections that end
+// with it.
+
+#include "core/codec.h"
+#include "drivers/beast/event_loop.h"
+#include "platform/workers.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <future>
+#include <optional>
+#include <thread>
+
+using namespace damaskglade;
+using namespace damaskglade::platform;
+
+namespace {
+
+constexpr const char *Address = "127.0.0.1:11437";
+constexpr std::int64_t FirstProcess = 1700000000001;
+constexpr std::int64_t SecondProcess = 1700000000002;
+
+WorkerTarget targetOf(std::int64_t Process) {
+  return WorkerTarget{"i-1", Address, 7, Process};
+}
+
+const StartOrder Order{"j.0.0.0", 2, "spec", Millis{99}, "", ""};
+const PollRequest Renewal{Millis{9000}, 5, Millis{}};
+
+/// A worker that closes the connections of its former process when it starts
+/// again, and records what it is asked. Its event loop also runs the client.
+class RestartingWorker {
+public:
+  RestartingWorker() : Http_(Loop_.makeClient()) {
+    drivers::ListenerLimits Limits;
+    Limits.Idle_ = IdleLimit;
+    BOOST_TEST_REQUIRE(
+        Loop_
+            .listen(Address, Limits,
+                    [this](const WebRequest &Request, const WebReplier &Reply) {
+                      answer(Request, Reply);
+                    })
+            .has_value());
+    Workers_ = makeTaskWorkers(*Http_);
+    Loop_.keepRunning();
+    Thread_ = std::thread([this] { Loop_.run(); });
+  }
+  ~RestartingWorker() {
+    Loop_.after(Millis{}, [this] { Loop_.stop(); });
+    Thread_.join();
+  }
+  RestartingWorker(const RestartingWorker &) = delete;
+  RestartingWorker &operator=(const RestartingWorker &) = delete;
+
+  /// The process ends, and with it all connections.
+  void restart(std::int64_t Process) {
+    onLoop<bool>([this, Process](const auto &Done) {
+      Process_ = Process;
+      Loop_.after(IdleLimit * 4, [Done] { Done(true); });
+    });
+  }
+
+  Result<OrderReply> start(std::int64_t Process) {
+    return onLoop<Result<OrderReply>>([this, Process](const auto &Done) {
+      Workers_->start(targetOf(Process), Order, Done);
+    });
+  }
+
+  Result<PollReply> poll(std::int64_t Process) {
+    return onLoop<Result<PollReply>>([this, Process](const auto &Done) {
+      Workers_->poll(targetOf(Process), Process == 0 ? PollRequest{} : Renewal,
+                     Done);
+    });
+  }
+
+  int Starts_ = 0;
+  std::vector<Json::Value> Polls_;
+
+private:
+  static constexpr Millis IdleLimit{300};
+
+  /// Runs a task on the event loop and waits until it calls back.
+  template <typename Outcome, typename Task> Outcome onLoop(Task Begin) {
+    std::promise<Outcome> Ended;
+    Loop_.after(Millis{}, [&Ended, Begin] {
+      Begin([&Ended](Outcome Value) { Ended.set_value(std::move(Value)); });
+    });
+    return Ended.get_future().get();
+  }
+
+  void answer(const WebRequest &Request, const WebReplier &Reply) {
+    const Json::Value Body = parseJson(Request.Body_, "test").value();
+    Json::Value Out;
+    Out["clockMs"] = 4;
+    if (Request.Target_ == "/api/hold") {
+      Polls_.push_back(Body);
+      Out["born"] = Json::Int64(Process_);
+      Out["running"] = Json::arrayValue;
+      Out["finished"] = Json::arrayValue;
+    } else {
+      ++Starts_;
+    }
+    Reply(WebReply{200, writeJson(Out)});
+  }
+
+  drivers::EventLoop Loop_;
+  std::unique_ptr<WebClient> Http_;
+  std::unique_ptr<TaskWorkers> Workers_;
+  std::int64_t Process_ = FirstProcess;
+  std::thread Thread_;
+};
+
+/// Answers calls with the queued outcomes.
+class QueuedHttp : public WebClient {
+public:
+  void call(const WebCall &Call, WebReplyHandler Done) override {
+    Calls_.push_back(Call);
+    BOOST_TEST_REQUIRE(!Outcomes_.empty());
+    const Result<WebReply> Outcome = Outcomes_.front();
+    Outcomes_.pop_front();
+    Done(Outcome);
+  }
+
+  std::deque<Result<WebReply>> Outcomes_;
+  std::vector<WebCall> Calls_;
+};
+
+Result<OrderReply> startOver(QueuedHttp &Http) {
+  std::optional<Result<OrderReply>> Out;
+  makeTaskWorkers(Http)->start(
+      targetOf(FirstProcess), Order,
+      [&](const Result<OrderReply> &Reply) { Out.emplace(Reply); });
+  return *Out;
+}
+
+Error failure(Reason Why, Effect Of) {
+  return Error{Why, Of, "call", "", "", {}};
+}
+
+WebReply listOf(std::int64_t Process) {
+  return WebReply{200, R"({"clockMs":1,"running":[],"finished":[],"born":)" +
+                           std::to_string(Process) + "}"};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerProcesses)
+
+// Guards against a start that the next process of a worker carries out, and
+// against a poll that renews its leases or makes it forget its ends.
+BOOST_AUTO_TEST_CASE(CallsReachTheProcessTheyAreMeantForOrNone) {
+  RestartingWorker Worker;
+  BOOST_TEST(Worker.poll(0).value().ProcessStart_ == FirstProcess);
+  const auto Started = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(Started.has_value());
+  BOOST_TEST((Started.value().Outcome_ == OrderOutcome::Done));
+  BOOST_TEST(Worker.poll(FirstProcess).value().ProcessStart_ == FirstProcess);
+  BOOST_TEST(Worker.Polls_.back()["deadlineMs"].asInt64() == 9000);
+  BOOST_TEST(Worker.Polls_.back()["lastSeen"].asInt64() == 5);
+  Worker.restart(SecondProcess);
+  const auto Late = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(Late.has_value());
+  BOOST_TEST((Late.value().Outcome_ == OrderOutcome::Restarted));
+  BOOST_TEST(Worker.Starts_ == 1);
+  BOOST_TEST(Worker.poll(FirstProcess).value().ProcessStart_ == SecondProcess);
+  BOOST_TEST(!Worker.Polls_.back().isMember("deadlineMs"));
+  BOOST_TEST(Worker.Polls_.back()["lastSeen"].asInt64() == 0);
+}
+
+// Guards against orders that fail because the worker has closed an idle
+// connection, and against a poll before each order.
+BOOST_AUTO_TEST_CASE(ClosedConnectionToTheSameProcessIsReplaced) {
+  RestartingWorker Worker;
+  BOOST_TEST(Worker.poll(0).has_value());
+  Worker.restart(FirstProcess);
+  for (int Times = 0; Times < 3; ++Times) {
+    const auto Reply = Worker.start(FirstProcess);
+    BOOST_TEST_REQUIRE(Reply.has_value());
+    BOOST_TEST((Reply.value().Outcome_ == OrderOutcome::Done));
+  }
+  BOOST_TEST(Worker.Starts_ == 3);
+  BOOST_TEST(Worker.Polls_.size() == 2U);
+}
+
+// Guards against orders that a worker never gets because it closes each
+// connection after its reply.
+BOOST_AUTO_TEST_CASE(WorkerThatKeepsNoConnectionOpenIsCalled) {
+  QueuedHttp Http;
+  const Error NoConnection = failure(Reason::ConnectFailed, Effect::None);
+  Http.Outcomes_ = {NoConnection, listOf(FirstProcess), NoConnection,
+                    WebReply{200, R"({"clockMs":1})"}};
+  const auto Reply = startOver(Http);
+  BOOST_TEST_REQUIRE(Reply.has_value());
+  BOOST_TEST((Reply.value().Outcome_ == OrderOutcome::Done));
+  BOOST_TEST(!Http.Calls_[2].Peer_.empty());
+  BOOST_TEST(Http.Calls_[3].Peer_.empty());
+}
+
+// Guards against a task that waits for an order that was not sent, and against
+// one that is taken as not sent although a copy was.
+BOOST_AUTO_TEST_CASE(FailedCheckTellsWhetherTheOrderWasSent) {
+  const Error Silent = failure(Reason::Timeout, Effect::Unknown);
+  QueuedHttp Http;
+  Http.Outcomes_ = {failure(Reason::ConnectFailed, Effect::None), Silent};
+  const auto NotSent = startOver(Http);
+  BOOST_TEST_REQUIRE(!NotSent.has_value());
+  BOOST_TEST((NotSent.error().Effect_ == Effect::None));
+  Http.Outcomes_ = {failure(Reason::AnswerLost, Effect::Unknown), Silent};
+  const auto Sent = startOver(Http);
+  BOOST_TEST_REQUIRE(!Sent.has_value());
+  BOOST_TEST((Sent.error().Effect_ == Effect::Unknown));
+  Http.Outcomes_ = {failure(Reason::AnswerLost, Effect::Unknown),
+                    listOf(FirstProcess),
+                    WebReply{409, R"({"clockMs":1,"reason":"old"})"}};
+  const auto Repeated = startOver(Http);
+  BOOST_TEST_REQUIRE(!Repeated.has_value());
+  BOOST_TEST((Repeated.error().Effect_ == Effect::Unknown));
+  Http.Outcomes_ = {failure(Reason::AnswerLost, Effect::Unknown),
+                    listOf(SecondProcess)};
+  const auto Restarted = startOver(Http);
+  BOOST_TEST_REQUIRE(Restarted.has_value());
+  BOOST_TEST((Restarted.value().Outcome_ == OrderOutcome::Restarted));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -214,7 +214,8 @@
 FakeWorkerState *FakeWorkerClient::findReachable(const WorkerTarget &Worker) {
   const auto Entry = Fleet_.Workers_.find(Worker.Worker_);
   if (Entry == Fleet_.Workers_.end() || !Entry->second.Reachable_ ||
-      Entry->second.CutOff_ || !IsReachable_(Worker.Worker_))
+      Entry->second.CutOff_ || Entry->second.BackAt_ > Loop_.monotonic() ||
+      !IsReachable_(Worker.Worker_))
     return nullptr;
   FakeWorkerState &State = Entry->second;
   if (State.clock(Loop_.monotonic()) > State.LeaseEnd_) {
@@ -225,6 +226,21 @@
   return &State;
 }
 
+void FakeWorkerState::extendLeases(Millis End, Millis Now) {
+  constexpr Millis LongestLease{10000};
+  LeaseEnd_ = std::max(LeaseEnd_, std::min(End, clock(Now) + LongestLease));
+}
+
+bool FakeWorkerClient::isDelayed(const WorkerTarget &Worker, Millis Timeout,
+                                 const std::function<void()> &Call) {
+  const Millis BackAt = Fleet_.Workers_[Worker.Worker_].BackAt_;
+  const Millis Now = Loop_.monotonic();
+  if (BackAt <= Now || BackAt > Now + Timeout || !IsReachable_(Worker.Worker_))
+    return false;
+  Loop_.after(BackAt - Now, Call);
+  return true;
+}
+
 template <typename Handler>
 void FakeWorkerClient::fail(const std::string &Id, const std::string &Step,
                             const Handler &Done, Millis Wait) {
@@ -247,10 +263,15 @@
 void FakeWorkerClient::start(const WorkerTarget &Worker,
                              const StartOrder &Order, OrderHandler Done) {
   Loop_.after(WorkerDelay, [this, Worker, Order, Done] {
+    if (isDelayed(Worker, WorkerTimeout,
+                  [this, Worker, Order, Done] { start(Worker, Order, Done); }))
+      return;
     FakeWorkerState *Target = findReachable(Worker);
     if (!Target)
       return fail(Worker.Worker_, "start", Done);
     OrderReply Reply{OrderOutcome::Done, Target->clock(Loop_.monotonic())};
+    if (!Target->isMeant(Worker))
+      return Done(OrderReply{OrderOutcome::Restarted, Millis{}});
     if (Worker.FencingToken_ < Target->HighestEpoch_)
       Reply.Outcome_ = OrderOutcome::Fenced;
     else if (Target->HighestAttempt_[Order.Task_] >= Order.Attempt_)
@@ -258,7 +279,7 @@
     if (Reply.Outcome_ != OrderOutcome::Done)
       return Done(Reply);
     Target->HighestEpoch_ = Worker.FencingToken_;
-    Target->LeaseEnd_ = std::max(Target->LeaseEnd_, Order.LeaseEnd_);
+    Target->extendLeases(Order.LeaseEnd_, Loop_.monotonic());
     if (Target->Running_.count(Order.Task_) > 0)
       return Done(Reply);
     if (Fleet_.isRunning(Order.Task_, Loop_.monotonic()))
@@ -295,6 +316,8 @@
     if (!Target)
       return fail(Worker.Worker_, "stop", Done);
     const Millis WorkerClock = Target->clock(Loop_.monotonic());
+    if (!Target->isMeant(Worker))
+      return Done(OrderReply{OrderOutcome::Restarted, Millis{}});
     if (Worker.FencingToken_ < Target->HighestEpoch_)
       return Done(OrderReply{OrderOutcome::Fenced, WorkerClock});
     Target->HighestEpoch_ = Worker.FencingToken_;
@@ -311,6 +334,10 @@
                             const PollRequest &Request,
                             std::function<void(Result<PollReply>)> Done) {
   Loop_.after(WorkerDelay, [this, Worker, Request, Done] {
+    if (isDelayed(
+            Worker, Request.Wait_ + WorkerTimeout,
+            [this, Worker, Request, Done] { poll(Worker, Request, Done); }))
+      return;
     FakeWorkerState *Target = findReachable(Worker);
     if (!Target)
       return fail(Worker.Worker_, "look", Done, Request.Wait_);
@@ -320,21 +347,23 @@
       return Done(FencedReply);
     }
     Target->HighestEpoch_ = Worker.FencingToken_;
-    Target->LeaseEnd_ = std::max(Target->LeaseEnd_, Request.LeaseEnd_);
+    const PollRequest Asked = Target->isMeant(Worker) ? Request : PollRequest{};
+    Target->extendLeases(Asked.LeaseEnd_, Loop_.monotonic());
     for (const EndedTask &Ended : Target->Ended_)
-      if (Ended.SequenceNumber_ <= Request.LastRecordedEnd_ &&
+      if (Ended.SequenceNumber_ <= Asked.LastRecordedEnd_ &&
           Ended.End_ == TaskEnd::Done)
         Fleet_.AcknowledgedTasks_.insert(Ended.Task_);
     std::erase_if(Target->Ended_, [&](const EndedTask &Ended) {
-      return Ended.SequenceNumber_ <= Request.LastRecordedEnd_;
+      return Ended.SequenceNumber_ <= Asked.LastRecordedEnd_;
     });
     if (Target->LosesPollReplies_) {
-      Loop_.after(Request.Wait_ + WorkerTimeout,
+      Loop_.after(Asked.Wait_ + WorkerTimeout,
                   [Done] { Done(timeout("look")); });
       return;
     }
     sendPollReply(std::make_shared<const OpenPoll>(
-        OpenPoll{Worker.Worker_, Loop_.monotonic() + Request.Wait_, Done}));
+        OpenPoll{Worker.Worker_, Target->ProcessStart_,
+                 Loop_.monotonic() + Asked.Wait_, Done}));
   });
 }
 
@@ -347,7 +376,8 @@
     Loop_.after(PollInterval, [this, Poll] { sendPollReply(Poll); });
     return;
   }
-  if (!Worker.Reachable_ || Worker.CutOff_ || !IsReachable_(Poll->Worker_))
+  if (!Worker.Reachable_ || Worker.CutOff_ || !IsReachable_(Poll->Worker_) ||
+      Worker.ProcessStart_ != Poll->ProcessStart_)
     return fail(Poll->Worker_, "look", Poll->Done_);
   PollReply Reply;
   Reply.Clock_ = Worker.clock(Loop_.monotonic());
@@ -589,8 +619,7 @@
           Cell_.MutedNodes_.count(From_) > 0)
         return;
       const auto Peer = Cell_.Nodes_.find(Call.Address_);
-      if (Peer == Cell_.Nodes_.end() ||
-          Cell_.isAcrossCut(From_, Call.Address_))
+      if (Peer == Cell_.Nodes_.end() || Cell_.isAcrossCut(From_, Call.Address_))
         return Finish(Error{Reason::ConnectFailed,
                             Effect::None,
                             "peer",
@@ -806,6 +835,19 @@
   Fleet_.Workers_.at(Id).Info_.Draining_ = true;
 }
 
+void FakeCell::restartWorker(const std::string &Id, Millis DownTime) {
+  FakeWorkerState &Worker = Fleet_.Workers_.at(Id);
+  Worker.Running_.clear();
+  Worker.HighestAttempt_.clear();
+  Worker.Ended_.clear();
+  Worker.LastEndNumber_ = 0;
+  Worker.HighestEpoch_ = 0;
+  Worker.LeaseEnd_ = Millis{};
+  ++Worker.ProcessStart_;
+  Worker.BackAt_ = Loop_.monotonic() + DownTime;
+  Worker.ClockStart_ = Worker.BackAt_;
+}
+
 void FakeCell::removeWorker(const std::string &Id) {
   FakeWorkerState &Worker = Fleet_.Workers_.at(Id);
   Worker.Reachable_ = false;
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -127,8 +127,9 @@
 };
 
 /// State of a simulated worker. Like real workers it rejects orders of an older
-/// epoch and of ended attempts, ends its tasks when its lease expires, and
-/// lists ended tasks until the leader has acknowledged them.
+/// epoch and of ended attempts, ends its tasks when its lease expires, cuts long
+/// leases, and lists ended tasks until the leader has acknowledged them. A new
+/// process under its id knows nothing of the one before.
 struct FakeWorkerState {
   dispatch::WorkerInfo Info_;
   std::int64_t HighestEpoch_ = 0; ///< Of the orders received.
@@ -147,10 +148,21 @@
   std::vector<EndedTask> Ended_;
   std::int64_t LastEndNumber_ = 0;
 
+  Millis ClockStart_{}; ///< When the worker's clock was zero.
+  /// When it starts again, if its host is down. Calls that are under way reach
+  /// the new process then.
+  Millis BackAt_{};
+
   /// The worker's clock at a time of the loop.
   Millis clock(Millis Now) const {
     constexpr std::int64_t Thousand = 1000;
-    return Millis{Now.Value_ * ClockRatePerMille_ / Thousand};
+    return Millis{(Now - ClockStart_).Value_ * ClockRatePerMille_ / Thousand};
+  }
+  /// Extends the leases, by the longest one at most.
+  void extendLeases(Millis End, Millis Now);
+  /// Whether a call is meant for this process or for any.
+  bool isMeant(const WorkerTarget &Target) const {
+    return Target.ProcessStart_ == 0 || Target.ProcessStart_ == ProcessStart_;
   }
 };
 
@@ -191,11 +203,16 @@
 private:
   struct OpenPoll {
     std::string Worker_;
+    std::int64_t ProcessStart_ = 0;
     Millis Deadline_{};
     std::function<void(Result<PollReply>)> Done_;
   };
 
   FakeWorkerState *findReachable(const WorkerTarget &Worker);
+  /// Makes a call later if the host of the worker is up again before the
+  /// timeout.
+  bool isDelayed(const WorkerTarget &Worker, Millis Timeout,
+                 const std::function<void()> &Call);
   /// Reports that the worker was not reached. Wait is added to the timeout.
   template <typename Handler>
   void fail(const std::string &Id, const std::string &Step, const Handler &Done,
@@ -262,6 +279,9 @@
   submitLongRunning(const std::string &Node, const std::string &Id, int Tasks);
   /// Marks a worker as draining; it goes on running its tasks.
   void drainWorker(const std::string &Id);
+  /// The host of a worker loses power; after the time given, the worker starts
+  /// again under its id and at its address.
+  void restartWorker(const std::string &Id, Millis DownTime);
   /// Ends a worker and all its tasks, and removes it from the registry.
   void removeWorker(const std::string &Id);
   /// Queries the state of a job at a node; runs the loop until it is answered.
--- a/tests/cell/relay_test.cpp
+++ b/tests/cell/relay_test.cpp
@@ -269,7 +269,8 @@
   Order.LeaseEnd_ = Millis{9000};
   Order.Checkpoint_ = "saved";
   Order.Ticket_ = "ticket";
-  return WorkerCall{Id, WorkerTarget{"w1", "10.0.0.1:1", Epoch}, Order};
+  return WorkerCall{Id, WorkerTarget{"w1", "10.0.0.1:1", Epoch, 1700000000000},
+                    Order};
 }
 
 } // namespace
--- a/tests/cell/takeover_explorer_test.cpp
+++ b/tests/cell/takeover_explorer_test.cpp
@@ -104,7 +104,8 @@
   // The first worker, whose clock is slow, is concerned more often.
   std::vector<Event> Events = eventsWithWorkers({"w1", "w1", "w2"});
   for (const EventKind Kind : FurtherKinds)
-    Events.push_back(Event{0, Kind, ""});
+    Events.push_back(
+        Event{0, Kind, Kind == EventKind::RestartWorker ? "w1" : ""});
   std::size_t EventsLeft = MinEvents + Random() % EventCounts;
   Schedule Sample;
   for (int Point = 0; Point < PointCount; ++Point) {
@@ -160,6 +161,29 @@
   return Schedules;
 }
 
+/// Schedules in which a worker starts again, is cut off after that, and the
+/// leader changes in one of the given ways since.
+std::vector<Schedule>
+schedulesOfARestartedWorker(const std::vector<EventKind> &Changes) {
+  std::vector<Schedule> Schedules;
+  for (int Restart = 0; Restart < PointCount; ++Restart)
+    for (int Cut = Restart + 1; Cut < PointCount; ++Cut) {
+      const Event Back{Restart, EventKind::RestartWorker, "w1"};
+      const Event CutOff{Cut, EventKind::CutWorkerOff, "w1"};
+      Schedules.push_back({Back, CutOff});
+      for (int Change = Restart; Change < PointCount; ++Change)
+        for (const EventKind Kind : Changes) {
+          Schedule Events{Back, CutOff, Event{Change, Kind, ""}};
+          std::stable_sort(Events.begin(), Events.end(),
+                           [](const Event &A, const Event &B) {
+                             return A.Point_ < B.Point_;
+                           });
+          Schedules.push_back(std::move(Events));
+        }
+    }
+  return Schedules;
+}
+
 template <typename Matches>
 std::optional<Finding> explore(const std::vector<Schedule> &Schedules,
                                const RowFault &Fault, const Matches &IsSought,
@@ -370,3 +394,34 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// The same with a worker that starts again under its id, and takes calls that
+// were under way to the process before.
+BOOST_AUTO_TEST_SUITE(RestartExplorer)
+
+BOOST_AUTO_TEST_CASE(RestartedWorkerRepeatsNoTask) {
+  checkNoViolation(
+      schedulesOfARestartedWorker({EventKind::KillLeader, EventKind::StopLeader,
+                                   EventKind::IsolateLeader}));
+}
+
+BOOST_AUTO_TEST_CASE(RestartedWorkerRepeatsNoTaskWithRelays) {
+  checkNoViolation(schedulesOfARestartedWorker({EventKind::KillLeader}),
+                   WithRelays);
+}
+
+BOOST_AUTO_TEST_CASE(SampledEventsRepeatNoTask) {
+  constexpr std::size_t Count = 200;
+  checkNoViolation(sampleSchedules(
+      {EventKind::RestartWorker, EventKind::RestartWorker}, Count));
+}
+
+// Plays the schedule that follows "--" on the command line.
+BOOST_AUTO_TEST_CASE(GivenScheduleRepeatsNoTask) {
+  const auto &Suite = boost::unit_test::framework::master_test_suite();
+  const auto Events = parseSchedule(Suite.argc > 1 ? Suite.argv[1] : "");
+  BOOST_TEST_REQUIRE(Events.has_value());
+  checkNoViolation({*Events});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -26,6 +26,8 @@
 constexpr Millis RestartDelay{1500};
 constexpr Millis FaultDuration{2300};
 constexpr Millis CutOffDuration{3100};
+// A worker that starts again is back before the next point.
+constexpr Millis WorkerDownTime{600};
 constexpr Millis SettleTime{12000};
 // Covers the wait for the leases of a leader that only a minority elected.
 constexpr Millis RecoveryLimit{20000};
@@ -35,7 +37,7 @@
   const char *Name_;
 };
 
-constexpr std::array<NamedKind, 20> NamedKinds{{
+constexpr std::array<NamedKind, 21> NamedKinds{{
     {EventKind::KillLeader, "kill-leader"},
     {EventKind::StopLeader, "stop-leader"},
     {EventKind::IsolateLeader, "isolate-leader"},
@@ -56,6 +58,7 @@
     {EventKind::BlindRelay, "blind-relay"},
     {EventKind::MainPartRejects, "main-part-rejects"},
     {EventKind::SparePartRejects, "spare-part-rejects"},
+    {EventKind::RestartWorker, "restart-worker"},
 }};
 
 std::string nameOf(EventKind Kind) {
@@ -198,6 +201,8 @@
     return Cell_.drainWorker(Happening.Worker_);
   case EventKind::EndWorker:
     return Cell_.removeWorker(Happening.Worker_);
+  case EventKind::RestartWorker:
+    return Cell_.restartWorker(Happening.Worker_, WorkerDownTime);
   case EventKind::KillRelay:
   case EventKind::StopRelay:
   case EventKind::IsolateRelay:
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -38,6 +38,7 @@
   BlindRelay,       ///< It reaches no worker.
   MainPartRejects,  ///< The store rejects it for all nodes, for a while.
   SparePartRejects, ///< The same for the spare part.
+  RestartWorker,    ///< It loses power and starts again under its id.
 };
 
 struct Event {
--- /dev/null
+++ b/tests/cell/worker_restart_test.cpp
@@ -0,0 +1,99 @@
+// Workers that start again under their ids while calls to the processes before
+// are under way.
+
+#include "tests/cell/fake_cell.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace damaskglade;
+using namespace damaskglade::fakes;
+
+namespace {
+
+constexpr Millis DownTime{600};
+constexpr Millis SettleTime{25000};
+// The leader's long polls take up to 2 s.
+constexpr Millis LongestPhase{2000};
+constexpr Millis PhaseStep{250};
+
+std::string waitForLeader(FakeCell &Cell) {
+  constexpr Millis ElectionTimeout{4000};
+  constexpr Millis PollTime{1500};
+  BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+      ElectionTimeout, [&] { return !Cell.leader().empty(); }));
+  Cell.Loop_.run(PollTime);
+  return Cell.leader();
+}
+
+void checkNoRepeatedRuns(const FakeCell &Cell, Millis Phase) {
+  BOOST_TEST(Cell.Fleet_.ConcurrentRuns_.empty(), Phase.Value_);
+  BOOST_TEST(Cell.Fleet_.StartedAfterAcknowledgement_.empty(), Phase.Value_);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WorkerRestarts)
+
+// Guards against a task that runs twice: the new process of a worker takes a
+// start with a lease end on the clock of the process before, is cut off before
+// it answers a poll, and runs the task for longer than the leader waits.
+BOOST_AUTO_TEST_CASE(StartIsNotTakenByAProcessThatNoReplyHasShown) {
+  for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep) {
+    FakeCell Cell(3, 3);
+    const std::string Leader = waitForLeader(Cell);
+    Cell.Loop_.run(Phase);
+    Cell.restartWorker("w1", DownTime);
+    Cell.Loop_.run(DownTime + Millis{5});
+    Cell.submitLongRunning(Leader, jobId(1), 12);
+    Cell.Loop_.run(Millis{60});
+    Cell.Fleet_.Workers_["w1"].CutOff_ = true;
+    Cell.Loop_.run(SettleTime);
+    checkNoRepeatedRuns(Cell, Phase);
+  }
+}
+
+// Guards against a lease that outlasts what the next leader counts: a poll of
+// the leader before, under way when the worker started again, has given the new
+// process a lease end on the clock of the one before.
+BOOST_AUTO_TEST_CASE(LeaseIsNotRenewedInAnotherProcess) {
+  constexpr Millis ShortestLife{800};
+  constexpr Millis LongestLife{3400};
+  constexpr Millis LifeStep{30};
+  for (Millis Life = ShortestLife; Life < LongestLife; Life = Life + LifeStep) {
+    FakeCell Cell(3, 3);
+    const std::string First = waitForLeader(Cell);
+    const std::string Other = First == "n1" ? "n2" : "n1";
+    Cell.restartWorker("w1", DownTime);
+    Cell.Loop_.run(Life);
+    Cell.killNode(First);
+    BOOST_TEST_REQUIRE(Cell.Loop_.runUntil(
+        Millis{3000}, [&] { return !Cell.leader().empty(); }));
+    Cell.submitLongRunning(Other, jobId(1), 12);
+    Cell.Loop_.run(Millis{150});
+    // Cut off by a partition that refuses connections; it runs on.
+    Cell.Fleet_.Workers_["w1"].Refuses_ = true;
+    Cell.Fleet_.Workers_["w1"].Reachable_ = false;
+    Cell.Loop_.run(SettleTime);
+    checkNoRepeatedRuns(Cell, Life);
+  }
+}
+
+// Guards against a task that runs again after its end: the new process of a
+// worker has forgotten the end because a poll acknowledged one of the same
+// number in the process before.
+BOOST_AUTO_TEST_CASE(EndIsNotAcknowledgedToAnotherProcess) {
+  for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep) {
+    FakeCell Cell(3, 1);
+    const std::string Leader = waitForLeader(Cell);
+    Cell.submit(Leader, jobId(1), 6, Millis{200});
+    Cell.Loop_.run(Millis{1500} + Phase);
+    Cell.restartWorker("w1", DownTime);
+    Cell.Loop_.run(DownTime + Millis{5});
+    Cell.submit(Leader, jobId(2), 3, Millis{200});
+    Cell.Loop_.run(SettleTime);
+    checkNoRepeatedRuns(Cell, Phase);
+    BOOST_TEST((Cell.state(Leader, jobId(2)) == dispatch::JobState::Complete));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/poll_reply_test.cpp
+++ b/tests/dispatch/poll_reply_test.cpp
@@ -241,6 +241,54 @@
   BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
 }
 
+// Guards against the same with a stop that was repeated since: the late
+// confirmation is that of its first copy.
+BOOST_AUTO_TEST_CASE(LateConfirmationOfAFirstStopDoesNotBindANewProcess) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  startUnanswered(Fixture);
+  Fixture.pollWorker("w1");
+  const Actions First = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(First.Stops_.size() == 1U);
+  Fixture.pollWorker("w1", {}, 2);
+  Fixture.advance(Millis{2000});
+  const Actions Second = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Second.Stops_.size() == 1U);
+  BOOST_TEST(First.Stops_.front().Target_.ProcessStart_ == 1);
+  BOOST_TEST(Second.Stops_.front().Target_.ProcessStart_ == 2);
+  Fixture.Dispatcher_.handleStopReply(
+      First.Stops_.front(), OrderReply{OrderOutcome::Done, Fixture.Now_},
+      Fixture.Now_);
+  Fixture.advance(Millis{5});
+  Fixture.pollWorker("w1", {}, 2);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.Dispatcher_.handleStopReply(
+      Second.Stops_.front(), OrderReply{OrderOutcome::Done, Fixture.Now_},
+      Fixture.Now_);
+  Fixture.advance(Millis{5});
+  Fixture.pollWorker("w1", {}, 2);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
+// Guards against a task that waits for a run that no process has got: another
+// process answered in place of the one that the order was meant for.
+BOOST_AUTO_TEST_CASE(StartMeantForAnotherProcessIsMadeAgain) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  Fixture.Dispatcher_.handleStartReply(
+      Pass.Starts_.front(), OrderReply{OrderOutcome::Restarted, Millis{}},
+      Fixture.Now_);
+  Fixture.pollWorker("w1", {}, 2);
+  Fixture.advance(Millis{1000});
+  const Actions Next = Fixture.decideAndExecute();
+  BOOST_TEST_REQUIRE(Next.Starts_.size() == 1U);
+  BOOST_TEST(Next.Starts_.front().Target_.ProcessStart_ == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace {
