workers: Send no third copy of a call to a worker

FailedCheckTellsWhetherTheOrderWasSent covers it: it asked for a fourth reply, which the test does not have, before the change.

--- a/tests/adapter/worker_process_test.cpp
+++ b/tests/adapter/worker_process_test.cpp
@@ -215,6 +215,13 @@
   const auto Repeated = startOver(Http);
   BOOST_TEST_REQUIRE(!Repeated.has_value());
   BOOST_TEST((Repeated.error().Effect_ == Effect::Unknown));
+  // A third copy could reach another process.
+  Http.Outcomes_ = {failure(Reason::AnswerLost, Effect::Unknown),
+                    listOf(FirstProcess),
+                    failure(Reason::AnswerLost, Effect::Unknown)};
+  const auto LostTwice = startOver(Http);
+  BOOST_TEST_REQUIRE(!LostTwice.has_value());
+  BOOST_TEST((LostTwice.error().Effect_ == Effect::Unknown));
   Http.Outcomes_ = {failure(Reason::AnswerLost, Effect::Unknown),
                     listOf(SecondProcess)};
   const auto Restarted = startOver(Http);
