soak: Start workers again under their ids, and cut them off

A worker loses power for 0.2 to 0.9 s, starts again under its id with a clock of its own, takes what was under way to it, and is cut off up to 2.5 s later, often for longer than its leases last, while leaders change. Its connections end with the process, also in the fault "crash". A restarted stand-in kept its clock and its connections before, so no run could show a call that the next process takes.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -25,6 +25,7 @@
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
       EntryRandom_(Settings_.Seed_), PartRandom_(Settings_.Seed_ + 1),
       SilenceRandom_(Settings_.Seed_ + 2), ConfigRandom_(Settings_.Seed_ + 3),
+      RestartRandom_(Settings_.Seed_ + 4),
       Platform_(Loop_, Time_, Settings_.Seed_) {
   std::filesystem::create_directories(Settings_.Folder_);
   // The store has a port for each node, so that it can turn some away.
@@ -201,6 +202,7 @@
     if (Settings_.WorkerFaults_) {
       shrinkLater();
       overwriteEntryLater();
+      restartLater();
     }
     faultPartLater();
     silenceLater();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -85,6 +85,8 @@
   void overwriteEntryLater();
   void faultPartLater();
   void silenceLater();
+  void restartAndCutOff(WorkerServer &Each);
+  void restartLater();
   void changeCapacity(WorkerServer &Each, std::int64_t MilliCpus);
   void submitLater();
   void submit();
@@ -109,6 +111,7 @@
   std::minstd_rand PartRandom_;
   std::minstd_rand SilenceRandom_;
   std::minstd_rand ConfigRandom_;
+  std::minstd_rand RestartRandom_;
   drivers::EventLoop Loop_;
   Observer Watch_{Time_};
   ConfigWatch Configs_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -120,7 +120,12 @@
   case 0:
   case 1:
     return disturb(
-        "crash " + Each.name(), [&Each] { Each.crash(); }, [] {});
+        "crash " + Each.name(),
+        [this, &Each] {
+          Each.crash();
+          Relay_->closeOpen(Each.name());
+        },
+        [] {});
   case 2:
   case 3:
     return disturb(
@@ -271,6 +276,49 @@
   });
 }
 
+// A worker loses power and starts again under its id, while calls are under way
+// to it; soon after it is cut off, often for longer than its leases last.
+void Soak::restartAndCutOff(WorkerServer &Each) {
+  const auto Draw = [this](std::size_t Below) {
+    return Millis{static_cast<std::int64_t>(RestartRandom_() % Below)};
+  };
+  constexpr Millis ShortestDown{200};
+  constexpr std::size_t MostMoreDown = 700;
+  constexpr std::size_t LongestUp = 2500;
+  constexpr std::size_t LongestCut = 12000;
+  const std::string What = "restart and cut off " + Each.name();
+  if (Disturbances_[What] > 0)
+    return;
+  ++Disturbances_[What];
+  report(What);
+  Each.crash();
+  Relay_->set(Each.name(), LinkState::Cut);
+  Relay_->closeOpen(Each.name());
+  const Millis BackAt = ShortestDown + Draw(MostMoreDown);
+  const Millis CutAt = BackAt + Draw(LongestUp);
+  const LinkState Kind =
+      RestartRandom_() % 2 == 0 ? LinkState::Cut : LinkState::Refuse;
+  Loop_.after(BackAt,
+              [this, &Each] { Relay_->set(Each.name(), LinkState::Open); });
+  Loop_.after(CutAt, [this, &Each, Kind] { Relay_->set(Each.name(), Kind); });
+  Loop_.after(CutAt + Draw(LongestCut), [this, &Each, What] {
+    Relay_->set(Each.name(), LinkState::Open);
+    Watch_.disturbed();
+    --Disturbances_[What];
+  });
+}
+
+void Soak::restartLater() {
+  constexpr std::size_t MostGap = 4000;
+  Loop_.after(Millis{static_cast<std::int64_t>(RestartRandom_() % MostGap)},
+              [this] {
+                if (faultsOver())
+                  return;
+                restartLater();
+                restartAndCutOff(*Workers_[RestartRandom_() % Workers_.size()]);
+              });
+}
+
 void Soak::injectFault() {
   static const std::vector<LinkState> Links = {
       LinkState::Cut, LinkState::Refuse, LinkState::Delayed, LinkState::OnlyIn,
--- a/tests/soak/worker_server.cpp
+++ b/tests/soak/worker_server.cpp
@@ -33,7 +33,8 @@
                            std::int64_t Capacity, unsigned Seed)
     : Loop_(Loop), Time_(Time), Watch_(Watch), Name_(std::move(Name)),
       Id_(Name_), FullCapacity_(Capacity), Capacity_(Capacity),
-      Limit_(Capacity), Random_(Seed), Born_(Time.wall()) {}
+      Limit_(Capacity), Random_(Seed), Born_(Time.wall()),
+      StartedAt_(Time.monotonic()) {}
 
 Status WorkerServer::listen(const std::string &Address) {
   expire();
@@ -49,7 +50,7 @@
 }
 
 std::int64_t WorkerServer::clock() const {
-  return (Time_.monotonic() + ClockStart).Value_;
+  return (Time_.monotonic() - StartedAt_ + ClockStart).Value_;
 }
 
 void WorkerServer::crash() {
@@ -61,12 +62,13 @@
   Fence_ = 0;
   LastEnd_ = 0;
   LeaseEnd_ = Millis{};
+  Waiting_.clear();
+  StartedAt_ = Time_.monotonic();
   Born_ = std::max(Time_.wall(), Born_ + Millis{1});
 }
 
 void WorkerServer::crashAndChangeId() {
   crash();
-  Waiting_.clear();
   Id_ = Name_ + "-" + std::to_string(++Processes_);
 }
 
@@ -264,8 +266,8 @@
       Reply(std::move(Answer));
   };
   Waiting_.push_back(Once);
-  Loop_.after(Wait, [this, Once, Id = Id_] {
-    if (Id == Id_)
+  Loop_.after(Wait, [this, Once, Born = Born_] {
+    if (Born == Born_)
       Once(WebReply{Ok, writeJson(lists())});
   });
 }
--- a/tests/soak/worker_server.h
+++ b/tests/soak/worker_server.h
@@ -24,7 +24,8 @@
                std::string Name, std::int64_t Capacity, unsigned Seed);
 
   Status listen(const std::string &Address);
-  /// All that runs is lost, and the worker starts anew under its id.
+  /// All that runs is lost, and the worker starts anew under its id, with a
+  /// clock of its own. Its connections are to be closed with it.
   void crash();
   /// The same, but the new process has an id of its own.
   void crashAndChangeId();
@@ -85,6 +86,7 @@
   std::minstd_rand Random_;
   std::int64_t Fence_ = 0;
   Millis Born_{};
+  Millis StartedAt_{}; ///< When the process started.
   Millis LeaseEnd_{};
   std::int64_t LastEnd_ = 0;
   std::map<std::string, Run> Running_;
--- a/tests/stand_ins/relay.cpp
+++ b/tests/stand_ins/relay.cpp
@@ -141,6 +141,15 @@
   return true;
 }
 
+bool Relay::closeOpen(const std::string &Name) {
+  const MutexLock Held(Mutex_);
+  const auto Found = Listeners_.find(Name);
+  if (Found == Listeners_.end())
+    return false;
+  Found->second.ClosesOpen_ = true;
+  return true;
+}
+
 int Relay::port(const std::string &Name) {
   const MutexLock Held(Mutex_);
   const auto Found = Listeners_.find(Name);
@@ -167,6 +176,7 @@
       const bool Due = Now >= From.ServedAt_ + DelayedPeriod;
       Listeners[Name] = From;
       From.SilencesOpen_ = false;
+      From.ClosesOpen_ = false;
       if (From.State_ != LinkState::Delayed)
         continue;
       Listeners[Name].State_ = Due ? LinkState::Open : LinkState::Cut;
@@ -183,7 +193,8 @@
   std::vector<Connection *> Served;
   for (Connection &Pair : Connections_) {
     const LinkState State = Listeners[Pair.Link_].State_;
-    Pair.Broken_ = Pair.Broken_ || State == LinkState::Refuse;
+    Pair.Broken_ = Pair.Broken_ || State == LinkState::Refuse ||
+                   Listeners[Pair.Link_].ClosesOpen_;
     Pair.Silent_ = Pair.Silent_ || Listeners[Pair.Link_].SilencesOpen_;
     if (Pair.Silent_)
       lose(Pair);
--- a/tests/stand_ins/relay.h
+++ b/tests/stand_ins/relay.h
@@ -74,6 +74,9 @@
   /// Open connections of the link go silent for good: what arrives on them is
   /// lost. New ones work. False if there is no link of this name.
   bool silenceOpen(const std::string &Name);
+  /// Open connections of the link are closed, as when the target's process
+  /// ends. False if there is no link of this name.
+  bool closeOpen(const std::string &Name);
   /// Listening port of a link, 0 if there is none of this name.
   int port(const std::string &Name);
 
@@ -86,6 +89,7 @@
     std::vector<Rewrite> Rewrites_;
     Millis ServedAt_{};         ///< Last time that delayed bytes went on.
     bool SilencesOpen_ = false; ///< Its open connections are to go silent.
+    bool ClosesOpen_ = false;   ///< Its open connections are to be closed.
   };
   /// One direction of a connection.
   struct Flow {
