--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -383,8 +383,8 @@
 void Member::becomeLeader(const LeaderRecord &Record) {
   InheritedNodes_ = ReportedNodes_;
   InheritedNodes_.insert(LeaderRecord_.Address_);
-  for (const std::string &None : {std::string(), Settings_.PeerListen_})
-    InheritedNodes_.erase(None);
+  InheritedNodes_.erase(Settings_.PeerListen_);
+  InheritedNodes_.erase(""); // No leader was known.
   LeaderRecord_ = Record;
   Relay_->noteLeader(Record.Epoch_);
   answerWaitingChecks(true);
--- a/tests/adapter/worker_process_test.cpp
+++ b/tests/adapter/worker_process_test.cpp
@@ -158,6 +158,10 @@
   BOOST_TEST(Worker.Polls_.back()["deadlineMs"].asInt64() == 9000);
   BOOST_TEST(Worker.Polls_.back()["lastSeen"].asInt64() == 5);
   Worker.restart(SecondProcess);
+  // The first order finds the connection closed, which may be its own fault.
+  const auto Lost = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(!Lost.has_value());
+  BOOST_TEST((Lost.error().Effect_ == Effect::Unknown));
   const auto Late = Worker.start(FirstProcess);
   BOOST_TEST_REQUIRE(Late.has_value());
   BOOST_TEST((Late.value().Outcome_ == OrderOutcome::Restarted));
@@ -222,8 +226,14 @@
   const auto LostTwice = startOver(Http);
   BOOST_TEST_REQUIRE(!LostTwice.has_value());
   BOOST_TEST((LostTwice.error().Effect_ == Effect::Unknown));
+  // The order may have ended the process that it was meant for.
   Http.Outcomes_ = {failure(Reason::AnswerLost, Effect::Unknown),
                     listOf(SecondProcess)};
+  const auto Crashed = startOver(Http);
+  BOOST_TEST_REQUIRE(!Crashed.has_value());
+  BOOST_TEST((Crashed.error().Effect_ == Effect::Unknown));
+  Http.Outcomes_ = {failure(Reason::ConnectFailed, Effect::None),
+                    listOf(SecondProcess)};
   const auto Restarted = startOver(Http);
   BOOST_TEST_REQUIRE(Restarted.has_value());
   BOOST_TEST((Restarted.value().Outcome_ == OrderOutcome::Restarted));
