--- a/ports/async_http.h
+++ b/ports/async_http.h
@@ -32,8 +32,8 @@
   /// Set by clients: the call was sent again after its connection had been
   /// lost, so an earlier copy of it may have had an effect.
   bool Resent_ = false;
-  /// Set by clients: the connection that has carried the call, if it stays open;
-  /// zero otherwise. See WebClient::setPeer().
+  /// Set by clients: the connection that has carried the call, if it stays
+  /// open; zero otherwise. See WebClient::setPeer().
   std::uint64_t Connection_ = 0;
 
   friend bool operator==(const WebReply &, const WebReply &) = default;
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -127,9 +127,9 @@
 };
 
 /// State of a simulated worker. Like real workers it rejects orders of an older
-/// epoch and of ended attempts, ends its tasks when its lease expires, cuts long
-/// leases, and lists ended tasks until the leader has acknowledged them. A new
-/// process under its id knows nothing of the one before.
+/// epoch and of ended attempts, ends its tasks when its lease expires, cuts
+/// long leases, and lists ended tasks until the leader has acknowledged them. A
+/// new process under its id knows nothing of the one before.
 struct FakeWorkerState {
   dispatch::WorkerInfo Info_;
   std::int64_t HighestEpoch_ = 0; ///< Of the orders received.
