dispatch: Count no crash under a start that a process never had

Callers saw jobs shown as failed, though their tasks had run once or not at all: a zone lost power for 0.6 s, and a task was started on three of its workers one after the other.

Cause: a start without a reply counted as a crash of its worker whenever the worker turned out to have started again. The long polls of workers that had lost power stayed open for up to 2 s, so starts went to connections whose process had ended 0.4 to 1.2 s before. Three workers that were lost at the same moment counted as three crashes, and the job failed.

A crash now counts for a run that its process has confirmed, or whose order was given while the process is known to have lived: it had answered at most 250 ms before, or answered since. A start that was ordered from an earlier process never counts for the end of the next one. Orders that do not count still excuse a suspect that was started before them. So that the decisive start of a suspect says something, its worker is polled first if it was silent for longer.

StartsToProcessesThatHadEndedAreNoCrashes counted 3 crashes in place of 1 and found the job failed, StartForAnEarlierProcessIsNoCrashOfTheNextOne counted 1 in place of 0; both pass.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -612,6 +612,8 @@
         });
   for (const dispatch::AdviceQuestion &Question : Actions.Questions_)
     AdviceBalancer_.ask(Question);
+  for (const std::string &Worker : Actions.Probes_)
+    pollWorker(Worker, true);
 }
 
 void Leader::logDecisions() {
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -89,10 +89,11 @@
   std::vector<StopAction> Stops_;
   std::vector<PaceAction> Paces_;
   std::vector<AdviceQuestion> Questions_;
+  std::vector<std::string> Probes_; ///< Workers to poll at once.
 
   bool empty() const {
     return Starts_.empty() && Stops_.empty() && Paces_.empty() &&
-           Questions_.empty();
+           Questions_.empty() && Probes_.empty();
   }
 };
 
@@ -348,7 +349,12 @@
   bool handleOvertakenReply(Worker &W, const PollReply &Reply, Millis Now);
   void handleRestart(Worker &W, const PollReply &Reply, Millis SentAt,
                      Millis Now);
+  static bool isStartingAt(const Worker &W, const Run &Attempt);
+  /// Whether the latest process of the worker may have begun the run.
+  static bool mayHaveBegun(const Worker &W, const Run &Attempt);
   std::vector<StartingRun> startingRuns(const Worker &W) const;
+  /// Logs the starts that are not counted as crashes of the worker.
+  void logUncountedStarts(const Worker &W);
   /// Handles the crash of a worker that was starting the given runs.
   void handleCrash(const Worker &W, const std::vector<StartingRun> &Runs,
                    Millis Now);
--- a/dispatch/dispatcher_crashes.cpp
+++ b/dispatch/dispatcher_crashes.cpp
@@ -28,17 +28,29 @@
               .Run_;
 }
 
+// Whether a run was starting when the worker answered last.
+bool Dispatcher::isStartingAt(const Worker &W, const Run &Attempt) {
+  return W.ClockReadAt_ < Attempt.OrderedAt_ + StartingTime;
+}
+
+// An order without a reply may have been sent to a process that had ended,
+// which shows only when a long poll returns.
+bool Dispatcher::mayHaveBegun(const Worker &W, const Run &Attempt) {
+  return Attempt.Process_ == W.ProcessStart_ &&
+         (Attempt.StartedAt_ > Millis{} || wasAliveAt(W, Attempt.OrderedAt_));
+}
+
 // The runs that may have caused a crash of the worker now. The last reply of
 // the worker is the latest time at which it is known to have been alive. A run
 // that was started apart is the only cause, unless another job's task has been
-// started since.
+// ordered since.
 std::vector<Dispatcher::StartingRun>
 Dispatcher::startingRuns(const Worker &W) const {
   std::vector<StartingRun> Runs;
   std::vector<StartingRun> RunsApart;
   for (const TaskRef &Ref : W.Tasks_) {
     const Run &Attempt = runOf(Ref);
-    if (W.ClockReadAt_ >= Attempt.OrderedAt_ + StartingTime)
+    if (!isStartingAt(W, Attempt) || !mayHaveBegun(W, Attempt))
       continue;
     Runs.push_back(StartingRun{Ref, Attempt.Attempt_, false});
     if (Attempt.Apart_)
@@ -47,17 +59,30 @@
   if (RunsApart.empty())
     return Runs;
   const TaskRef &Apart = RunsApart.front().Task_;
-  const bool OtherStartedSince =
-      std::any_of(Runs.begin(), Runs.end(), [&](const StartingRun &Starting) {
-        return Starting.Task_.Job_ != Apart.Job_ &&
-               runOf(Starting.Task_).OrderedAt_ >= runOf(Apart).OrderedAt_;
+  const bool OtherOrderedSince =
+      std::any_of(W.Tasks_.begin(), W.Tasks_.end(), [&](const TaskRef &Ref) {
+        return Ref.Job_ != Apart.Job_ && isStartingAt(W, runOf(Ref)) &&
+               runOf(Ref).OrderedAt_ >= runOf(Apart).OrderedAt_;
       });
-  return OtherStartedSince ? Runs : RunsApart;
+  return OtherOrderedSince ? Runs : RunsApart;
+}
+
+void Dispatcher::logUncountedStarts(const Worker &W) {
+  for (const TaskRef &Ref : W.Tasks_) {
+    const Run &Attempt = runOf(Ref);
+    if (isStartingAt(W, Attempt) && !mayHaveBegun(W, Attempt))
+      log(Ref.Job_, taskName(Ref), W.Info_.Id_,
+          "start counts as no crash, process=" +
+              std::to_string(W.ProcessStart_) + " ordered_from=" +
+              std::to_string(Attempt.Process_) + " silent_before_ms=" +
+              std::to_string((Attempt.OrderedAt_ - W.ClockReadAt_).Value_));
+  }
 }
 
 void Dispatcher::dropCrashedRuns(
     Worker &W, const std::string &Cause,
     const std::function<bool(const TaskRef &, const Run &)> &Keep, Millis Now) {
+  logUncountedStarts(W);
   const std::vector<StartingRun> Starting = startingRuns(W);
   dropLostRuns(W, Cause, Keep, Now);
   handleCrash(W, Starting, Now);
@@ -154,10 +179,16 @@
       Best = &Entry;
   if (!Best)
     return false;
-  if (isStartingNothing(*Best->Worker_, Now))
+  const Worker &W = *Best->Worker_;
+  const bool StartsNothing = isStartingNothing(W, Now);
+  if (StartsNothing && wasAliveAt(W, Now)) {
     startApart(Ranked, Index, *Best, Attempt, Now);
-  else
-    reserve(*Best->Worker_, JobId, Now + StartingTime + ReservationMargin);
+    return true;
+  }
+  // A start without a reply tells nothing of a worker that was silent before.
+  if (StartsNothing)
+    PendingActions_.Probes_.push_back(W.Info_.Id_);
+  reserve(*Best->Worker_, JobId, Now + StartingTime + ReservationMargin);
   return true;
 }
 
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -36,6 +36,7 @@
     Run AdoptedRun;
     AdoptedRun.Attempt_ = Entry.Attempt_;
     AdoptedRun.Worker_ = W.Info_.Id_;
+    AdoptedRun.Process_ = W.ProcessStart_;
     AdoptedRun.State_ = RunState::Running;
     AdoptedRun.OrderedAt_ = SentAt;
     AdoptedRun.StartedAt_ = SentAt;
@@ -50,6 +51,7 @@
       Task->Run_->Worker_ != W.Info_.Id_)
     return stopUnexpectedRun(W, Entry, Now);
   Run &Attempt = *Task->Run_;
+  Attempt.Process_ = W.ProcessStart_;
   ++Attempt.PollsWithoutProgress_;
   if (!Attempt.Reported_ || Entry.Percent_ != Attempt.Percent_) {
     Attempt.ProgressAt_ = Now;
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -264,6 +264,7 @@
   Run NewRun;
   NewRun.Attempt_ = Attempt;
   NewRun.Worker_ = W.Info_.Id_;
+  NewRun.Process_ = W.ProcessStart_;
   NewRun.OrderedAt_ = Now;
   addRun(Task, Ref, Spec, NewRun);
   FleetFreeCapacity_ = FleetFreeCapacity_ - reservedSize(Spec);
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -25,6 +25,10 @@
 // an error of its own on a healthy worker.
 constexpr Millis SuspectDuration{4000};
 
+// A worker that has answered is taken to live on for this time, which is as
+// long as an order waits for its reply.
+constexpr Millis AliveTime{250};
+
 } // namespace
 
 // A poll that was sent after a reply had arrived is answered after it.
@@ -38,6 +42,10 @@
   return SentAt < Latest.ReceivedAt_ && Reply.Clock_ <= Latest.WorkerClock_;
 }
 
+bool wasAliveAt(const Worker &W, Millis Time) {
+  return Time <= W.ClockReadAt_ + AliveTime;
+}
+
 bool isSuspect(const Worker &W, Millis Now) {
   return W.Health_.FailuresInRow_ > 0 &&
          Now < W.Health_.LastFailureAt_ + SuspectDuration;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -162,6 +162,10 @@
 /// sent.
 bool isOvertaken(const Worker &W, const PollReply &Reply, Millis SentAt);
 
+/// Whether the latest process of the worker is known to have lived at the given
+/// time, which lies after its first reply.
+bool wasAliveAt(const Worker &W, Millis Time);
+
 /// Capacity that no run has reserved. Fillers reserve memory and accelerators
 /// but no processors.
 inline Size freeCapacity(const Worker &W) {
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -27,6 +27,9 @@
 struct Run {
   std::int64_t Attempt_ = 0;
   std::string Worker_;
+  /// Start time of the worker process that it was ordered from or that has
+  /// listed it, Unix milliseconds.
+  std::int64_t Process_ = 0;
   RunState State_ = RunState::Starting;
   Millis OrderedAt_{};
   Millis StartedAt_{}; ///< When the start was confirmed; zero if it was not.
