dispatch: Blame no task for a crash of most of the fleet

Callers saw jobs shown as failed after the whole fleet had lost power three times in five seconds: each time within half a second of a start of one of their tasks, the last time while it was started apart.

Cause: a crash under a start apart was taken as proof against the task, whatever became of the other workers. A task can crash only the worker that starts it, so workers that end at the same time while they start nothing show another cause.

The verdict on such a crash now waits until enough of the other workers have been heard, at most a second, and they are polled at once. If most of them have ended or gone silent since, and had started nothing, the crash is taken back. Workers that were starting something never excuse a task, so many tasks that crash their workers at once, as after a takeover, are counted as before.

SuspectIsNotBlamedForACrashOfTheWholeFleet failed before the change; SuspectIsBlamedIfOtherWorkersLiveOrStayUnheard holds the other side.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -301,6 +302,20 @@
     std::int64_t Attempt_ = 0;
     bool Apart_ = false; ///< Run::Apart_.
   };
+  /// When the process of a worker may have ended.
+  struct CrashSpan {
+    std::string Worker_;
+    Millis HeardAt_{}; ///< Its last reply.
+    Millis SeenAt_{};
+    bool WasStarting_ = false; ///< Runs that may have been the cause.
+  };
+  /// A crash that fails the job of a task, unless many workers that were
+  /// starting nothing have ended with the same one.
+  struct OpenVerdict {
+    TaskRef Task_;
+    std::int64_t Attempt_ = 0;
+    CrashSpan Crash_;
+  };
   /// A step with waiting tasks and its place in the order of planning.
   struct RankedStep {
     JobRun *Job_ = nullptr;
@@ -356,8 +371,15 @@
   /// Logs the starts that are not counted as crashes of the worker.
   void logUncountedStarts(const Worker &W);
   /// Handles the crash of a worker that was starting the given runs.
-  void handleCrash(const Worker &W, const std::vector<StartingRun> &Runs,
+  void handleCrash(const CrashSpan &Crash, const std::vector<StartingRun> &Runs,
                    Millis Now);
+  /// Whether a crash has a cause beyond the worker; empty while workers that
+  /// can tell have not been heard since.
+  std::optional<bool> isCommonCrash(const CrashSpan &Crash, Millis Now) const;
+  /// Fails the jobs whose verdicts are settled, or takes the crash back.
+  void settleVerdicts(Millis Now);
+  void probeForVerdicts();
+  bool awaitsVerdict(const TaskRef &Ref) const;
   /// Whether so many workers have crashed while they started the task that it
   /// may be the cause.
   static bool isCrashSuspect(const TaskState &Task);
@@ -517,6 +539,8 @@
   std::set<TaskRef> StoppingTasks_;
   /// Workers whose speed limit for fillers the next pass recalculates.
   std::set<std::string> WorkersToPace_;
+  std::deque<CrashSpan> RecentCrashes_;
+  std::vector<OpenVerdict> OpenVerdicts_;
   std::set<std::string> ChangedJobs_; ///< See takeChangedJobs().
   Actions PendingActions_;
   std::deque<Decision> Decisions_;
--- a/dispatch/dispatcher_crashes.cpp
+++ b/dispatch/dispatcher_crashes.cpp
@@ -14,6 +14,11 @@
 // A job fails after this many crashes at the start of one of its tasks, the
 // last of them while the worker started nothing else.
 constexpr std::size_t MaxCrashes = 3;
+// A verdict does not wait longer for workers that are polled at once. Polls
+// time out after 700 ms.
+constexpr Millis LongestVerdict{1000};
+// Long polls show an end up to 2 s later, and time out after 2.7 s.
+constexpr Millis CrashMemory{4000};
 
 } // namespace
 
@@ -84,11 +89,24 @@
     const std::function<bool(const TaskRef &, const Run &)> &Keep, Millis Now) {
   logUncountedStarts(W);
   const std::vector<StartingRun> Starting = startingRuns(W);
+  const bool WasStarting =
+      std::any_of(W.Tasks_.begin(), W.Tasks_.end(), [&](const TaskRef &Ref) {
+        return isStartingAt(W, runOf(Ref));
+      });
+  const CrashSpan Crash{W.Info_.Id_, W.ClockReadAt_, Now, WasStarting};
+  // A worker that has been replaced says so in each reply.
+  const bool IsKnown = std::any_of(RecentCrashes_.begin(), RecentCrashes_.end(),
+                                   [&](const CrashSpan &Known) {
+                                     return Known.Worker_ == Crash.Worker_ &&
+                                            Known.HeardAt_ == Crash.HeardAt_;
+                                   });
+  if (!IsKnown)
+    RecentCrashes_.push_back(Crash);
   dropLostRuns(W, Cause, Keep, Now);
-  handleCrash(W, Starting, Now);
+  handleCrash(Crash, Starting, Now);
 }
 
-void Dispatcher::handleCrash(const Worker &W,
+void Dispatcher::handleCrash(const CrashSpan &Crash,
                              const std::vector<StartingRun> &Runs, Millis Now) {
   for (const auto &[Ref, Attempt, Apart] : Runs) {
     JobRun *Job = job(Ref.Job_);
@@ -106,14 +124,99 @@
     Crashes.push_back(Attempt);
     ++Job->Crashes_;
     markChanged(Ref.Job_);
-    log(Ref.Job_, taskName(Ref), W.Info_.Id_,
+    log(Ref.Job_, taskName(Ref), Crash.Worker_,
         "worker crashed at the start, crashes=" +
             std::to_string(Crashes.size()) +
             " beside=" + std::to_string(Runs.size() - 1) +
             " apart=" + std::to_string(Apart));
     if (Apart && Crashes.size() >= MaxCrashes)
+      OpenVerdicts_.push_back(OpenVerdict{Ref, Attempt, Crash});
+  }
+  settleVerdicts(Now);
+}
+
+// A task can crash only the worker that starts it. So it is not the cause if
+// most of the workers that were starting nothing have ended, or gone silent,
+// together with that one.
+std::optional<bool> Dispatcher::isCommonCrash(const CrashSpan &Crash,
+                                              Millis Now) const {
+  constexpr int MinLost = 2;
+  std::set<std::string> Lost;
+  for (const CrashSpan &Other : RecentCrashes_)
+    if (Other.Worker_ != Crash.Worker_ && !Other.WasStarting_ &&
+        Other.HeardAt_ < Crash.SeenAt_ && Crash.HeardAt_ < Other.SeenAt_)
+      Lost.insert(Other.Worker_);
+  int LostCount = static_cast<int>(Lost.size());
+  int LivingCount = 0;
+  int UnheardCount = 0;
+  for (const auto &[Id, W] : Workers_) {
+    if (Id == Crash.Worker_ || Lost.count(Id) > 0)
+      continue;
+    const bool StartsSomething =
+        std::any_of(W.Tasks_.begin(), W.Tasks_.end(), [&](const TaskRef &Ref) {
+          return isStartingAt(W, runOf(Ref));
+        });
+    if (W.Reachability_ == Reachability::Reachable &&
+        W.ClockReadAt_ >= Crash.SeenAt_)
+      ++LivingCount;
+    else if (W.Reachability_ == Reachability::Reachable)
+      ++UnheardCount;
+    else if (W.UnreachableSince_ > Crash.HeardAt_ && !StartsSomething)
+      ++LostCount;
+  }
+  if (Now >= Crash.SeenAt_ + LongestVerdict)
+    UnheardCount = 0;
+  const auto IsCommon = [](int LostWorkers, int LivingWorkers) {
+    return LostWorkers >= MinLost && LostWorkers > LivingWorkers;
+  };
+  const bool AtMost = IsCommon(LostCount + UnheardCount, LivingCount);
+  const bool AtLeast = IsCommon(LostCount, LivingCount + UnheardCount);
+  if (AtMost != AtLeast)
+    return std::nullopt;
+  return AtLeast;
+}
+
+bool Dispatcher::awaitsVerdict(const TaskRef &Ref) const {
+  return std::any_of(
+      OpenVerdicts_.begin(), OpenVerdicts_.end(),
+      [&](const OpenVerdict &Open) { return Open.Task_ == Ref; });
+}
+
+void Dispatcher::settleVerdicts(Millis Now) {
+  while (!RecentCrashes_.empty() &&
+         Now > RecentCrashes_.front().SeenAt_ + CrashMemory)
+    RecentCrashes_.pop_front();
+  std::vector<OpenVerdict> StillOpen;
+  for (const OpenVerdict &Open : std::exchange(OpenVerdicts_, {})) {
+    JobRun *Job = job(Open.Task_.Job_);
+    if (!Job || isTerminal(Job->State_))
+      continue;
+    const std::optional<bool> IsCommon = isCommonCrash(Open.Crash_, Now);
+    if (!IsCommon) {
+      StillOpen.push_back(Open);
+      continue;
+    }
+    if (!*IsCommon) {
       finishJob(*Job, JobState::Failed, Now);
+      continue;
+    }
+    std::erase(attemptCounter(*Job, Open.Task_).CrashedAttempts_,
+               Open.Attempt_);
+    markChanged(Open.Task_.Job_);
+    log(Open.Task_.Job_, taskName(Open.Task_), Open.Crash_.Worker_,
+        "crash is not counted, most workers ended with this one");
   }
+  OpenVerdicts_ = std::move(StillOpen);
+}
+
+// Workers with an open long poll may not be heard for another two seconds.
+void Dispatcher::probeForVerdicts() {
+  if (OpenVerdicts_.empty())
+    return;
+  for (const auto &[Id, W] : Workers_)
+    if (W.Reachability_ == Reachability::Reachable &&
+        W.ClockReadAt_ < OpenVerdicts_.back().Crash_.SeenAt_)
+      PendingActions_.Probes_.push_back(Id);
 }
 
 // The next leader would count from zero again if it did not know the crashes.
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -59,6 +59,8 @@
   if (std::exchange(CheckAttempts_, false))
     failExhaustedJobs(Now);
   expireUnreachable(Now);
+  settleVerdicts(Now);
+  probeForVerdicts();
   retryStops(Now);
   evacuate(Now);
   for (const std::string &Id : std::exchange(WorkersToPace_, {}))
@@ -340,7 +342,9 @@
     const std::int64_t Attempt = std::max(Task.LastAttempt_ + 1, FirstAttempt);
     if (isCrashSuspect(Task)) {
       AllCombinationsChecked = false;
-      if (!awaitsCrashRecord(*Ranked.Job_) &&
+      const TaskRef Ref{Ranked.Job_->Spec_.Id_, Ranked.Step_,
+                        static_cast<int>(Index)};
+      if (!awaitsCrashRecord(*Ranked.Job_) && !awaitsVerdict(Ref) &&
           !placeApart(Ranked, static_cast<int>(Index), Candidates, Attempt,
                       Now))
         ++UnplacedSuspects;
--- a/tests/dispatch/crash_test.cpp
+++ b/tests/dispatch/crash_test.cpp
@@ -366,6 +366,74 @@
   BOOST_TEST(Fixture.Dispatcher_.countCrashes(Job.Id_) == 0);
 }
 
+// Guards against a job that fails because the whole fleet has lost power while
+// one of its tasks was started apart.
+BOOST_AUTO_TEST_CASE(SuspectIsNotBlamedForACrashOfTheWholeFleet) {
+  for (const bool SuspectIsSeenFirst : {true, false}) {
+    CrashFixture Fixture(4, 2);
+    const JobSpec Suspect = makeJob("5", "urgent", {makeStep(1, 100)});
+    JobProgress Progress;
+    Progress.CrashedAttempts_[{0, 0}] = {1, 2};
+    Fixture.Dispatcher_.restoreJob(Suspect, Progress, Fixture.Now_);
+    const Actions First = Fixture.decideAndExecute();
+    BOOST_TEST_REQUIRE(First.Starts_.size() == 1U);
+    const std::string Apart = First.Starts_.front().Target_.Worker_;
+    Fixture.RunningTasks_.clear();
+    Fixture.advance(Millis{300});
+    const std::vector<WorkerInfo> Infos = Fixture.Infos_;
+    constexpr std::int64_t NextProcess = 2;
+    if (SuspectIsSeenFirst)
+      Fixture.pollWorker(Apart, {}, NextProcess);
+    for (const WorkerInfo &Info : Infos) {
+      BOOST_TEST((Fixture.stateOf(Suspect) == JobState::Active));
+      BOOST_TEST(Fixture.Dispatcher_.decide(Fixture.Now_).Starts_.empty());
+      if (Info.Id_ != Apart)
+        Fixture.pollWorker(Info.Id_, {}, NextProcess);
+    }
+    if (!SuspectIsSeenFirst)
+      Fixture.pollWorker(Apart, {}, NextProcess);
+    Fixture.storeProgress();
+    Fixture.decideAndExecute();
+    Fixture.storeProgress();
+    BOOST_TEST((Fixture.stateOf(Suspect) == JobState::Active));
+    Fixture.advance(Millis{100});
+    Fixture.decideAndExecute();
+    BOOST_TEST(!Fixture.workerOf(taskNameOf(Suspect, 0, 0)).empty());
+  }
+}
+
+// Guards against a task that goes on crashing workers because others crash, or
+// because nobody tells that the rest of the fleet lives.
+BOOST_AUTO_TEST_CASE(SuspectIsBlamedIfOtherWorkersLiveOrStayUnheard) {
+  for (const bool OthersAreHeard : {true, false}) {
+    CrashFixture Fixture(6, 2);
+    const JobSpec Suspect = makeJob("5", "urgent", {makeStep(1, 100)});
+    JobProgress Progress;
+    Progress.CrashedAttempts_[{0, 0}] = {1, 2};
+    Fixture.Dispatcher_.restoreJob(Suspect, Progress, Fixture.Now_);
+    const Actions First = Fixture.decideAndExecute();
+    BOOST_TEST_REQUIRE(First.Starts_.size() == 1U);
+    const std::string Apart = First.Starts_.front().Target_.Worker_;
+    Fixture.RunningTasks_.clear();
+    constexpr std::int64_t NextProcess = 2;
+    Fixture.advance(Millis{10});
+    Fixture.pollWorker(Apart, {}, NextProcess);
+    Fixture.storeProgress();
+    const Actions Waiting = Fixture.Dispatcher_.decide(Fixture.Now_);
+    BOOST_TEST(Waiting.Starts_.empty());
+    BOOST_TEST(Waiting.Probes_.size() == 5U);
+    // Two more lose their processes, three live.
+    int Heard = 0;
+    for (const WorkerInfo &Info : std::vector<WorkerInfo>(Fixture.Infos_))
+      if (Info.Id_ != Apart && OthersAreHeard)
+        Fixture.pollWorker(Info.Id_, {}, ++Heard <= 2 ? NextProcess : 1);
+    if (!OthersAreHeard)
+      Fixture.advance(Millis{1000});
+    BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+    BOOST_TEST((Fixture.stateOf(Suspect) == JobState::Failed));
+  }
+}
+
 // Guards against a new leader that counts from zero again.
 BOOST_AUTO_TEST_CASE(CrashSuspectWaitsUntilItsCrashesAreStored) {
   CrashFixture Fixture(2);
