dispatch: Count a job as started when a worker has one of its tasks

Cause: a job counted as started, and was shown as active, from the moment an order was given. Orders to workers that had lost power, or that refuse them, start nothing, and the job stayed started.

A job now counts as started when a worker has confirmed a start, or lists a run or an end of one of its tasks. The log line "first start" moves there, so its wait is the one that callers see.

JobIsPendingUntilAWorkerHasOneOfItsTasks failed for each of three outcomes of an order (another process answers, refused, no reply) and passes.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -336,6 +336,9 @@
            const std::string &Peer, const std::string &Text);
   void initialize(JobRun &Job, Millis Now) const;
   void finishJob(JobRun &Job, JobState State, Millis Now);
+  /// Called when a worker has told that it had a task of the job.
+  void markStarted(JobRun &Job, const TaskRef &Ref, const std::string &Worker,
+                   Millis Now);
   void markReadySteps(JobRun &Job, Millis Now);
   /// Whether an attempt of an earlier leader may run the task on a worker that
   /// was not polled yet.
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -42,9 +42,6 @@
     AdoptedRun.StartedAt_ = SentAt;
     AdoptedRun.ProgressAt_ = Now;
     addRun(*Task, Ref.value(), Step, AdoptedRun);
-    Job.Started_ = true;
-    if (Job.State_ == JobState::Queued)
-      Job.State_ = JobState::Active;
     log(Job.Spec_.Id_, Entry.Task_, W.Info_.Id_, "adopted running task");
   }
   if (!Task->Run_ || Task->Run_->Attempt_ != Entry.Attempt_ ||
@@ -52,6 +49,7 @@
     return stopUnexpectedRun(W, Entry, Now);
   Run &Attempt = *Task->Run_;
   Attempt.Process_ = W.ProcessStart_;
+  markStarted(Job, Ref.value(), W.Info_.Id_, Now);
   ++Attempt.PollsWithoutProgress_;
   if (!Attempt.Reported_ || Entry.Percent_ != Attempt.Percent_) {
     Attempt.ProgressAt_ = Now;
@@ -208,6 +206,7 @@
   TaskState &Task = *task(Job, Ref);
   const StepSpec &Step = Job.Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
   Task.LastAttempt_ = std::max(Task.LastAttempt_, End.Attempt_);
+  markStarted(Job, Ref, W.Info_.Id_, Now);
   if (!End.Checkpoint_.empty() && !Task.Done_)
     Task.Checkpoint_ = End.Checkpoint_;
   const bool IsCurrentRun = Task.Run_ && Task.Run_->Attempt_ == End.Attempt_ &&
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -19,6 +19,20 @@
 
 } // namespace
 
+// An order may never reach a worker, so only what a worker tells counts.
+void Dispatcher::markStarted(JobRun &Job, const TaskRef &Ref,
+                             const std::string &Worker, Millis Now) {
+  if (Job.Started_)
+    return;
+  Job.Started_ = true;
+  if (Job.State_ == JobState::Queued)
+    Job.State_ = JobState::Active;
+  log(Ref.Job_, taskName(Ref), Worker,
+      "first start, waited_ms=" +
+          std::to_string((Now - Job.ArrivedAt_).Value_) +
+          " priority=" + std::to_string(policyOf(Job).Priority_));
+}
+
 void Dispatcher::handleStartReply(const StartAction &Order,
                                   const Result<OrderReply> &Reply, Millis Now) {
   const std::string &Id = Order.Target_.Worker_;
@@ -40,6 +54,7 @@
   if (Reply && Reply.value().Outcome_ == OrderOutcome::Done) {
     Attempt.StartedAt_ = Now;
     Attempt.ProgressAt_ = Now;
+    markStarted(Job, Order.Task_, Id, Now);
     if (Attempt.State_ == RunState::Starting ||
         Attempt.State_ == RunState::Uncertain)
       Attempt.State_ = RunState::Running;
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -286,14 +286,6 @@
   if (const Ticket *WorkerTicket = findTicket(State.Advice_, W.Index_))
     Action.Order_.Ticket_ = WorkerTicket->Text_;
   PendingActions_.Starts_.push_back(std::move(Action));
-  if (!Ranked.Job_->Started_) {
-    Ranked.Job_->Started_ = true;
-    Ranked.Job_->State_ = JobState::Active;
-    log(Ref.Job_, taskName(Ref), W.Info_.Id_,
-        "first start, waited_ms=" +
-            std::to_string((Now - Ranked.Job_->ArrivedAt_).Value_) +
-            " priority=" + std::to_string(Ranked.Policy_->Priority_));
-  }
 }
 
 void Dispatcher::placeStep(const RankedStep &Ranked, std::size_t StartLimit,
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -102,7 +102,7 @@
   /// the job, and how many of these crashes are stored.
   int Crashes_ = 0;
   int RecordedCrashes_ = 0;
-  bool Started_ = false; ///< At least one task has been started.
+  bool Started_ = false; ///< A worker has had one of the tasks.
   /// Read from the store by this leader. Tasks that an earlier leader started
   /// may be running on any worker.
   bool Restored_ = false;
--- a/dispatch/ranking.h
+++ b/dispatch/ranking.h
@@ -13,7 +13,7 @@
   Millis Age_{};         ///< Time since the job arrived.
   Millis Remaining_{};   ///< Estimated run time of the step.
   double Work_ = 0;      ///< Estimated processor milliseconds of the whole job.
-  bool Started_ = false; ///< A task of the job has been started.
+  bool Started_ = false; ///< JobRun::Started_.
 
   friend bool operator==(const RankInput &, const RankInput &) = default;
 };
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -555,4 +555,36 @@
   BOOST_TEST(Fixture.Dispatcher_.pendingJobs("batch") == 0);
 }
 
+// Guards against a job that no longer counts as pending although no worker has
+// taken any of its tasks.
+BOOST_AUTO_TEST_CASE(JobIsPendingUntilAWorkerHasOneOfItsTasks) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 100)});
+  Fixture.submit(Job);
+  const std::vector<Result<OrderReply>> Failures = {
+      OrderReply{OrderOutcome::Restarted, Millis{}},
+      OrderReply{OrderOutcome::Unhealthy, Millis{}},
+      startError(Effect::Unknown)};
+  for (const Result<OrderReply> &Reply : Failures) {
+    Fixture.advance(Millis{100});
+    const Actions Orders = Fixture.Dispatcher_.decide(Fixture.Now_);
+    BOOST_TEST_REQUIRE(Orders.Starts_.size() == 1U);
+    Fixture.Dispatcher_.handleStartReply(Orders.Starts_.front(), Reply,
+                                         Fixture.Now_);
+    BOOST_TEST(Fixture.Dispatcher_.pendingJobs("urgent") == 1);
+    const JobState State = Fixture.Dispatcher_.findJob(Job.Id_)->State_;
+    BOOST_TEST((State == JobState::Queued));
+  }
+  const std::string Task = taskNameOf(Job, 0, 0);
+  const Run Attempt =
+      *Fixture.Dispatcher_.findJob(Job.Id_)->Steps_.front().Tasks_.front().Run_;
+  Fixture.RunningTasks_["w1"][Task] =
+      RunningEntry{Task, Attempt.Attempt_, "", 0, 0};
+  Fixture.pollWorker("w1");
+  BOOST_TEST(Fixture.Dispatcher_.pendingJobs("urgent") == 0);
+  BOOST_TEST(
+      (Fixture.Dispatcher_.findJob(Job.Id_)->State_ == JobState::Active));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
