dispatch: Excuse a crash that takes nearly all of a zone along

After the whole fleet of a busy site had lost power eight times, jobs were still shown as failed: nearly every worker had been starting something, so no idle one told that the crash had another cause.

A crash is also taken back if more than four fifths of the other workers of its zone and service have ended or gone silent with it. Tasks that crash their workers do not do so to a whole zone within the seconds in which a leader hears each worker.

SuspectIsNotBlamedForACrashOfItsBusyZone failed for the whole zone before the change, and asks that the job fails if one other worker of the zone lives, or most do.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -305,10 +305,20 @@
   /// When the process of a worker may have ended.
   struct CrashSpan {
     std::string Worker_;
+    std::string Zone_;
+    std::string Service_;
     Millis HeardAt_{}; ///< Its last reply.
     Millis SeenAt_{};
     bool WasStarting_ = false; ///< Runs that may have been the cause.
   };
+  /// When a group of workers counts as lost: at least MinLost_ of them, and
+  /// more than Lost_ for each Living_ that live.
+  struct LossGroup {
+    bool IdleOnly_ = false; ///< Workers that were starting runs do not count.
+    int MinLost_ = 1;
+    int Lost_ = 1;
+    int Living_ = 1;
+  };
   /// A crash that fails the job of a task, unless many workers that were
   /// starting nothing have ended with the same one.
   struct OpenVerdict {
@@ -376,6 +386,15 @@
   /// Handles the crash of a worker that was starting the given runs.
   void handleCrash(const CrashSpan &Crash, const std::vector<StartingRun> &Runs,
                    Millis Now);
+  /// Whether a worker that ended after its last reply may have done so under a
+  /// start.
+  bool startsSomething(const Worker &W) const;
+  /// Whether most workers of a group are lost with a crash; empty while too
+  /// many have not been heard since.
+  std::optional<bool>
+  isMostlyLost(const CrashSpan &Crash, const LossGroup &Group,
+               const std::function<bool(const Worker &)> &Belongs,
+               Millis Now) const;
   /// Whether a crash has a cause beyond the worker; empty while workers that
   /// can tell have not been heard since.
   std::optional<bool> isCommonCrash(const CrashSpan &Crash, Millis Now) const;
--- a/dispatch/dispatcher_crashes.cpp
+++ b/dispatch/dispatcher_crashes.cpp
@@ -89,11 +89,8 @@
     const std::function<bool(const TaskRef &, const Run &)> &Keep, Millis Now) {
   logUncountedStarts(W);
   const std::vector<StartingRun> Starting = startingRuns(W);
-  const bool WasStarting =
-      std::any_of(W.Tasks_.begin(), W.Tasks_.end(), [&](const TaskRef &Ref) {
-        return isStartingAt(W, runOf(Ref));
-      });
-  const CrashSpan Crash{W.Info_.Id_, W.ClockReadAt_, Now, WasStarting};
+  const CrashSpan Crash{W.Info_.Id_,    W.Info_.Zone_, W.Info_.Service_,
+                        W.ClockReadAt_, Now,           startsSomething(W)};
   // A worker that has been replaced says so in each reply.
   const bool IsKnown = std::any_of(RecentCrashes_.begin(), RecentCrashes_.end(),
                                    [&](const CrashSpan &Known) {
@@ -135,47 +132,78 @@
   settleVerdicts(Now);
 }
 
-// A task can crash only the worker that starts it. So it is not the cause if
-// most of the workers that were starting nothing have ended, or gone silent,
-// together with that one.
-std::optional<bool> Dispatcher::isCommonCrash(const CrashSpan &Crash,
-                                              Millis Now) const {
-  constexpr int MinLost = 2;
-  std::set<std::string> Lost;
-  for (const CrashSpan &Other : RecentCrashes_)
-    if (Other.Worker_ != Crash.Worker_ && !Other.WasStarting_ &&
-        Other.HeardAt_ < Crash.SeenAt_ && Crash.HeardAt_ < Other.SeenAt_)
-      Lost.insert(Other.Worker_);
-  int LostCount = static_cast<int>(Lost.size());
-  int LivingCount = 0;
-  int UnheardCount = 0;
+bool Dispatcher::startsSomething(const Worker &W) const {
+  return std::any_of(W.Tasks_.begin(), W.Tasks_.end(), [&](const TaskRef &Ref) {
+    return isStartingAt(W, runOf(Ref));
+  });
+}
+
+// Workers whose process ended, or that went silent, with the given crash.
+std::optional<bool>
+Dispatcher::isMostlyLost(const CrashSpan &Crash, const LossGroup &Group,
+                         const std::function<bool(const Worker &)> &Belongs,
+                         Millis Now) const {
+  int Lost = 0;
+  int Living = 0;
+  int Unheard = 0;
   for (const auto &[Id, W] : Workers_) {
-    if (Id == Crash.Worker_ || Lost.count(Id) > 0)
+    if (Id == Crash.Worker_ || !Belongs(W))
       continue;
-    const bool StartsSomething =
-        std::any_of(W.Tasks_.begin(), W.Tasks_.end(), [&](const TaskRef &Ref) {
-          return isStartingAt(W, runOf(Ref));
-        });
-    if (W.Reachability_ == Reachability::Reachable &&
-        W.ClockReadAt_ >= Crash.SeenAt_)
-      ++LivingCount;
-    else if (W.Reachability_ == Reachability::Reachable)
-      ++UnheardCount;
-    else if (W.UnreachableSince_ > Crash.HeardAt_ && !StartsSomething)
-      ++LostCount;
+    const auto Ended =
+        std::find_if(RecentCrashes_.begin(), RecentCrashes_.end(),
+                     [&, Id = std::string_view(Id)](const CrashSpan &Other) {
+                       return Other.Worker_ == Id &&
+                              Other.HeardAt_ < Crash.SeenAt_ &&
+                              Crash.HeardAt_ < Other.SeenAt_;
+                     });
+    const bool HasEnded = Ended != RecentCrashes_.end();
+    const bool IsReachable = W.Reachability_ == Reachability::Reachable;
+    const bool IsSilent = !IsReachable && W.UnreachableSince_ > Crash.HeardAt_;
+    const bool WasStarting =
+        HasEnded ? Ended->WasStarting_ : startsSomething(W);
+    if (HasEnded || IsSilent)
+      Lost += WasStarting && Group.IdleOnly_ ? 0 : 1;
+    else if (IsReachable && W.ClockReadAt_ >= Crash.SeenAt_)
+      ++Living;
+    else if (IsReachable && Now < Crash.SeenAt_ + LongestVerdict)
+      ++Unheard;
   }
-  if (Now >= Crash.SeenAt_ + LongestVerdict)
-    UnheardCount = 0;
-  const auto IsCommon = [](int LostWorkers, int LivingWorkers) {
-    return LostWorkers >= MinLost && LostWorkers > LivingWorkers;
+  const auto IsMost = [&](int LostWorkers, int LivingWorkers) {
+    return LostWorkers >= Group.MinLost_ &&
+           LostWorkers * Group.Living_ > LivingWorkers * Group.Lost_;
   };
-  const bool AtMost = IsCommon(LostCount + UnheardCount, LivingCount);
-  const bool AtLeast = IsCommon(LostCount, LivingCount + UnheardCount);
+  const bool AtMost = IsMost(Lost + Unheard, Living);
+  const bool AtLeast = IsMost(Lost, Living + Unheard);
   if (AtMost != AtLeast)
     return std::nullopt;
   return AtLeast;
 }
 
+// A task can crash only the worker that starts it. So it is not the cause if
+// most of the workers that were starting nothing have ended with that one, or
+// nearly all of those in its zone.
+std::optional<bool> Dispatcher::isCommonCrash(const CrashSpan &Crash,
+                                              Millis Now) const {
+  constexpr LossGroup IdleWorkers{true, 2, 1, 1};
+  constexpr LossGroup WholeZone{false, 3, 4, 1};
+  const std::optional<bool> OfFleet = isMostlyLost(
+      Crash, IdleWorkers, [](const Worker &) { return true; }, Now);
+  if (OfFleet && *OfFleet)
+    return true;
+  const std::optional<bool> OfZone = isMostlyLost(
+      Crash, WholeZone,
+      [&](const Worker &W) {
+        return W.Info_.Zone_ == Crash.Zone_ &&
+               W.Info_.Service_ == Crash.Service_;
+      },
+      Now);
+  if (OfZone && *OfZone)
+    return true;
+  if (!OfFleet || !OfZone)
+    return std::nullopt;
+  return false;
+}
+
 bool Dispatcher::awaitsVerdict(const TaskRef &Ref) const {
   return std::any_of(
       OpenVerdicts_.begin(), OpenVerdicts_.end(),
--- a/tests/dispatch/crash_test.cpp
+++ b/tests/dispatch/crash_test.cpp
@@ -402,6 +402,53 @@
   }
 }
 
+// Guards against a job that fails because its zone has lost power while all of
+// the workers there were starting tasks.
+BOOST_AUTO_TEST_CASE(SuspectIsNotBlamedForACrashOfItsBusyZone) {
+  constexpr std::size_t ZoneWorkers = 5;
+  constexpr std::int64_t NextProcess = 2;
+  for (const std::size_t Crashed :
+       {ZoneWorkers, ZoneWorkers - 1, std::size_t{2}}) {
+    CrashFixture Fixture(0, 2);
+    for (std::size_t Index = 0; Index < 2 * ZoneWorkers; ++Index) {
+      Fixture.Infos_.push_back(makeWorker("w" + std::to_string(Index)));
+      Fixture.Infos_.back().Zone_ = Index < ZoneWorkers ? "z1" : "z2";
+    }
+    Fixture.addWorkers(Fixture.Infos_);
+    const JobSpec Suspect = makeJob("5", "urgent", {makeStep(1, 4000)});
+    JobProgress Progress;
+    Progress.CrashedAttempts_[{0, 0}] = {1, 2};
+    Fixture.Dispatcher_.restoreJob(Suspect, Progress, Fixture.Now_);
+    const Actions First = Fixture.decideAndExecute();
+    BOOST_TEST_REQUIRE(First.Starts_.size() == 1U);
+    const std::string Apart = First.Starts_.front().Target_.Worker_;
+    const std::string Zone = Fixture.Dispatcher_.findWorker(Apart)->Info_.Zone_;
+    Fixture.submit(makeJob("6", "urgent", {makeStep(9, 4000)}));
+    BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 9U);
+    Fixture.advance(Millis{300});
+    const auto Restart = [&](const std::string &Id) {
+      Fixture.RunningTasks_[Id].clear();
+      Fixture.pollWorker(Id, {}, NextProcess);
+    };
+    Restart(Apart);
+    std::size_t Restarted = 1;
+    for (const WorkerInfo &Info : std::vector<WorkerInfo>(Fixture.Infos_)) {
+      const bool Crashes =
+          Info.Zone_ == Zone && Info.Id_ != Apart && Restarted < Crashed;
+      Restarted += Crashes ? 1 : 0;
+      if (Crashes)
+        Restart(Info.Id_);
+      else if (Info.Id_ != Apart)
+        Fixture.pollWorker(Info.Id_);
+    }
+    Fixture.storeProgress();
+    Fixture.decideAndExecute();
+    BOOST_TEST((Fixture.stateOf(Suspect) ==
+                (Crashed == ZoneWorkers ? JobState::Active : JobState::Failed)),
+               Crashed);
+  }
+}
+
 // Guards against a task that goes on crashing workers because others crash, or
 // because nobody tells that the rest of the fleet lives.
 BOOST_AUTO_TEST_CASE(SuspectIsBlamedIfOtherWorkersLiveOrStayUnheard) {
