dispatch: Take no start reply of another process for that of the worker

Callers saw a task run twice, or run again after its end, when a worker started again behind a proxy: the proxy kept the leader's connections and passed what arrived on them to the next process.

Cause: calls are bound to connections, since a connection ends with its process. Where it does not, the next process took starts whose lease end was on the clock of the one before, and cut the lease to the longest one of 10 s; the leader counted the 8 s that it had asked for. It took the clock in the reply for that of the known process. And its next poll acknowledged ends that the new process had not listed, which were lost.

The clock in a reply now has to fit the one that was read last: it may be 2% slow, run since the order was sent, and be read a second late. If it does not fit, the start counts as unanswered, the clock is not taken over, the longest lease is counted, and the worker is polled at once. Until a poll has given its clock it gets no start, no lease and no acknowledgement. starts_taken_by_other_processes counts these replies.

The workers of the dispatcher's fixture had one clock in polls and another one in replies to orders; they have one clock now, the checks are as they were.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -414,7 +414,9 @@
     return;
   RequestOpen = true;
   PollRequest PollOrder;
-  PollOrder.LastRecordedEnd_ = State.LastRecordedEnd_;
+  // Without its clock it is not known which process answers.
+  if (Worker->WorkerClock_ > Millis{})
+    PollOrder.LastRecordedEnd_ = State.LastRecordedEnd_;
   const bool IsReachable =
       Worker->Reachability_ == dispatch::Reachability::Reachable;
   if (mayIssueOrders())
@@ -565,7 +567,10 @@
         [Self = shared_from_this(), Start](const Result<OrderReply> &Reply) {
           if (Self->Stopped_)
             return;
-          Self->Dispatcher_.handleStartReply(Start, Reply, Self->now());
+          const bool IsOfTarget =
+              Self->Dispatcher_.handleStartReply(Start, Reply, Self->now());
+          if (!IsOfTarget)
+            Self->Ports_.Metrics_.count("starts_taken_by_other_processes");
           if (Reply && Reply.value().Outcome_ == OrderOutcome::Restarted)
             Self->Ports_.Metrics_.count("starts_for_ended_processes");
           const bool Accepted =
@@ -577,7 +582,7 @@
                           Reply.value().Outcome_ == OrderOutcome::Restarted
                     : Reply.error().Effect_ != Effect::None ||
                           Reply.error().Reason_ == Reason::Timeout;
-          if (NeedsPoll)
+          if (NeedsPoll || !IsOfTarget)
             Self->pollWorker(Start.Target_.Worker_, true);
           if (Start.NeedsProbe_)
             Self->Ports_.Timers_.after(dispatch::Dispatcher::StartingTime,
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -259,7 +259,9 @@
 
   // Replies to orders and advice requests.
 
-  void handleStartReply(const StartAction &Order,
+  /// False if another process than the one that was meant has answered, so that
+  /// the worker has to be polled.
+  bool handleStartReply(const StartAction &Order,
                         const Result<OrderReply> &Reply, Millis Now);
   void handleStopReply(const StopAction &Order, const Result<OrderReply> &Reply,
                        Millis Now);
@@ -441,6 +443,9 @@
   /// Counts a lease that is granted now, or that another leader can have
   /// granted until now.
   void countLease(Worker &W, Millis Now) const;
+  /// Counts a lease that a process of the worker takes at the given time at the
+  /// latest, and whose end is on another clock than its own.
+  void countLongestLease(Worker &W, Millis TakenAt) const;
   /// Adds the worker of a row; null if it has restarted at another address.
   Worker *restoreRow(const WorkerInfo &Info, LeaseRow Row);
   static LeaseRow wantedLeaseRow(const Worker &W, Millis MinSilence,
@@ -449,6 +454,8 @@
   /// Called when a worker was reached, or can no longer run tasks of earlier
   /// leaders.
   void forgetUnseenRuns(Worker &W);
+  void handleReplyOfOtherProcess(Worker &W, const StartAction &Order,
+                                 Run &Attempt, Millis Clock, Millis Now);
   static void updateClock(Worker &W, Millis Clock, Millis Now);
   void recordTaskDuration(Worker &W, const StepSpec &Step, const Run &Attempt,
                           Millis Now);
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -35,6 +35,12 @@
   W.LeaseExpiry_ = std::max(W.LeaseExpiry_, leaseExpiry(Now) + EstimateError);
 }
 
+void Dispatcher::countLongestLease(Worker &W, Millis TakenAt) const {
+  W.LeaseExpiry_ =
+      std::max(W.LeaseExpiry_,
+               leaseExpiry(TakenAt + (Limits_.MaxLease_ - Limits_.Lease_)));
+}
+
 Millis Dispatcher::leaseEnd(const Worker &W, Millis Now) const {
   if (W.WorkerClock_ == Millis{})
     return Millis{};
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -33,7 +33,25 @@
           " priority=" + std::to_string(policyOf(Job).Priority_));
 }
 
-void Dispatcher::handleStartReply(const StartAction &Order,
+// A path to the worker that outlives its process, such as a proxy, passes the
+// order to the next one. The lease that it gave may be as long as workers allow
+// since its end was meant for another clock. Only a poll tells what the process
+// has done, and gives its clock.
+void Dispatcher::handleReplyOfOtherProcess(Worker &W, const StartAction &Order,
+                                           Run &Attempt, Millis Clock,
+                                           Millis Now) {
+  log(Order.Task_.Job_, Order.Order_.Task_, W.Info_.Id_,
+      "start order reached another process, clock_ms=" +
+          std::to_string(Clock.Value_) +
+          " known_clock_ms=" + std::to_string(W.WorkerClock_.Value_) +
+          " look_age_ms=" + std::to_string((Now - W.ClockReadAt_).Value_));
+  if (Attempt.State_ == RunState::Starting)
+    Attempt.State_ = RunState::Uncertain;
+  W.WorkerClock_ = Millis{};
+  countLongestLease(W, Now);
+}
+
+bool Dispatcher::handleStartReply(const StartAction &Order,
                                   const Result<OrderReply> &Reply, Millis Now) {
   const std::string &Id = Order.Target_.Worker_;
   const auto WorkerEntry = Workers_.find(Id);
@@ -42,13 +60,25 @@
   TaskState *Task = task(Order.Task_);
   if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Order_.Attempt_ ||
       Task->Run_->Worker_ != Id)
-    return;
+    return true;
   JobRun &Job = *job(Order.Task_.Job_);
   Run &Attempt = *Task->Run_;
+  if (Reply && Reply.value().Outcome_ == OrderOutcome::Fenced) {
+    Fenced_ = true;
+    return true;
+  }
   // An earlier process of the worker may have sent the reply.
   if (WorkerEntry != Workers_.end() && Reply && !WrongWorker &&
-      Order.Target_ == target(WorkerEntry->second))
-    updateClock(WorkerEntry->second, Reply.value().Clock_, Now);
+      Reply.value().Clock_ > Millis{} &&
+      Order.Target_ == target(WorkerEntry->second)) {
+    Worker &W = WorkerEntry->second;
+    const Millis Clock = Reply.value().Clock_;
+    if (!isClockOf(W, Clock, Attempt.OrderedAt_, Now)) {
+      handleReplyOfOtherProcess(W, Order, Attempt, Clock, Now);
+      return false;
+    }
+    updateClock(W, Clock, Now);
+  }
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Order.Task_.Step_)];
   if (Reply && Reply.value().Outcome_ == OrderOutcome::Done) {
@@ -60,18 +90,14 @@
       Attempt.State_ = RunState::Running;
     if (Step.Filler_)
       WorkersToPace_.insert(Id);
-    return;
+    return true;
   }
   if (!Reply && Reply.error().Effect_ != Effect::None) {
     log(Job.Spec_.Id_, Order.Order_.Task_, Id,
         "no reply to start order: " + Reply.error().Message_);
     if (Attempt.State_ == RunState::Starting)
       Attempt.State_ = RunState::Uncertain;
-    return;
-  }
-  if (Reply && Reply.value().Outcome_ == OrderOutcome::Fenced) {
-    Fenced_ = true;
-    return;
+    return true;
   }
   // The worker has seen this attempt before, from a copy of the order whose
   // reply was lost. The run may have ended; the next poll shows its end.
@@ -80,7 +106,7 @@
         "start order was known to the worker");
     if (Attempt.State_ == RunState::Starting)
       Attempt.State_ = RunState::Uncertain;
-    return;
+    return true;
   }
   log(Job.Spec_.Id_, Order.Order_.Task_, Id,
       Reply ? "start refused, outcome=" +
@@ -104,6 +130,7 @@
                       Now);
   if (Step.Gang_)
     stopStepRuns(Job, Order.Task_.Step_, "gang member was not started", Now);
+  return true;
 }
 
 void Dispatcher::handleStopReply(const StopAction &Order,
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/fleet.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace damaskglade::dispatch {
 
@@ -29,6 +30,12 @@
 // long as an order waits for its reply.
 constexpr Millis AliveTime{250};
 
+// Replies are read up to this long after they were written.
+constexpr Millis ReadDelay{1000};
+// Clocks are told in whole milliseconds, and may run 2% slow.
+constexpr Millis ClockRounding{10};
+constexpr std::int64_t DriftDivisor = 50;
+
 } // namespace
 
 // A poll that was sent after a reply had arrived is answered after it.
@@ -42,6 +49,16 @@
   return SentAt < Latest.ReceivedAt_ && Reply.Clock_ <= Latest.WorkerClock_;
 }
 
+bool isClockOf(const Worker &W, Millis Clock, Millis SentAt, Millis Now) {
+  if (W.WorkerClock_ == Millis{})
+    return false;
+  const Millis SinceRead = SentAt - W.ClockReadAt_;
+  const Millis Drift{std::abs(SinceRead.Value_) / DriftDivisor};
+  const Millis Earliest = W.WorkerClock_ + SinceRead - Drift - ClockRounding;
+  const Millis Latest = W.WorkerClock_ + (Now - W.ClockReadAt_) + ReadDelay;
+  return Clock >= Earliest && Clock <= Latest;
+}
+
 bool wasAliveAt(const Worker &W, Millis Time) {
   return Time <= W.ClockReadAt_ + AliveTime;
 }
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -162,6 +162,10 @@
 /// sent.
 bool isOvertaken(const Worker &W, const PollReply &Reply, Millis SentAt);
 
+/// Whether the latest process of the worker can have shown this clock in its
+/// reply to a call that was sent at SentAt. False if its clock is not known.
+bool isClockOf(const Worker &W, Millis Clock, Millis SentAt, Millis Now);
+
 /// Whether the latest process of the worker is known to have lived at the given
 /// time, which lies after its first reply.
 bool wasAliveAt(const Worker &W, Millis Time);
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -140,6 +140,9 @@
   bool Refuses_ = false; ///< The process has ended: connections are refused.
   /// No call reaches it and it answers none. It stays registered.
   bool CutOff_ = false;
+  /// A proxy keeps the connections of its callers when the process ends, and
+  /// passes what arrives on them to the next one.
+  bool IsBehindProxy_ = false;
   bool LosesPollReplies_ = false;  ///< Polls take effect but time out.
   bool LosesStartReplies_ = false; ///< Starts take effect but time out.
   std::map<std::string, std::int64_t> Running_; ///< Attempt by task.
@@ -162,7 +165,8 @@
   void extendLeases(Millis End, Millis Now);
   /// Whether a call is meant for this process or for any.
   bool isMeant(const WorkerTarget &Target) const {
-    return Target.ProcessStart_ == 0 || Target.ProcessStart_ == ProcessStart_;
+    return IsBehindProxy_ || Target.ProcessStart_ == 0 ||
+           Target.ProcessStart_ == ProcessStart_;
   }
 };
 
--- a/tests/cell/worker_restart_test.cpp
+++ b/tests/cell/worker_restart_test.cpp
@@ -96,4 +96,40 @@
   }
 }
 
+// Guards against a task that runs twice: the connection outlives the process
+// that was meant, and the reply of the next one counted as that of the first.
+BOOST_AUTO_TEST_CASE(StartThatAProxyHasPassedOnIsCountedInFull) {
+  for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep) {
+    FakeCell Cell(3, 3);
+    const std::string Leader = waitForLeader(Cell);
+    Cell.Fleet_.Workers_["w1"].IsBehindProxy_ = true;
+    Cell.Loop_.run(Phase);
+    Cell.restartWorker("w1", DownTime);
+    Cell.Loop_.run(DownTime + Millis{5});
+    Cell.submitLongRunning(Leader, jobId(1), 12);
+    Cell.Loop_.run(Millis{60});
+    Cell.Fleet_.Workers_["w1"].CutOff_ = true;
+    Cell.Loop_.run(SettleTime);
+    checkNoRepeatedRuns(Cell, Phase);
+  }
+}
+
+// Guards against a task that runs again after its end: a poll through such a
+// connection has made the next process forget the end.
+BOOST_AUTO_TEST_CASE(EndBehindAProxyIsNotAcknowledgedUnseen) {
+  for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep) {
+    FakeCell Cell(3, 1);
+    const std::string Leader = waitForLeader(Cell);
+    Cell.Fleet_.Workers_["w1"].IsBehindProxy_ = true;
+    Cell.submit(Leader, jobId(1), 6, Millis{200});
+    Cell.Loop_.run(Millis{1500} + Phase);
+    Cell.restartWorker("w1", DownTime);
+    Cell.Loop_.run(DownTime + Millis{5});
+    Cell.submit(Leader, jobId(2), 3, Millis{200});
+    Cell.Loop_.run(SettleTime);
+    checkNoRepeatedRuns(Cell, Phase);
+    BOOST_TEST((Cell.state(Leader, jobId(2)) == dispatch::JobState::Complete));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -336,11 +336,13 @@
   const Actions FirstPass = Fixture.Dispatcher_.decide(Fixture.Now_);
   BOOST_TEST_REQUIRE(FirstPass.Starts_.size() == 2U);
   Fixture.Dispatcher_.handleStartReply(
-      FirstPass.Starts_[0], OrderReply{OrderOutcome::Done, Fixture.Now_},
+      FirstPass.Starts_[0],
+      OrderReply{OrderOutcome::Done, Fixture.Now_ + Fixture.ClockOffset},
       Fixture.Now_);
   Fixture.Dispatcher_.handleStartReply(
       FirstPass.Starts_[1],
-      OrderReply{OrderOutcome::InsufficientCapacity, Fixture.Now_},
+      OrderReply{OrderOutcome::InsufficientCapacity,
+                 Fixture.Now_ + Fixture.ClockOffset},
       Fixture.Now_);
   BOOST_TEST(Fixture.decideAndExecute().Stops_.size() == 1U);
 }
--- a/tests/dispatch/fixture.h
+++ b/tests/dispatch/fixture.h
@@ -43,6 +43,9 @@
 
 /// A dispatcher with simulated workers that execute every order immediately.
 struct DispatcherFixture {
+  /// Of the clocks of all workers.
+  static constexpr Millis ClockOffset{50000};
+
   explicit DispatcherFixture(std::int64_t Epoch = 1,
                              Millis Start = Millis{1000})
       : Now_(Start), Dispatcher_(makeLimits(), Epoch, Start) {
@@ -84,7 +87,7 @@
   void pollWorker(const std::string &Id, std::vector<EndedTask> Ended = {},
                   std::int64_t ProcessStart = 1) {
     PollReply Reply;
-    Reply.Clock_ = Now_ + Millis{50000};
+    Reply.Clock_ = Now_ + ClockOffset;
     Reply.ProcessStart_ = ProcessStart;
     for (const auto &[Task, Entry] : RunningTasks_[Id])
       Reply.Running_.push_back(Entry);
@@ -112,12 +115,12 @@
     for (const StartAction &Start : NewActions.Starts_) {
       RunningTasks_[Start.Target_.Worker_][Start.Order_.Task_] =
           RunningEntry{Start.Order_.Task_, Start.Order_.Attempt_, "", 0, 0};
-      Dispatcher_.handleStartReply(Start, OrderReply{OrderOutcome::Done, Now_},
-                                   Now_);
+      Dispatcher_.handleStartReply(
+          Start, OrderReply{OrderOutcome::Done, Now_ + ClockOffset}, Now_);
     }
     for (const StopAction &Stop : NewActions.Stops_)
-      Dispatcher_.handleStopReply(Stop, OrderReply{OrderOutcome::Done, Now_},
-                                  Now_);
+      Dispatcher_.handleStopReply(
+          Stop, OrderReply{OrderOutcome::Done, Now_ + ClockOffset}, Now_);
     BOOST_TEST(Dispatcher_.verify() == "");
     return NewActions;
   }
--- a/tests/dispatch/played_load.cpp
+++ b/tests/dispatch/played_load.cpp
@@ -150,8 +150,8 @@
     schedule(OrderLatency, [this, Start] { executeStart(Start); });
   for (const StopAction &Stop : NewActions.Stops_)
     schedule(OrderLatency, [this, Stop] {
-      Dispatcher_.handleStopReply(Stop, OrderReply{OrderOutcome::Done, Now_},
-                                  Now_);
+      Dispatcher_.handleStopReply(
+          Stop, OrderReply{OrderOutcome::Done, Now_ + Millis{50000}}, Now_);
       endTask(Stop.Target_.Worker_, Stop.Task_, Stop.Attempt_,
               TaskEnd::Stopped);
     });
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -493,3 +493,104 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// A fleet of one worker with a run that it has confirmed with this clock.
+/// Returns whether the reply counted as that of the process that was meant.
+bool startConfirmedWith(DispatcherFixture &Fixture, Millis Clock) {
+  Fixture.submit(makeJob("1", "lasting", {makeStep(1, 1000)}));
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  return Fixture.Dispatcher_.handleStartReply(
+      Pass.Starts_.front(), OrderReply{OrderOutcome::Done, Clock},
+      Fixture.Now_);
+}
+
+/// How long the runs of w1 are kept if it does not answer any more.
+Millis keptWhileSilent(DispatcherFixture &Fixture) {
+  constexpr Millis Step{10};
+  constexpr Millis Limit{20000};
+  const Millis Since = Fixture.Now_;
+  Fixture.Dispatcher_.handlePollFailure("w1", startError(Effect::Unknown),
+                                        Fixture.Now_);
+  while (!Fixture.Dispatcher_.findWorker("w1")->Tasks_.empty() &&
+         Fixture.Now_ < Since + Limit) {
+    Fixture.advance(Step);
+    Fixture.Dispatcher_.expireUnreachable(Fixture.Now_);
+  }
+  return Fixture.Now_ - Since;
+}
+
+// A lease on a clock that is 2% slow.
+constexpr Millis LongestLease{10200};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OtherProcesses)
+
+// Guards against a task that runs twice: a start has reached the next process
+// of its worker, which holds a longer lease than the one that was asked for.
+BOOST_AUTO_TEST_CASE(LeaseOfAProcessWithAnotherClockIsCountedInFull) {
+  for (const Millis Clock : {Millis{300}, Millis{9000000}}) {
+    DispatcherFixture Fixture;
+    Fixture.addWorkers({makeWorker("w1")});
+    const Millis Known = Fixture.Dispatcher_.findWorker("w1")->WorkerClock_;
+    BOOST_TEST((Known > Millis{}));
+    BOOST_TEST(!startConfirmedWith(Fixture, Clock));
+    BOOST_TEST((Fixture.Dispatcher_.findWorker("w1")->WorkerClock_ != Clock));
+    BOOST_TEST((keptWhileSilent(Fixture) > LongestLease));
+  }
+}
+
+// Guards against longer waits for workers whose process is known.
+BOOST_AUTO_TEST_CASE(LeaseOfTheProcessThatWasMeantIsCountedAsAskedFor) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.advance(Millis{500});
+  BOOST_TEST(startConfirmedWith(Fixture, Fixture.Now_ + Fixture.ClockOffset));
+  BOOST_TEST((keptWhileSilent(Fixture) < Millis{8500}));
+}
+
+// Guards against more starts on a worker whose process is not known, and
+// against one that is never used again.
+BOOST_AUTO_TEST_CASE(WorkerWithAnotherClockGetsStartsOnceItWasPolled) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  BOOST_TEST(!startConfirmedWith(Fixture, Millis{300}));
+  const JobSpec Next = makeJob("2", "urgent", {makeStep(1, 1000)});
+  Fixture.submit(Next);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  const std::string First = taskNameOf(makeJob("1", "", {}), 0, 0);
+  Fixture.RunningTasks_["w1"][First] = RunningEntry{First, 1, "", 5, 0};
+  Fixture.pollWorker("w1", {}, 2);
+  const Actions Pass = Fixture.decideAndExecute();
+  BOOST_TEST(Pass.Stops_.empty());
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  BOOST_TEST(Pass.Starts_.front().Task_.Job_ == Next.Id_);
+}
+
+// Guards against polls after orders to sound workers: replies overtake each
+// other and are read late, and clocks may run 2% slow.
+BOOST_AUTO_TEST_CASE(ClockOfTheSameProcessIsRecognized) {
+  Worker W;
+  W.WorkerClock_ = Millis{50000};
+  W.ClockReadAt_ = Millis{2000};
+  const auto IsOwn = [&W](std::int64_t Clock, std::int64_t SentAt,
+                          std::int64_t Now) {
+    return isClockOf(W, Millis{Clock}, Millis{SentAt}, Millis{Now});
+  };
+  BOOST_TEST(IsOwn(50000, 2000, 2000));
+  BOOST_TEST(IsOwn(52000, 4000, 4002));
+  BOOST_TEST(IsOwn(51960, 4000, 4002));
+  BOOST_TEST(IsOwn(52250, 4000, 4250));
+  BOOST_TEST(IsOwn(49900, 1900, 2100));
+  BOOST_TEST(IsOwn(50700, 2000, 2010));
+  BOOST_TEST(!IsOwn(50000, 4000, 4002));
+  BOOST_TEST(!IsOwn(49000, 1900, 2100));
+  BOOST_TEST(!IsOwn(54000, 2000, 2010));
+  W.WorkerClock_ = Millis{};
+  BOOST_TEST(!IsOwn(50000, 2000, 2000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
