platform: Tell when nothing ties calls to a process of a worker

Callers could see a task run twice on a worker that closes each connection after its reply, or that is behind a proxy: its next process took a start that was meant for the one before, and held its lease for longer than the leader waited.

Cause: orders to such a worker are sent after a check of its process, on a connection of their own that names no process, so a restart between both goes unnoticed if the reply is lost. And once a poll through a proxy had shown another process, further orders for the one before still went over the connections that the proxy had kept.

Poll replies now tell whether later calls can be bound, and relays pass it on; from relays of earlier releases it is not known and taken as before. The leader counts the longest lease, from when the order can have arrived, for each order and renewal of a worker that once could not be bound.

--- a/cell/worker_batch.cpp
+++ b/cell/worker_batch.cpp
@@ -44,6 +44,7 @@
 
   bool hasMore() const { return Column_ < Row_.size; }
   std::int64_t number() { return next().as<std::int64_t>(); }
+  bool flag() { return next().as<bool>(); }
   Millis time() { return Millis{number()}; }
   std::string text() { return next().as<std::string>(); }
   /// An enumerator up to the given last one.
@@ -172,7 +173,7 @@
 }
 
 void packPollReply(Packer &Out, std::int64_t Id, const PollReply &Reply) {
-  constexpr std::uint32_t Columns = 7;
+  constexpr std::uint32_t Columns = 8;
   Out.pack_array(Columns);
   Out.pack(Id);
   Out.pack(numberOf(ReplyKind::Poll));
@@ -187,6 +188,7 @@
   for (const EndedTask &Entry : Reply.Ended_)
     packRow(Out, Entry.SequenceNumber_, Entry.Task_, Entry.Attempt_,
             numberOf(Entry.End_), Entry.Checkpoint_);
+  Out.pack(Reply.Unbound_);
 }
 
 PollReply decodePollReply(RowReader &Row) {
@@ -214,6 +216,8 @@
     Ended.Checkpoint_ = Entry.text();
     Reply.Ended_.push_back(std::move(Ended));
   });
+  // Relays of earlier releases do not tell it.
+  Reply.Unbound_ = Row.hasMore() && Row.flag();
   return Reply;
 }
 
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -14,6 +14,9 @@
 // Added to the calculated end of a lease before its runs count as ended. Covers
 // the difference of the clocks of two leaders over the length of a lease.
 constexpr Millis LeaseExpiryMargin{150};
+// Transit time of an order or poll that any process of its worker may take.
+// Polls without a wait time out after 700 ms.
+constexpr Millis UnboundTransit{700};
 
 Millis withClockDrift(Millis Duration) {
   return Millis{static_cast<std::int64_t>(static_cast<double>(Duration.Value_) *
@@ -33,6 +36,10 @@
       W.WorkerClock_ > Millis{} ? Now - W.ClockReadAt_ : Millis{};
   const Millis EstimateError = withClockDrift(ClockAge) - ClockAge;
   W.LeaseExpiry_ = std::max(W.LeaseExpiry_, leaseExpiry(Now) + EstimateError);
+  // A process on whose clock the lease end lies far ahead cuts the lease to the
+  // longest one, from when it gets the order.
+  if (W.Unbound_)
+    countLongestLease(W, Now + UnboundTransit);
 }
 
 void Dispatcher::countLongestLease(Worker &W, Millis TakenAt) const {
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -320,6 +320,7 @@
   if (Restarted || W.LatestPoll_.ReceivedAt_ == Millis{})
     W.LatestPoll_.ProcessKnownSince_ = Now;
   W.ProcessStart_ = Reply.ProcessStart_;
+  W.Unbound_ = W.Unbound_ || Reply.Unbound_;
   W.LatestPoll_.WorkerClock_ = Reply.Clock_;
   W.LatestPoll_.ReceivedAt_ = Now;
   if (W.Reachability_ != Reachability::Reachable)
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -113,6 +113,7 @@
   Reachability Reachability_ = Reachability::Unknown;
   /// Start time of the worker process, Unix milliseconds; changes on a restart.
   std::int64_t ProcessStart_ = 0;
+  bool Unbound_ = false; ///< PollReply::Unbound_ of some reply.
   LatestPoll LatestPoll_;
   /// Largest capacity reported so far; a worker may shrink and grow again.
   Size LargestCapacity_;
--- a/ports/task_worker.h
+++ b/ports/task_worker.h
@@ -101,6 +101,10 @@
   std::int64_t ProcessStart_ = 0; ///< Unix milliseconds.
   std::vector<RunningEntry> Running_;
   std::vector<EndedTask> Ended_;
+  /// Nothing ties later calls to the process: it does not tell its start time,
+  /// closes each connection after its reply, or is behind a proxy that keeps
+  /// connections when a process ends.
+  bool Unbound_ = false;
 
   friend bool operator==(const PollReply &, const PollReply &) = default;
 };
--- a/tests/adapter/worker_process_test.cpp
+++ b/tests/adapter/worker_process_test.cpp
@@ -4,6 +4,7 @@
 #include "core/codec.h"
 #include "drivers/beast/event_loop.h"
 #include "platform/workers.h"
+#include "tests/stand_ins/relay.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
@@ -16,24 +17,32 @@
 
 namespace {
 
-constexpr const char *Address = "127.0.0.1:11437";
+constexpr int Port = 11437;
+const std::string Address = "127.0.0.1:" + std::to_string(Port);
 constexpr std::int64_t FirstProcess = 1700000000001;
 constexpr std::int64_t SecondProcess = 1700000000002;
+constexpr std::int64_t ThirdProcess = 1700000000003;
 
-WorkerTarget targetOf(std::int64_t Process) {
-  return WorkerTarget{"i-1", Address, 7, Process};
+WorkerTarget targetOf(std::int64_t Process, const std::string &At = Address) {
+  return WorkerTarget{"i-1", At, 7, Process};
 }
 
 const StartOrder Order{"j.0.0.0", 2, "spec", Millis{99}, "", ""};
 const PollRequest Renewal{Millis{9000}, 5, Millis{}};
 
+/// What the clock of the process says at any time.
+std::int64_t clockOf(std::int64_t Process) { return Process % 100; }
+
+constexpr Millis LongIdle{20000};
+
 /// A worker that closes the connections of its former process when it starts
 /// again, and records what it is asked. Its event loop also runs the client.
 class RestartingWorker {
 public:
-  RestartingWorker() : Http_(Loop_.makeClient()) {
+  explicit RestartingWorker(Millis Idle = IdleLimit)
+      : Http_(Loop_.makeClient()) {
     drivers::ListenerLimits Limits;
-    Limits.Idle_ = IdleLimit;
+    Limits.Idle_ = Idle;
     BOOST_TEST_REQUIRE(
         Loop_
             .listen(Address, Limits,
@@ -60,21 +69,38 @@
     });
   }
 
+  /// The process ends, and its connections are left to the path.
+  void replaceProcess(std::int64_t Process) {
+    onLoop<bool>([this, Process](const auto &Done) {
+      Process_ = Process;
+      Done(true);
+    });
+  }
+
+  /// Starts again once it has answered a poll.
+  void restartAfterPoll(std::int64_t Process) {
+    onLoop<bool>([this, Process](const auto &Done) {
+      NextProcess_ = Process;
+      Done(true);
+    });
+  }
+
   Result<OrderReply> start(std::int64_t Process) {
     return onLoop<Result<OrderReply>>([this, Process](const auto &Done) {
-      Workers_->start(targetOf(Process), Order, Done);
+      Workers_->start(targetOf(Process, CalledAt_), Order, Done);
     });
   }
 
   Result<PollReply> poll(std::int64_t Process) {
     return onLoop<Result<PollReply>>([this, Process](const auto &Done) {
-      Workers_->poll(targetOf(Process), Process == 0 ? PollRequest{} : Renewal,
-                     Done);
+      Workers_->poll(targetOf(Process, CalledAt_),
+                     Process == 0 ? PollRequest{} : Renewal, Done);
     });
   }
 
   int Starts_ = 0;
   std::vector<Json::Value> Polls_;
+  std::string CalledAt_ = Address;
 
 private:
   static constexpr Millis IdleLimit{300};
@@ -91,7 +117,7 @@
   void answer(const WebRequest &Request, const WebReplier &Reply) {
     const Json::Value Body = parseJson(Request.Body_, "test").value();
     Json::Value Out;
-    Out["clockMs"] = 4;
+    Out["clockMs"] = Json::Int64(clockOf(Process_));
     if (Request.Target_ == "/api/hold") {
       Polls_.push_back(Body);
       Out["born"] = Json::Int64(Process_);
@@ -101,15 +127,49 @@
       ++Starts_;
     }
     Reply(WebReply{200, writeJson(Out)});
+    if (Request.Target_ == "/api/hold" && NextProcess_ != 0)
+      Process_ = std::exchange(NextProcess_, 0);
   }
 
   drivers::EventLoop Loop_;
   std::unique_ptr<WebClient> Http_;
   std::unique_ptr<TaskWorkers> Workers_;
   std::int64_t Process_ = FirstProcess;
+  std::int64_t NextProcess_ = 0;
   std::thread Thread_;
 };
 
+/// A path to a worker through a relay.
+class RelayedPath {
+public:
+  explicit RelayedPath(RestartingWorker &Worker,
+                       std::vector<stand_ins::Rewrite> Rewrites = {})
+      : Relay_({stand_ins::Link{Name, 0, Port, std::move(Rewrites)}}) {
+    Worker.CalledAt_ = "127.0.0.1:" + std::to_string(Relay_.port(Name));
+  }
+
+  void set(stand_ins::LinkState State) {
+    Relay_.set(Name, State);
+    settle();
+  }
+  void closeOpen() {
+    Relay_.closeOpen(Name);
+    settle();
+  }
+  void redialOpen() {
+    Relay_.redialOpen(Name);
+    settle();
+  }
+  /// Waits until changes have taken effect and held bytes have gone on.
+  static void settle() {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+
+private:
+  static constexpr const char *Name = "worker";
+  stand_ins::Relay Relay_;
+};
+
 /// Answers calls with the queued outcomes.
 class QueuedHttp : public WebClient {
 public:
@@ -171,6 +231,95 @@
   BOOST_TEST(Worker.Polls_.back()["lastSeen"].asInt64() == 0);
 }
 
+// Guards against orders that go on to the next process after a poll has shown
+// it: a proxy has kept the connections to the process before.
+BOOST_AUTO_TEST_CASE(ProxiedConnectionsAreGivenUpOnceAnotherProcessAnswers) {
+  RestartingWorker Worker(LongIdle);
+  RelayedPath Path(Worker);
+  BOOST_TEST(Worker.poll(0).value().ProcessStart_ == FirstProcess);
+  Worker.replaceProcess(SecondProcess);
+  Path.redialOpen();
+  // Only its clock tells which process has taken the first order.
+  const auto Taken = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(Taken.has_value());
+  BOOST_TEST(Taken.value().Clock_.Value_ == clockOf(SecondProcess));
+  const auto Shown = Worker.poll(FirstProcess);
+  BOOST_TEST(Shown.value().ProcessStart_ == SecondProcess);
+  BOOST_TEST(Shown.value().Unbound_);
+  const auto Next = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(Next.has_value());
+  BOOST_TEST((Next.value().Outcome_ == OrderOutcome::Restarted));
+  BOOST_TEST(Worker.Starts_ == 1);
+}
+
+// Guards against a lease that is counted as that of a known process although
+// the worker closes each connection after its reply, and starts again between
+// the check of its process and the order.
+BOOST_AUTO_TEST_CASE(WorkerThatKeepsNoConnectionTellsThatCallsAreUnbound) {
+  RestartingWorker Worker(LongIdle);
+  const RelayedPath Path(Worker, {{"HTTP/1.1 ", "HTTP/1.0 "}});
+  const auto First = Worker.poll(0);
+  BOOST_TEST(First.value().ProcessStart_ == FirstProcess);
+  BOOST_TEST(First.value().Unbound_);
+  Worker.restartAfterPoll(SecondProcess);
+  const auto Taken = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(Taken.has_value());
+  BOOST_TEST(Taken.value().Clock_.Value_ == clockOf(SecondProcess));
+  const auto Late = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(Late.has_value());
+  BOOST_TEST((Late.value().Outcome_ == OrderOutcome::Restarted));
+  BOOST_TEST(Worker.Starts_ == 1);
+  Worker.CalledAt_ = Address;
+  BOOST_TEST(!Worker.poll(0).value().Unbound_);
+}
+
+// Guards against starts and renewals that reach the next process because the
+// path accepts connections at once and delivers what they carry later.
+BOOST_AUTO_TEST_CASE(CallsDeliveredLateAreOnlyChecks) {
+  RestartingWorker Worker(LongIdle);
+  RelayedPath Path(Worker);
+  BOOST_TEST(Worker.poll(0).has_value());
+  Path.set(stand_ins::LinkState::Cut);
+  BOOST_TEST((Worker.start(FirstProcess).error().Effect_ == Effect::Unknown));
+  BOOST_TEST((Worker.start(FirstProcess).error().Effect_ == Effect::None));
+  BOOST_TEST(!Worker.poll(FirstProcess).has_value());
+  Worker.replaceProcess(SecondProcess);
+  Path.closeOpen();
+  Path.set(stand_ins::LinkState::Open);
+  Path.settle();
+  BOOST_TEST(Worker.poll(FirstProcess).value().ProcessStart_ == SecondProcess);
+  BOOST_TEST(Worker.Starts_ == 0);
+  BOOST_TEST(Worker.Polls_.size() > 2U);
+  for (const Json::Value &Poll : Worker.Polls_) {
+    BOOST_TEST(!Poll.isMember("deadlineMs"));
+    BOOST_TEST(Poll["lastSeen"].asInt64() == 0);
+  }
+}
+
+// Guards against orders for a process whose replies were lost before it ended,
+// and for one that has ended before it was heard.
+BOOST_AUTO_TEST_CASE(OrdersAfterLostRepliesReachNoLaterProcess) {
+  RestartingWorker Worker(LongIdle);
+  RelayedPath Path(Worker);
+  BOOST_TEST(Worker.poll(0).has_value());
+  Path.set(stand_ins::LinkState::OnlyOut);
+  BOOST_TEST((Worker.start(FirstProcess).error().Effect_ == Effect::Unknown));
+  BOOST_TEST(Worker.Starts_ == 1);
+  Worker.replaceProcess(SecondProcess);
+  Path.closeOpen();
+  BOOST_TEST(!Worker.start(FirstProcess).has_value());
+  Worker.replaceProcess(ThirdProcess);
+  Path.closeOpen();
+  Path.set(stand_ins::LinkState::Open);
+  const auto Late = Worker.start(FirstProcess);
+  BOOST_TEST_REQUIRE(Late.has_value());
+  BOOST_TEST((Late.value().Outcome_ == OrderOutcome::Restarted));
+  BOOST_TEST(Worker.Starts_ == 1);
+  const auto Shown = Worker.poll(FirstProcess);
+  BOOST_TEST(Shown.value().ProcessStart_ == ThirdProcess);
+  BOOST_TEST(!Shown.value().Unbound_);
+}
+
 // Guards against orders that fail because the worker has closed an idle
 // connection, and against a poll before each order.
 BOOST_AUTO_TEST_CASE(ClosedConnectionToTheSameProcessIsReplaced) {
--- a/tests/cell/relay_test.cpp
+++ b/tests/cell/relay_test.cpp
@@ -577,6 +577,7 @@
   PollReply Poll;
   Poll.Clock_ = Millis{77};
   Poll.ProcessStart_ = 1700000000000;
+  Poll.Unbound_ = true;
   Poll.Running_ = {RunningEntry{"task", 7, "saved", 40, 2300}};
   Poll.Ended_ = {EndedTask{58, "other", 2, TaskEnd::GangAlone, ""}};
   Replies.Replies_ = {
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -593,4 +593,25 @@
   BOOST_TEST(!IsOwn(50000, 2000, 2000));
 }
 
+// Guards against the same lease if nothing ties orders to a process: the worker
+// has started again between the check of its process and the order.
+BOOST_AUTO_TEST_CASE(LeaseOfAWorkerThatKeepsNoConnectionIsCountedInFull) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  PollReply Reply;
+  Reply.Clock_ = Fixture.Now_ + Fixture.ClockOffset;
+  Reply.ProcessStart_ = 1;
+  Reply.Unbound_ = true;
+  Fixture.advance(Millis{1});
+  Fixture.Dispatcher_.handlePollReply("w1", Reply, Fixture.Now_ - Millis{1},
+                                      Fixture.Now_);
+  Fixture.pollWorker("w1");
+  Fixture.submit(makeJob("1", "lasting", {makeStep(1, 1000)}));
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  Fixture.Dispatcher_.handleStartReply(
+      Pass.Starts_.front(), startError(Effect::Unknown), Fixture.Now_);
+  BOOST_TEST((keptWhileSilent(Fixture) > LongestLease));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stand_ins/relay.cpp
+++ b/tests/stand_ins/relay.cpp
@@ -150,6 +150,15 @@
   return true;
 }
 
+bool Relay::redialOpen(const std::string &Name) {
+  const MutexLock Held(Mutex_);
+  const auto Found = Listeners_.find(Name);
+  if (Found == Listeners_.end())
+    return false;
+  Found->second.RedialsOpen_ = true;
+  return true;
+}
+
 int Relay::port(const std::string &Name) {
   const MutexLock Held(Mutex_);
   const auto Found = Listeners_.find(Name);
@@ -177,6 +186,7 @@
       Listeners[Name] = From;
       From.SilencesOpen_ = false;
       From.ClosesOpen_ = false;
+      From.RedialsOpen_ = false;
       if (From.State_ != LinkState::Delayed)
         continue;
       Listeners[Name].State_ = Due ? LinkState::Open : LinkState::Cut;
@@ -195,6 +205,8 @@
     const LinkState State = Listeners[Pair.Link_].State_;
     Pair.Broken_ = Pair.Broken_ || State == LinkState::Refuse ||
                    Listeners[Pair.Link_].ClosesOpen_;
+    if (Listeners[Pair.Link_].RedialsOpen_ && !Pair.Broken_)
+      redial(Pair, Listeners[Pair.Link_].TargetPort_);
     Pair.Silent_ = Pair.Silent_ || Listeners[Pair.Link_].SilencesOpen_;
     if (Pair.Silent_)
       lose(Pair);
@@ -296,6 +308,18 @@
   Pair.Broken_ = Size == 0 || (Size < 0 && errno != EAGAIN);
 }
 
+void Relay::redial(Connection &Pair, int TargetPort) {
+  const int Target = connectTo(TargetPort);
+  if (Target < 0) {
+    Pair.Broken_ = true;
+    return;
+  }
+  ::close(Pair.Out_.To_);
+  Pair.Out_.To_ = Target;
+  Pair.Back_.From_ = Target;
+  Pair.Back_.Ended_ = false;
+}
+
 void Relay::close(Connection &Pair) {
   ::close(Pair.Out_.From_);
   ::close(Pair.Out_.To_);
--- a/tests/stand_ins/relay.h
+++ b/tests/stand_ins/relay.h
@@ -77,6 +77,10 @@
   /// Open connections of the link are closed, as when the target's process
   /// ends. False if there is no link of this name.
   bool closeOpen(const std::string &Name);
+  /// Open connections of the link stay open for their clients and go on over
+  /// new ones to the target, as behind a proxy. False if there is no link of
+  /// this name.
+  bool redialOpen(const std::string &Name);
   /// Listening port of a link, 0 if there is none of this name.
   int port(const std::string &Name);
 
@@ -90,6 +94,7 @@
     Millis ServedAt_{};         ///< Last time that delayed bytes went on.
     bool SilencesOpen_ = false; ///< Its open connections are to go silent.
     bool ClosesOpen_ = false;   ///< Its open connections are to be closed.
+    bool RedialsOpen_ = false;  ///< They are to go on over new ones.
   };
   /// One direction of a connection.
   struct Flow {
@@ -112,6 +117,7 @@
   void accept(const std::string &Name, const Listener &From);
   /// Loses what has arrived. Ends the connection once the client has.
   static void lose(Connection &Pair);
+  static void redial(Connection &Pair, int TargetPort);
   static void move(Connection &Pair, Flow &Direction, bool Readable);
   static void close(Connection &Pair);
 
