soak: Restart workers on paths that hide it

The soak ended each connection with its worker's process, and all workers kept their connections, so nothing tested the premise that a connection tells one process from the next.

A worker now also starts again, once or twice, behind a relay that keeps its callers' connections and goes on to the new process, or after its replies were lost; soon after it is cut off, also in one direction. Two of the workers close each connection after its reply (closing_workers). The new faults draw from a random source of their own.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,8 @@
 DEFINE_uint32(relay_min_workers, 400,
               "leaders use relays if there are at least so many workers");
 DEFINE_uint32(routes, 1400, "unused routes of the configuration");
+DEFINE_int32(closing_workers, 2,
+             "workers that close each connection after its reply");
 DEFINE_bool(worker_faults, true, "workers crash, are replaced and cut off");
 DEFINE_bool(jobs, true, "callers submit jobs");
 DEFINE_string(logs, "", "folder for logs; empty: a new temporary folder");
@@ -40,6 +42,7 @@
   Settings.DeadlyShare_ = FLAGS_deadly;
   Settings.RelayMinWorkers_ = FLAGS_relay_min_workers;
   Settings.Routes_ = FLAGS_routes;
+  Settings.ClosingWorkers_ = FLAGS_closing_workers;
   Settings.WorkerFaults_ = FLAGS_worker_faults;
   Settings.Jobs_ = FLAGS_jobs;
   soak::Soak Run(Settings);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -25,7 +25,7 @@
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
       EntryRandom_(Settings_.Seed_), PartRandom_(Settings_.Seed_ + 1),
       SilenceRandom_(Settings_.Seed_ + 2), ConfigRandom_(Settings_.Seed_ + 3),
-      RestartRandom_(Settings_.Seed_ + 4),
+      RestartRandom_(Settings_.Seed_ + 4), PathRandom_(Settings_.Seed_ + 5),
       Platform_(Loop_, Time_, Settings_.Seed_) {
   std::filesystem::create_directories(Settings_.Folder_);
   // The store has a port for each node, so that it can turn some away.
@@ -70,6 +70,9 @@
     if (!Each.listen(local(Port)))
       std::exit(EXIT_FAILURE);
     Links.push_back(stand_ins::Link{Id, 0, Port});
+    // Clients take replies of the earlier version as the last on a connection.
+    if (Number >= Settings_.Workers_ - Settings_.ClosingWorkers_)
+      Links.back().Rewrites_ = {{"HTTP/1.1 ", "HTTP/1.0 "}};
   }
 }
 
@@ -203,6 +206,7 @@
       shrinkLater();
       overwriteEntryLater();
       restartLater();
+      restartOnPathLater();
     }
     faultPartLater();
     silenceLater();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -36,6 +36,7 @@
   unsigned DeadlyShare_ = 0;       ///< One in so many jobs is deadly; 0: none.
   unsigned RelayMinWorkers_ = 400; ///< Setting of the daemons.
   unsigned Routes_ = 1400; ///< Of the configuration, besides those used.
+  int ClosingWorkers_ = 2; ///< Close each connection after its reply.
   bool WorkerFaults_ = true;
   bool Jobs_ = true; ///< Without, only the configuration is checked.
 };
@@ -87,6 +88,8 @@
   void silenceLater();
   void restartAndCutOff(WorkerServer &Each);
   void restartLater();
+  void restartOnPath(WorkerServer &Each);
+  void restartOnPathLater();
   void changeCapacity(WorkerServer &Each, std::int64_t MilliCpus);
   void submitLater();
   void submit();
@@ -112,6 +115,7 @@
   std::minstd_rand SilenceRandom_;
   std::minstd_rand ConfigRandom_;
   std::minstd_rand RestartRandom_;
+  std::minstd_rand PathRandom_;
   drivers::EventLoop Loop_;
   Observer Watch_{Time_};
   ConfigWatch Configs_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -319,6 +319,64 @@
               });
 }
 
+// A worker starts again, once or twice, on a path that hides it: a proxy passes
+// on what its callers send, or replies were lost before. Soon after it is cut
+// off.
+void Soak::restartOnPath(WorkerServer &Each) {
+  const auto Draw = [this](std::size_t Below) {
+    return Millis{static_cast<std::int64_t>(PathRandom_() % Below)};
+  };
+  static const std::vector<LinkState> Cuts = {
+      LinkState::Cut, LinkState::Refuse, LinkState::OnlyOut, LinkState::OnlyIn};
+  constexpr std::size_t LongestLoss = 1500;
+  constexpr std::size_t LongestLife = 400;
+  constexpr std::size_t LongestUp = 2500;
+  constexpr std::size_t LongestCut = 12000;
+  const bool IsProxied = PathRandom_() % 2 == 0;
+  const bool IsTwice = PathRandom_() % 2 == 0;
+  const LinkState Kind = Cuts[PathRandom_() % Cuts.size()];
+  const Millis CrashAt = IsProxied ? Millis{} : Draw(LongestLoss);
+  const Millis AgainAt = CrashAt + Draw(LongestLife);
+  const Millis CutAt = AgainAt + Draw(LongestUp);
+  const Millis HealedAt = CutAt + Draw(LongestCut);
+  const std::string What = "restart on a path " + Each.name();
+  if (Disturbances_[What] > 0)
+    return;
+  ++Disturbances_[What];
+  report(What + (IsProxied ? " with a proxy" : " that loses replies") +
+         (IsTwice ? " twice" : ""));
+  if (!IsProxied)
+    Relay_->set(Each.name(), LinkState::OnlyOut);
+  const auto Restart = [this, &Each, IsProxied] {
+    Each.crash();
+    if (IsProxied)
+      Relay_->redialOpen(Each.name());
+    else
+      Relay_->closeOpen(Each.name());
+    Relay_->set(Each.name(), LinkState::Open);
+  };
+  Loop_.after(CrashAt, Restart);
+  if (IsTwice)
+    Loop_.after(AgainAt, Restart);
+  Loop_.after(CutAt, [this, &Each, Kind] { Relay_->set(Each.name(), Kind); });
+  Loop_.after(HealedAt, [this, &Each, What] {
+    Relay_->set(Each.name(), LinkState::Open);
+    Watch_.disturbed();
+    --Disturbances_[What];
+  });
+}
+
+void Soak::restartOnPathLater() {
+  constexpr std::size_t MostGap = 4000;
+  Loop_.after(Millis{static_cast<std::int64_t>(PathRandom_() % MostGap)},
+              [this] {
+                if (faultsOver())
+                  return;
+                restartOnPathLater();
+                restartOnPath(*Workers_[PathRandom_() % Workers_.size()]);
+              });
+}
+
 void Soak::injectFault() {
   static const std::vector<LinkState> Links = {
       LinkState::Cut, LinkState::Refuse, LinkState::Delayed, LinkState::OnlyIn,
