tests: Play lost replies and quick restarts before a cut in the cell

Replies of a worker are lost for 30 to 1,500 ms while it carries out starts, then it starts again and is cut off; or it starts again twice, the first time for 5 to 900 ms. Both are played with and without a proxy that keeps connections.

--- a/tests/cell/worker_restart_test.cpp
+++ b/tests/cell/worker_restart_test.cpp
@@ -132,4 +132,57 @@
   }
 }
 
+// Guards against conclusions from silence: the worker carries out starts and
+// renews leases, but its replies are lost until it starts again.
+BOOST_AUTO_TEST_CASE(RestartAfterLostRepliesDoublesNoTask) {
+  for (const bool IsProxied : {false, true})
+    for (const Millis LossyTime : {Millis{30}, Millis{600}, Millis{1500}})
+      for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep) {
+        FakeCell Cell(3, 3);
+        const std::string Leader = waitForLeader(Cell);
+        FakeWorkerState &Lossy = Cell.Fleet_.Workers_["w1"];
+        Lossy.IsBehindProxy_ = IsProxied;
+        Cell.Loop_.run(Phase);
+        Lossy.LosesPollReplies_ = Lossy.LosesStartReplies_ = true;
+        Cell.submitLongRunning(Leader, jobId(1), 6);
+        Cell.submit(Leader, jobId(2), 6, Millis{200});
+        Cell.Loop_.run(LossyTime);
+        Cell.restartWorker("w1", DownTime);
+        Lossy.LosesPollReplies_ = Lossy.LosesStartReplies_ = false;
+        Cell.Loop_.run(DownTime + Millis{5});
+        Cell.submitLongRunning(Leader, jobId(3), 6);
+        Cell.Loop_.run(Millis{60});
+        Lossy.CutOff_ = true;
+        Cell.Loop_.run(SettleTime);
+        checkNoRepeatedRuns(Cell, Phase);
+      }
+}
+
+// Guards against what is taken from a process that has ended before its first
+// reply to a poll.
+BOOST_AUTO_TEST_CASE(TwoRestartsInARowDoubleNoTask) {
+  constexpr Millis ShortDownTime{100};
+  for (const bool IsProxied : {false, true})
+    for (const Millis Life : {Millis{5}, Millis{60}, Millis{300}, Millis{900}})
+      for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep) {
+        FakeCell Cell(3, 3);
+        const std::string Leader = waitForLeader(Cell);
+        Cell.Fleet_.Workers_["w1"].IsBehindProxy_ = IsProxied;
+        Cell.Loop_.run(Phase);
+        Cell.submit(Leader, jobId(1), 6, Millis{200});
+        Cell.restartWorker("w1", ShortDownTime);
+        Cell.Loop_.run(ShortDownTime + Life);
+        Cell.submitLongRunning(Leader, jobId(2), 6);
+        Cell.Loop_.run(Millis{20});
+        Cell.restartWorker("w1", ShortDownTime);
+        Cell.Loop_.run(ShortDownTime + Millis{5});
+        Cell.submitLongRunning(Leader, jobId(3), 6);
+        Cell.submit(Leader, jobId(4), 6, Millis{200});
+        Cell.Loop_.run(Millis{60});
+        Cell.Fleet_.Workers_["w1"].CutOff_ = true;
+        Cell.Loop_.run(SettleTime);
+        checkNoRepeatedRuns(Cell, Phase);
+      }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
