dispatch: Move no silent worker by an entry of an earlier process

Callers could see a task run twice: a worker starts again under its id at another address, runs tasks and is cut off from the leader, or the leader changes. If the store carries out the last entry of the process before late, the registry shows the address that the worker has left, until its next heartbeat.

Cause: only a worker that answered was held against an entry with an earlier start time. A silent one was taken for moved: its runs counted as ended, and its leases as over. A new leader took a stored row at another address than the entry for one of an earlier process, and did not wait for the worker at all.

An entry with a start time that is not later than the known one now moves no worker while its leases last. Once they are over it does, since the clock of a host may have been set back. Rows of workers hold the start time from the entry, so that a new leader can compare them; rows without it are treated as before, and earlier releases ignore the field.

--- a/cell/worker_rows.cpp
+++ b/cell/worker_rows.cpp
@@ -25,6 +25,8 @@
   Json::Value Value;
   Value["a"] = Row.Info_.Address_;
   Value["s"] = Row.Info_.Service_;
+  if (Row.Info_.ProcessStart_ != 0)
+    Value["born"] = Json::Int64(Row.Info_.ProcessStart_);
   if (Row.Closed_) {
     Value["closed_in"] = Json::Int64(Row.ClosedInEpoch_);
     Value["expiry"] = Json::Int64(Row.Closed_->Expiry_.Value_);
@@ -43,6 +45,8 @@
   Decoded.Info_.Id_ = Row.Name_.Key_;
   Decoded.Info_.Address_ = Value["a"].asString();
   Decoded.Info_.Service_ = Value["s"].asString();
+  // Leaders of earlier releases do not store it.
+  Decoded.Info_.ProcessStart_ = Value.get("born", 0).asInt64();
   if (!Value.isMember("closed_in"))
     return Decoded;
   Decoded.ClosedInEpoch_ = Value["closed_in"].asInt64();
--- a/cell/worker_rows.h
+++ b/cell/worker_rows.h
@@ -33,7 +33,8 @@
 /// tasks on the worker at any time, a closed one how long its tasks may run. A
 /// worker without a row runs nothing.
 struct WorkerRow {
-  dispatch::WorkerInfo Info_; ///< Only id, address and service.
+  /// Only id, address, service and the start time of the process.
+  dispatch::WorkerInfo Info_;
   /// Empty if the row is open. The expiry is on the store's clock.
   std::optional<dispatch::ClosedLeases> Closed_;
   std::int64_t ClosedInEpoch_ = 0;
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -97,7 +97,8 @@
 }
 
 // The registry may have been read before. A worker that it lists at another
-// address has restarted since its row was written, so nothing runs there.
+// address has restarted since its row was written, so nothing runs there,
+// unless its entry is that of an earlier process.
 Worker *Dispatcher::restoreRow(const WorkerInfo &Info, LeaseRow Row) {
   const bool Added = Workers_.count(Info.Id_) == 0;
   Worker &W = ensureWorker(Info.Id_);
@@ -105,8 +106,12 @@
     W.Info_ = Info;
     W.Registered_ = false;
   }
-  if (W.Info_.Address_ != Info.Address_)
-    return nullptr;
+  if (W.Info_.Address_ != Info.Address_) {
+    if (!isOfEarlierProcess(W.Info_, Info))
+      return nullptr;
+    ignoreEntry(W, "the process that may run tasks has another address");
+    W.Info_ = Info;
+  }
   W.WantedRow_ = Row;
   W.OpenRowStored_ = Row == LeaseRow::Open;
   W.LeaseExpiry_ = EarlierLeaseExpiry_;
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -45,15 +45,25 @@
 }
 
 // A process that still answers cannot have started again, and the entry of a
-// later one has a later start time, if the entries of the worker have any.
+// later one has a later start time, if the entries of the worker have any. The
+// same holds for a silent process while it may run tasks: the entry of an
+// earlier one may have been written late.
 bool Dispatcher::mayHaveMoved(const Worker &W, const WorkerInfo &Info) {
-  const bool HasNoTimes = Info.ProcessStart_ == 0 && W.Info_.ProcessStart_ == 0;
+  const bool IsReachable = W.Reachability_ == Reachability::Reachable;
+  const bool MayRunTasks =
+      IsReachable || W.Reachability_ == Reachability::Unreachable ||
+      (W.Reachability_ == Reachability::Unknown && W.LeaseExpiry_ > Millis{});
+  if (!MayRunTasks)
+    return true;
+  const bool HasNoTimes =
+      Info.ProcessStart_ == 0 && (W.Info_.ProcessStart_ == 0 || !IsReachable);
   // A restart at the same address may show in a poll before it does here.
   const bool IsOfPolledProcess = W.Info_.Address_ == Info.Address_ &&
                                  Info.ProcessStart_ == W.ProcessStart_ &&
                                  Info.ProcessStart_ != W.Info_.ProcessStart_;
-  return W.Reachability_ != Reachability::Reachable || HasNoTimes ||
-         IsOfPolledProcess || Info.ProcessStart_ > W.ProcessStart_;
+  const std::int64_t KnownStart =
+      W.ProcessStart_ != 0 ? W.ProcessStart_ : W.Info_.ProcessStart_;
+  return HasNoTimes || IsOfPolledProcess || Info.ProcessStart_ > KnownStart;
 }
 
 void Dispatcher::setWorkers(const std::vector<WorkerInfo> &Workers, Millis Now,
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -177,6 +177,13 @@
   return W.Info_.Capacity_ - W.Used_;
 }
 
+/// Whether one of two entries of a worker is that of an earlier process, as far
+/// as both list start times.
+inline bool isOfEarlierProcess(const WorkerInfo &Info,
+                               const WorkerInfo &Other) {
+  return Info.ProcessStart_ != 0 && Info.ProcessStart_ < Other.ProcessStart_;
+}
+
 /// Whether new tasks may be placed on the worker.
 inline bool acceptsWork(const Worker &W, Millis Now) {
   return W.Reachability_ == Reachability::Reachable && W.Registered_ &&
--- a/tests/cell/units_test.cpp
+++ b/tests/cell/units_test.cpp
@@ -60,6 +60,21 @@
   BOOST_TEST((majorityHeardAt({}, {"f"}, Millis{}, Now) == Millis{}));
 }
 
+// Guards against a leader that takes the entry of an earlier process for that
+// of the one which the row is about.
+BOOST_AUTO_TEST_CASE(WorkerRowTellsItsProcess) {
+  WorkerRow Row;
+  Row.Info_.Id_ = "w1";
+  Row.Info_.Address_ = "w1:1";
+  Row.Info_.Service_ = "desk";
+  StoredRow Stored{RowName{WorkersTable, MainPart, "w1"}, "", 1};
+  for (const std::int64_t Start : {0, 8}) {
+    Row.Info_.ProcessStart_ = Start;
+    Stored.Value_ = encodeWorkerRow(Row);
+    BOOST_TEST((decodeWorkerRow(Stored).value() == Row));
+  }
+}
+
 // Guards against a node that ends because of a row or a call with a field of
 // another type.
 BOOST_AUTO_TEST_CASE(FieldsOfOtherTypesAreErrors) {
--- a/tests/dispatch/lease_rows_test.cpp
+++ b/tests/dispatch/lease_rows_test.cpp
@@ -49,6 +49,37 @@
   BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
 }
 
+// Guards against tasks that run twice: the entry of an earlier process of their
+// worker, written late, shows an address that the worker has left.
+BOOST_AUTO_TEST_CASE(RowOfALaterProcessThanTheEntryDelaysItsRuns) {
+  WorkerInfo Earlier = makeWorker("w1");
+  Earlier.ProcessStart_ = 7;
+  WorkerInfo Stored = makeWorker("w1");
+  Stored.Address_ = "elsewhere:1";
+  Stored.ProcessStart_ = 8;
+  for (const bool IsEntryReadFirst : {true, false}) {
+    DispatcherFixture Fixture(2);
+    restoreActiveJob(Fixture, 1);
+    const auto ReadEntries = [&] {
+      Fixture.Dispatcher_.setWorkers({Earlier, makeWorker("w2")}, Fixture.Now_);
+    };
+    if (IsEntryReadFirst)
+      ReadEntries();
+    Fixture.Dispatcher_.restoreWorker(Stored);
+    Fixture.Dispatcher_.finishRestore();
+    ReadEntries();
+    for (const WorkerInfo &Info : Fixture.Dispatcher_.takeUnrecordedWorkers())
+      Fixture.Dispatcher_.markWorkerRecorded(Info.Id_, Info.Address_);
+    Fixture.pollWorker("w2");
+    BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+    BOOST_TEST(Fixture.Dispatcher_.findWorker("w1")->Info_.Address_ ==
+               "elsewhere:1");
+    Fixture.Dispatcher_.setWorkers({Stored, makeWorker("w2")}, Fixture.Now_);
+    Fixture.pollWorker("w1", {}, 8);
+    BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+  }
+}
+
 // Guards against a wait of tasks that cannot run on the worker.
 BOOST_AUTO_TEST_CASE(ClosedRowDelaysOnlyItsOwnRuns) {
   DispatcherFixture Fixture(2);
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -271,6 +271,32 @@
   BOOST_TEST(Fixture.Dispatcher_.findWorker("w1")->Info_.Service_ == "other");
 }
 
+// Guards against starting the tasks of a silent worker elsewhere because the
+// entry of its process before was written late.
+BOOST_AUTO_TEST_CASE(EntryOfAnEarlierProcessEndsNoRunsOfASilentWorker) {
+  DispatcherFixture Fixture;
+  WorkerInfo Own = makeWorker("w1", 1000);
+  Own.ProcessStart_ = 8;
+  WorkerInfo Earlier = Own;
+  Earlier.Address_ = "before:1";
+  Earlier.ProcessStart_ = 7;
+  Fixture.addWorkers({Own, makeWorker("w2", 500)});
+  Fixture.pollWorker("w1", {}, 8);
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  BOOST_TEST_REQUIRE(Fixture.decideAndExecute().Starts_.size() == 1U);
+  Fixture.Dispatcher_.handlePollFailure("w1", Error{}, Fixture.Now_);
+  Fixture.Dispatcher_.setWorkers({Earlier, makeWorker("w2")}, Fixture.Now_);
+  Fixture.advance(Millis{1000});
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.advance(DispatcherFixture::makeLimits().MaxLease_);
+  Fixture.pollWorker("w2");
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+  // Its clock may have been set back before it started again.
+  Fixture.Dispatcher_.setWorkers({Earlier, makeWorker("w2")}, Fixture.Now_);
+  BOOST_TEST(Fixture.Dispatcher_.findWorker("w1")->Info_.Address_ ==
+             "before:1");
+}
+
 // Guards against restored jobs that wait for a worker which joined another
 // address after all leases of earlier leaders had expired.
 BOOST_AUTO_TEST_CASE(MovedWorkerDoesNotBlockRestoredJobs) {
