dispatch, cell: Place no tasks by the entry of another process

A worker that starts again may be of another kind, also at the same address. Callers of a queue could see tasks on a worker without the label that they ask for, and a worker could get more than its capacity.

Cause: once a poll had shown the new process, tasks were placed there by the registry entry of the process before: its capacity, labels and service. That lasts until the entry of the new one is written and read, about two seconds. In the same way tasks were placed on the process before once the entry of the next one was read. The largest capacity of a worker, by which jobs are accepted, was kept across restarts.

A worker now gets tasks if its entry is that of the process that answers, as far as entries list start times. So that nobody waits longer than needed, the registry is read at once when a poll shows a process without an entry, and a worker is polled at once when its entry shows another process; before, the open long poll could hide that for up to 2.7 s if no order was sent.

RestartedWorkerGetsNoTasksBeforeItsOwnEntry (three tasks of a core each on a worker with two) and EntryOfALaterProcessStartsNoTasksInTheOneBefore failed before the change and pass now.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -487,6 +487,10 @@
     State.LastListedEnd_ = 0;
     State.LastRecordedEnd_ = 0;
     WorkersWithUnrecordedEnds_.erase(Id);
+    // It gets no tasks before its entry is read.
+    const dispatch::Worker *Worker = Dispatcher_.findWorker(Id);
+    if (Worker && !dispatch::hasOwnEntry(*Worker))
+      readRegistry();
   }
   for (const EndedTask &Ended : Reply.Ended_)
     State.LastListedEnd_ =
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -91,12 +91,19 @@
     if (Moved)
       handleMove(W, Info, Now);
     const bool StartsDraining = Info.Draining_ && !W.Info_.Draining_ && !Added;
+    const bool IsOfAnotherProcess =
+        Moved || W.Info_.ProcessStart_ != Info.ProcessStart_;
     // Replaces the whole entry, including the draining state.
     W.Info_ = Info;
     // Another process may be of another kind.
-    W.LargestCapacity_ =
-        Moved ? Info.Capacity_ : largest(W.LargestCapacity_, Info.Capacity_);
+    W.LargestCapacity_ = IsOfAnotherProcess
+                             ? Info.Capacity_
+                             : largest(W.LargestCapacity_, Info.Capacity_);
     W.Registered_ = true;
+    // The open long poll may be that of a process which has ended.
+    if (IsOfAnotherProcess && !hasOwnEntry(W) &&
+        W.Reachability_ == Reachability::Reachable)
+      PendingActions_.Probes_.push_back(Info.Id_);
     // No leader has started a task on a process without an open row.
     if (((Added || Moved) && !Info.Draining_) ||
         wantedLeaseRow(W, Millis{}, Now) == LeaseRow::Open)
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -184,10 +184,16 @@
   return Info.ProcessStart_ != 0 && Info.ProcessStart_ < Other.ProcessStart_;
 }
 
+/// Whether the registry entry is that of the process that answers polls, as far
+/// as entries list start times. Another process may have another capacity.
+inline bool hasOwnEntry(const Worker &W) {
+  return W.Info_.ProcessStart_ == 0 || W.Info_.ProcessStart_ == W.ProcessStart_;
+}
+
 /// Whether new tasks may be placed on the worker.
 inline bool acceptsWork(const Worker &W, Millis Now) {
   return W.Reachability_ == Reachability::Reachable && W.Registered_ &&
-         W.OpenRowStored_ && !W.Info_.Draining_ &&
+         hasOwnEntry(W) && W.OpenRowStored_ && !W.Info_.Draining_ &&
          W.Health_.QuarantinedUntil_ <= Now;
 }
 
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -297,6 +297,47 @@
              "before:1");
 }
 
+// Guards against tasks that exceed the capacity of a worker: it has started
+// again as a smaller one, and its entry is that of the process before.
+BOOST_AUTO_TEST_CASE(RestartedWorkerGetsNoTasksBeforeItsOwnEntry) {
+  DispatcherFixture Fixture;
+  WorkerInfo Entry = makeWorker("w1");
+  Entry.ProcessStart_ = 7;
+  Fixture.addWorkers({Entry});
+  Fixture.pollWorker("w1", {}, 7);
+  Fixture.pollWorker("w1", {}, 8);
+  Fixture.submit(makeJob("1", "urgent", {makeStep(3, 1000)}));
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.Dispatcher_.setWorkers({Entry}, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Entry.ProcessStart_ = 8;
+  Entry.Capacity_.MilliCpus_ = 2000;
+  Fixture.Dispatcher_.setWorkers({Entry}, Fixture.Now_);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 2U);
+  BOOST_TEST(
+      Fixture.Dispatcher_.findWorker("w1")->LargestCapacity_.MilliCpus_ ==
+      2000);
+}
+
+// The same while its entry is read before its process has answered a poll,
+// which is then asked at once.
+BOOST_AUTO_TEST_CASE(EntryOfALaterProcessStartsNoTasksInTheOneBefore) {
+  DispatcherFixture Fixture;
+  WorkerInfo Entry = makeWorker("w1", 2000);
+  Entry.ProcessStart_ = 7;
+  Fixture.addWorkers({Entry});
+  Fixture.pollWorker("w1", {}, 7);
+  Entry.ProcessStart_ = 8;
+  Entry.Capacity_.MilliCpus_ = 4000;
+  Fixture.Dispatcher_.setWorkers({Entry}, Fixture.Now_);
+  Fixture.submit(makeJob("1", "urgent", {makeStep(4, 1000)}));
+  const Actions Decided = Fixture.decideAndExecute();
+  BOOST_TEST(Decided.Starts_.empty());
+  BOOST_TEST((Decided.Probes_ == std::vector<std::string>{"w1"}));
+  Fixture.pollWorker("w1", {}, 8);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 4U);
+}
+
 // Guards against restored jobs that wait for a worker which joined another
 // address after all leases of earlier leaders had expired.
 BOOST_AUTO_TEST_CASE(MovedWorkerDoesNotBlockRestoredJobs) {
