cell: Acknowledge ends only to the process that listed them

A worker that left the registry and came back under its id could get a poll that acknowledged as many ends as its process before had listed. It carried no lease end, and the new process has no ends of this leader yet; but a call may be carried out seconds later, and would then make it forget ends that no leader has seen: their tasks would start again.

Cause: the leader forgets a worker that has left once its leases are over, but the count of its recorded ends stayed while a poll was under way. If the worker was back before that poll failed, the next one was sent to a process that no reply had shown yet, with the count of the one before.

The count is now passed only if the call names the process that it is of.

The fake workers count polls that acknowledge more ends than the process has listed. RestartedWorkerGetsTasksOnceItsEntryIsThere holds the time until a worker that has started again gets tasks.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -413,9 +413,12 @@
   if (RequestOpen)
     return;
   RequestOpen = true;
+  const WorkerTarget Target = Dispatcher_.target(*Worker);
   PollRequest PollOrder;
-  // Without its clock it is not known which process answers.
-  if (Worker->WorkerClock_ > Millis{})
+  // Another process counts its ends from one again, and without a clock it is
+  // not known which one answers.
+  if (Worker->WorkerClock_ > Millis{} &&
+      Target.ProcessStart_ == State.WorkerStart_)
     PollOrder.LastRecordedEnd_ = State.LastRecordedEnd_;
   const bool IsReachable =
       Worker->Reachability_ == dispatch::Reachability::Reachable;
@@ -427,7 +430,7 @@
       State.LastListedEnd_ == State.LastRecordedEnd_)
     PollOrder.Wait_ = Dispatcher_.pollTimeout(Id, now());
   const Millis SentAt = now();
-  Workers_->poll(Dispatcher_.target(*Worker), PollOrder,
+  Workers_->poll(Target, PollOrder,
                  [Self = shared_from_this(), Id, Probe,
                   SentAt](const Result<PollReply> &Reply) {
                    Self->handlePollReply(Id, Probe, SentAt, Reply);
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -260,6 +260,16 @@
       EndedTask{++Worker.LastEndNumber_, Task, Attempt, Cause, ""});
 }
 
+template <typename Handler, typename Reply>
+void FakeWorkerClient::deliver(const FakeWorkerState &Worker,
+                               const Handler &Done, const Reply &Written) {
+  const Millis Now = Loop_.monotonic();
+  if (Worker.RepliesHeldUntil_ <= Now)
+    return Done(Written);
+  Loop_.after(Worker.RepliesHeldUntil_ - Now,
+              [Done, Written] { Done(Written); });
+}
+
 void FakeWorkerClient::start(const WorkerTarget &Worker,
                              const StartOrder &Order, OrderHandler Done) {
   Loop_.after(WorkerDelay, [this, Worker, Order, Done] {
@@ -281,7 +291,7 @@
     Target->HighestEpoch_ = Worker.FencingToken_;
     Target->extendLeases(Order.LeaseEnd_, Loop_.monotonic());
     if (Target->Running_.count(Order.Task_) > 0)
-      return Done(Reply);
+      return deliver(*Target, Done, Reply);
     if (Fleet_.isRunning(Order.Task_, Loop_.monotonic()))
       Fleet_.ConcurrentRuns_.push_back(Order.Task_);
     if (Fleet_.AcknowledgedTasks_.count(Order.Task_) > 0)
@@ -305,7 +315,7 @@
     if (Target->LosesStartReplies_)
       Loop_.after(WorkerTimeout, [Done] { Done(timeout("start")); });
     else
-      Done(Reply);
+      deliver(*Target, Done, Reply);
   });
 }
 
@@ -326,7 +336,10 @@
     const auto RunningTask = Target->Running_.find(Task);
     if (RunningTask != Target->Running_.end() && RunningTask->second <= Attempt)
       end(*Target, Task, TaskEnd::Stopped);
-    Done(OrderReply{OrderOutcome::Done, WorkerClock});
+    if (Target->LosesStopReplies_)
+      Loop_.after(WorkerTimeout, [Done] { Done(timeout("stop")); });
+    else
+      deliver(*Target, Done, OrderReply{OrderOutcome::Done, WorkerClock});
   });
 }
 
@@ -349,6 +362,8 @@
     Target->HighestEpoch_ = Worker.FencingToken_;
     const PollRequest Asked = Target->isMeant(Worker) ? Request : PollRequest{};
     Target->extendLeases(Asked.LeaseEnd_, Loop_.monotonic());
+    if (Asked.LastRecordedEnd_ > Target->LastEndNumber_)
+      ++Fleet_.ForeignAcknowledgements_;
     for (const EndedTask &Ended : Target->Ended_)
       if (Ended.SequenceNumber_ <= Asked.LastRecordedEnd_ &&
           Ended.End_ == TaskEnd::Done)
@@ -393,7 +408,7 @@
                       Worker.Ended_.begin() +
                           static_cast<std::ptrdiff_t>(
                               std::min(Worker.Ended_.size(), MaxListedEnds)));
-  Poll->Done_(std::move(Reply));
+  deliver(Worker, Poll->Done_, Reply);
 }
 
 /// Delivers calls to the RPC server of the addressed node.
@@ -662,6 +677,7 @@
     State.Info_.Id_ = "w" + std::to_string(Number);
     State.Info_.Address_ = State.Info_.Id_;
     State.Info_.Service_ = "desk";
+    State.Info_.ProcessStart_ = State.ProcessStart_;
     State.Info_.Capacity_ = dispatch::Size{4000, 8000, 0};
     Fleet_.Workers_[State.Info_.Id_] = State;
   }
@@ -835,7 +851,8 @@
   Fleet_.Workers_.at(Id).Info_.Draining_ = true;
 }
 
-void FakeCell::restartWorker(const std::string &Id, Millis DownTime) {
+void FakeCell::restartWorker(const std::string &Id, Millis DownTime,
+                             Millis EntryDelay) {
   FakeWorkerState &Worker = Fleet_.Workers_.at(Id);
   Worker.Running_.clear();
   Worker.HighestAttempt_.clear();
@@ -843,9 +860,17 @@
   Worker.LastEndNumber_ = 0;
   Worker.HighestEpoch_ = 0;
   Worker.LeaseEnd_ = Millis{};
+  Worker.LosesStartReplies_ = false;
+  Worker.LosesStopReplies_ = false;
+  Worker.RepliesHeldUntil_ = Millis{};
   ++Worker.ProcessStart_;
   Worker.BackAt_ = Loop_.monotonic() + DownTime;
   Worker.ClockStart_ = Worker.BackAt_;
+  Loop_.after(DownTime + EntryDelay,
+              [&Worker, ProcessStart = Worker.ProcessStart_] {
+                if (Worker.ProcessStart_ == ProcessStart)
+                  Worker.Info_.ProcessStart_ = ProcessStart;
+              });
 }
 
 void FakeCell::removeWorker(const std::string &Id) {
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -145,6 +145,8 @@
   bool IsBehindProxy_ = false;
   bool LosesPollReplies_ = false;  ///< Polls take effect but time out.
   bool LosesStartReplies_ = false; ///< Starts take effect but time out.
+  bool LosesStopReplies_ = false;  ///< Stops take effect but time out.
+  Millis RepliesHeldUntil_{};      ///< Replies arrive at this time at least.
   std::map<std::string, std::int64_t> Running_; ///< Attempt by task.
   /// Last stopped or ended attempt of each task.
   std::map<std::string, std::int64_t> HighestAttempt_;
@@ -182,6 +184,8 @@
   std::set<std::string> AcknowledgedTasks_;
   /// Tasks that were started after such an acknowledgement.
   std::vector<std::string> StartedAfterAcknowledgement_;
+  /// Polls that acknowledged ends which the process had not listed.
+  int ForeignAcknowledgements_ = 0;
 
   /// Whether any worker runs the task.
   bool isRunning(const std::string &Task, Millis Now) const;
@@ -222,6 +226,10 @@
   void fail(const std::string &Id, const std::string &Step, const Handler &Done,
             Millis Wait = Millis{});
   void end(FakeWorkerState &Worker, const std::string &Task, TaskEnd Cause);
+  /// Passes on what the worker has replied, at once or when it arrives.
+  template <typename Handler, typename Reply>
+  void deliver(const FakeWorkerState &Worker, const Handler &Done,
+               const Reply &Written);
   void sendPollReply(const std::shared_ptr<const OpenPoll> &Poll);
 
   FakeLoop &Loop_;
@@ -284,8 +292,10 @@
   /// Marks a worker as draining; it goes on running its tasks.
   void drainWorker(const std::string &Id);
   /// The host of a worker loses power; after the time given, the worker starts
-  /// again under its id and at its address.
-  void restartWorker(const std::string &Id, Millis DownTime);
+  /// again under its id and at its address. Its registry entry is that of the
+  /// process before until then, and for EntryDelay longer.
+  void restartWorker(const std::string &Id, Millis DownTime,
+                     Millis EntryDelay = Millis{});
   /// Ends a worker and all its tasks, and removes it from the registry.
   void removeWorker(const std::string &Id);
   /// Queries the state of a job at a node; runs the loop until it is answered.
--- a/tests/cell/worker_restart_test.cpp
+++ b/tests/cell/worker_restart_test.cpp
@@ -185,4 +185,44 @@
       }
 }
 
+// Guards against ends that a new process forgets before a leader has seen them:
+// its id was gone and is back while a poll of the process before is under way.
+BOOST_AUTO_TEST_CASE(EndsAreNotAcknowledgedToAProcessThatListedNone) {
+  // The leader has just removed the worker then.
+  constexpr Millis Absence{8300};
+  for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + Millis{100}) {
+    FakeCell Cell(3, 2);
+    const std::string Leader = waitForLeader(Cell);
+    Cell.Loop_.run(Phase);
+    Cell.submit(Leader, jobId(1), 12, Millis{200});
+    Cell.Loop_.run(Millis{500});
+    FakeWorkerState &Worker = Cell.Fleet_.Workers_["w1"];
+    Worker.Reachable_ = false;
+    Cell.Loop_.run(Absence);
+    Cell.restartWorker("w1", Millis{});
+    Worker.Reachable_ = true;
+    Cell.Loop_.run(Millis{2500});
+    BOOST_TEST(Cell.Fleet_.ForeignAcknowledgements_ == 0, Phase.Value_);
+  }
+}
+
+// Guards against a worker that gets no tasks for the time of a long poll or of
+// the reads of the registry after it has started again.
+BOOST_AUTO_TEST_CASE(RestartedWorkerGetsTasksOnceItsEntryIsThere) {
+  constexpr Millis RegistryPeriod{1200};
+  for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep)
+    for (const Millis EntryDelay : {Millis{}, Millis{300}}) {
+      FakeCell Cell(3, 1);
+      const std::string Leader = waitForLeader(Cell);
+      Cell.Loop_.run(Phase);
+      Cell.restartWorker("w1", DownTime, EntryDelay);
+      Cell.Loop_.run(DownTime + EntryDelay);
+      Cell.submitLongRunning(Leader, jobId(1), 1);
+      const bool Starts = Cell.Loop_.runUntil(RegistryPeriod, [&] {
+        return !Cell.Fleet_.Workers_["w1"].Running_.empty();
+      });
+      BOOST_TEST(Starts, Phase.Value_ << ' ' << EntryDelay.Value_);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
