dispatch: Offer a worker only once its clock is known

Callers saw lasting tasks without a run for over 30 s beside a worker with free capacity.

Cause: a pass remembers what capacity each worker offered, and a step that found none looks only at workers that have gained some since. A worker whose clock was not known yet, since its process had answered the first poll with a clock of zero, counted as having offered all of its capacity, but no task could be placed on it, as a lease needs its clock. When the next reply told the clock, the worker had gained nothing, so the step did not look at it again.

Such a worker now counts as one that accepts no work.

WaitingTasksStartOnceTheClockOfAWorkerIsKnown failed before the change (0 starts in place of 1).

--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -200,7 +200,6 @@
   const StepSpec &Spec =
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
   return acceptsWork(W, Now) && isOpenTo(W, Ranked.Job_->Spec_.Id_, Now) &&
-         W.WorkerClock_ > Millis{} &&
          W.Info_.Service_ == Ranked.Policy_->Service_ &&
          mayRunOn(Spec, W.Info_) &&
          (Ranked.Policy_->Priority_ == 0 || Spec.LongRunning_ ||
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -190,11 +190,11 @@
   return W.Info_.ProcessStart_ == 0 || W.Info_.ProcessStart_ == W.ProcessStart_;
 }
 
-/// Whether new tasks may be placed on the worker.
+/// Whether new tasks may be placed on the worker. Leases need its clock.
 inline bool acceptsWork(const Worker &W, Millis Now) {
   return W.Reachability_ == Reachability::Reachable && W.Registered_ &&
-         hasOwnEntry(W) && W.OpenRowStored_ && !W.Info_.Draining_ &&
-         W.Health_.QuarantinedUntil_ <= Now;
+         hasOwnEntry(W) && W.OpenRowStored_ && W.WorkerClock_ > Millis{} &&
+         !W.Info_.Draining_ && W.Health_.QuarantinedUntil_ <= Now;
 }
 
 /// Whether a task of the job may start on the worker, as far as it is reserved
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -559,6 +559,31 @@
       (Fixture.Dispatcher_.findJob(Job.Id_)->State_ == JobState::Complete));
 }
 
+// Guards against tasks that wait for ever beside a free worker, which counted
+// as tried before its clock was known.
+BOOST_AUTO_TEST_CASE(WaitingTasksStartOnceTheClockOfAWorkerIsKnown) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1", 1000), makeWorker("w2", 1000)});
+  PollReply OfNewProcess;
+  OfNewProcess.ProcessStart_ = 2;
+  Fixture.advance(Millis{1});
+  WorkerInfo Moved = makeWorker("w2", 1000);
+  Moved.Address_ = "elsewhere:1";
+  Fixture.Dispatcher_.setWorkers({makeWorker("w1", 1000), Moved}, Fixture.Now_);
+  for (const WorkerInfo &Info : Fixture.Dispatcher_.takeUnrecordedWorkers())
+    Fixture.Dispatcher_.markWorkerRecorded(Info.Id_, Info.Address_);
+  Fixture.advance(Millis{1});
+  Fixture.Dispatcher_.handlePollReply("w2", OfNewProcess, Fixture.Now_,
+                                      Fixture.Now_);
+  Fixture.submit(makeJob("1", "urgent", {makeStep(2, 1000)}));
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  Fixture.advance(Millis{2000});
+  Fixture.pollWorker("w1");
+  Fixture.pollWorker("w2", {}, 2);
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace {
