dispatch: Stop starts without a reply in each later process

Callers saw tasks run twice, or again after their end, and workers that got more than fits: a worker left starts unanswered, lost power, and its next process carried them out.

Cause: a start that gets no reply is stopped, and its task starts elsewhere once the worker has confirmed the stop. The worker rejects the start from then on, but its next process knows neither that stop nor the fence number. The leader had forgotten the order with its run.

The leader now remembers such orders for 15 s beyond the end of their runs, also on workers that leave the registry and come back. When another process answers, it gets a stop for each of them, repeated until it is confirmed. Until a poll that was sent after the confirmation has been answered, what the start would use stays reserved, and its task does not start elsewhere. Orders that were answered, and processes that have confirmed the stop, need nothing, so nothing waits while no worker starts again.

The next leader needs no list of them: a process that has answered its poll knows a higher fence number and rejects all orders of earlier leaders.

An order that is carried out before the new process has answered a poll is not prevented.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -469,6 +469,22 @@
   void stopUnexpectedRun(Worker &W, const RunningEntry &Entry, Millis Now);
   /// Called when the run has ended.
   void releaseUnexpectedRun(Worker &W, const UnexpectedRun &Ended);
+  /// Called when a run is dropped. Its start order may still be carried out if
+  /// it got no reply.
+  static void rememberStart(Worker &W, const TaskRef &Ref, const StepSpec &Step,
+                            const Run &Dropped);
+  void forgetAnsweredStart(const StartAction &Order,
+                           const Result<OrderReply> &Reply);
+  static bool mayStartLate(const Worker &W, Millis Now);
+  /// Whether a run that the worker has not listed in the reply to a poll sent
+  /// at the given time may still begin.
+  static bool mayBegin(const UnexpectedRun &Entry, Millis SentAt);
+  /// Stops the runs that unanswered starts may begin in the process that has
+  /// answered, unless it is known to reject them.
+  void expectLateStarts(Worker &W, Millis Now);
+  void stopLateStart(const Worker &W, UnexpectedRun &Entry, Millis Now);
+  void confirmLateStop(const StopAction &Order, Millis Now);
+  void retryLateStops(Millis Now);
   void markDone(JobRun &Job, const TaskRef &Ref, Millis Now);
   /// The task on which failed and crashed attempts of the given one count.
   static TaskState &attemptCounter(JobRun &Job, const TaskRef &Ref);
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -133,12 +133,14 @@
   };
   for (auto UnexpectedEntry = W.UnexpectedRuns_.begin();
        UnexpectedEntry != W.UnexpectedRuns_.end();) {
-    if (IsReported(UnexpectedEntry->Task_, UnexpectedEntry->Attempt_)) {
-      ++UnexpectedEntry;
+    if (IsReported(UnexpectedEntry->Task_, UnexpectedEntry->Attempt_))
+      UnexpectedEntry->Expected_ = false;
+    else if (!mayBegin(*UnexpectedEntry, SentAt)) {
+      releaseUnexpectedRun(W, *UnexpectedEntry);
+      UnexpectedEntry = W.UnexpectedRuns_.erase(UnexpectedEntry);
       continue;
     }
-    releaseUnexpectedRun(W, *UnexpectedEntry);
-    UnexpectedEntry = W.UnexpectedRuns_.erase(UnexpectedEntry);
+    ++UnexpectedEntry;
   }
   for (auto NextTask = W.Tasks_.begin(); NextTask != W.Tasks_.end();) {
     const TaskRef &Ref = *NextTask++;
@@ -167,6 +169,7 @@
         Job.Spec_.Steps_[static_cast<std::size_t>(Missing.Step_)];
     log(Missing.Job_, taskName(Missing), W.Info_.Id_,
         "run is missing from the poll reply");
+    rememberStart(W, Missing, Step, Attempt);
     removeRun(*Task, Missing, Step);
     if (Step.Gang_ && !Task->Done_)
       stopStepRuns(Job, Missing.Step_, "gang member missing", Now);
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -58,6 +58,7 @@
   const bool WrongWorker =
       Reply && Reply.value().Outcome_ == OrderOutcome::WrongWorker;
   TaskState *Task = task(Order.Task_);
+  forgetAnsweredStart(Order, Reply);
   if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Order_.Attempt_ ||
       Task->Run_->Worker_ != Id)
     return true;
@@ -141,6 +142,8 @@
     Fenced_ = true;
     return;
   }
+  if (Reply.value().Outcome_ == OrderOutcome::Done)
+    confirmLateStop(Order, Now);
   const auto Ref = parseTaskName(Order.Task_);
   TaskState *Task = Ref ? task(Ref.value()) : nullptr;
   if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Attempt_ ||
@@ -244,6 +247,7 @@
   if (Now < StopsCheckedAt_ + StopCheckPeriod)
     return;
   StopsCheckedAt_ = Now;
+  retryLateStops(Now);
   for (auto Entry = StoppingTasks_.begin(); Entry != StoppingTasks_.end();) {
     const TaskRef Ref = *Entry;
     TaskState *Task = task(Ref);
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -127,7 +127,7 @@
   for (auto WorkerEntry = Workers_.begin(); WorkerEntry != Workers_.end();) {
     const Worker &W = WorkerEntry->second;
     const bool IsGone = !W.Registered_ && W.Tasks_.empty() &&
-                        W.LeaseExpiry_ < Now &&
+                        W.LeaseExpiry_ < Now && !mayStartLate(W, Now) &&
                         W.Reachability_ != Reachability::Reachable;
     if (!IsGone) {
       ++WorkerEntry;
@@ -188,6 +188,7 @@
         Job->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
     log(Ref.Job_, taskName(Ref), W.Info_.Id_,
         "run lost with its worker, cause=" + Cause);
+    rememberStart(W, Ref, Step, *Task->Run_);
     removeRun(*Task, Ref, Step);
     if (Step.Gang_)
       stopStepRuns(*Job, Ref.Step_, "gang member lost", Now);
@@ -368,6 +369,7 @@
   for (const RunningEntry &Entry : Reply.Running_)
     handleRunning(W, Entry, SentAt, Now);
   removeMissingRuns(W, Reply, SentAt, Now);
+  expectLateStarts(W, Now);
   stopStalledRuns(W, Now);
   if (wantedLeaseRow(W, Millis{}, Now) == LeaseRow::Open)
     setLeaseRow(W, LeaseRow::Open);
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -79,17 +79,34 @@
 };
 
 /// A run that a worker reports although the leader has not assigned it to that
-/// worker. The leader stops it and reserves its resources until it has ended.
+/// worker, or that an UnansweredStart may begin there. The leader stops it and
+/// reserves its resources until it has ended.
 struct UnexpectedRun {
   std::string Task_;
   std::int64_t Attempt_ = 0;
   Size Reserved_;
   Millis StopSentAt_{};
+  bool Expected_ = false;    ///< Not reported yet.
+  Millis StopConfirmedAt_{}; ///< Of expected runs; zero until confirmed.
 
   friend bool operator==(const UnexpectedRun &,
                          const UnexpectedRun &) = default;
 };
 
+/// A start order that got no reply and whose run has been dropped since. It may
+/// still be carried out, by a later process of the worker as well.
+struct UnansweredStart {
+  std::string Task_;
+  std::int64_t Attempt_ = 0;
+  Size Reserved_; ///< By a run that it begins.
+  Millis OrderedAt_{};
+  /// The process that rejects it because of a stop; zero if none does.
+  std::int64_t StoppedIn_ = 0;
+
+  friend bool operator==(const UnansweredStart &,
+                         const UnansweredStart &) = default;
+};
+
 /// The newest poll reply of a worker.
 struct LatestPoll {
   Millis ProcessKnownSince_{}; ///< First reply of the process that sent it.
@@ -132,6 +149,7 @@
   std::int64_t LastEnd_ = 0;
   std::set<TaskRef> Tasks_; ///< Tasks that have a run on this worker.
   std::vector<UnexpectedRun> UnexpectedRuns_;
+  std::vector<UnansweredStart> UnansweredStarts_;
   /// Tasks that an earlier leader has left running here, until the worker is
   /// reached. Meaningful if its row was closed with known runs.
   std::vector<TaskRef> UnseenRuns_;
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -279,46 +279,63 @@
     FakeWorkerState *Target = findReachable(Worker);
     if (!Target)
       return fail(Worker.Worker_, "start", Done);
-    OrderReply Reply{OrderOutcome::Done, Target->clock(Loop_.monotonic())};
     if (!Target->isMeant(Worker))
       return Done(OrderReply{OrderOutcome::Restarted, Millis{}});
-    if (Worker.FencingToken_ < Target->HighestEpoch_)
-      Reply.Outcome_ = OrderOutcome::Fenced;
-    else if (Target->HighestAttempt_[Order.Task_] >= Order.Attempt_)
-      Reply.Outcome_ = OrderOutcome::Superseded;
-    if (Reply.Outcome_ != OrderOutcome::Done)
-      return Done(Reply);
-    Target->HighestEpoch_ = Worker.FencingToken_;
-    Target->extendLeases(Order.LeaseEnd_, Loop_.monotonic());
-    if (Target->Running_.count(Order.Task_) > 0)
-      return deliver(*Target, Done, Reply);
-    if (Fleet_.isRunning(Order.Task_, Loop_.monotonic()))
-      Fleet_.ConcurrentRuns_.push_back(Order.Task_);
-    if (Fleet_.AcknowledgedTasks_.count(Order.Task_) > 0)
-      Fleet_.StartedAfterAcknowledgement_.push_back(Order.Task_);
-    Target->Running_[Order.Task_] = Order.Attempt_;
-    ++Fleet_.Starts_[Order.Task_];
-    // The payload is the duration of the task in milliseconds.
-    const Millis Duration{std::atoll(Order.Payload_.c_str())};
-    const std::string Id = Worker.Worker_;
-    const std::int64_t WorkerStart = Target->ProcessStart_;
-    Loop_.after(Duration, [this, Id, WorkerStart, Order] {
-      FakeWorkerState &State = Fleet_.Workers_[Id];
-      const auto RunningTask = State.Running_.find(Order.Task_);
-      if (State.ProcessStart_ != WorkerStart ||
-          RunningTask == State.Running_.end() ||
-          RunningTask->second != Order.Attempt_)
-        return;
-      const bool Expired = State.clock(Loop_.monotonic()) > State.LeaseEnd_;
-      end(State, Order.Task_, Expired ? TaskEnd::LeaseExpired : TaskEnd::Done);
-    });
-    if (Target->LosesStartReplies_)
+    if (Target->StartDelay_ > Millis{}) {
+      Loop_.after(Target->StartDelay_, [this, Worker, Order] {
+        FakeWorkerState &Later = Fleet_.Workers_[Worker.Worker_];
+        if (Later.BackAt_ <= Loop_.monotonic() && !Later.Refuses_)
+          carryOut(Later, Worker, Order);
+      });
+      return fail(Worker.Worker_, "start", Done);
+    }
+    const OrderReply Reply = carryOut(*Target, Worker, Order);
+    if (Target->LosesStartReplies_ && Reply.Outcome_ == OrderOutcome::Done)
       Loop_.after(WorkerTimeout, [Done] { Done(timeout("start")); });
     else
       deliver(*Target, Done, Reply);
   });
 }
 
+OrderReply FakeWorkerClient::carryOut(FakeWorkerState &Target,
+                                      const WorkerTarget &Worker,
+                                      const StartOrder &Order) {
+  OrderReply Reply{OrderOutcome::Done, Target.clock(Loop_.monotonic())};
+  if (Worker.FencingToken_ < Target.HighestEpoch_)
+    Reply.Outcome_ = OrderOutcome::Fenced;
+  else if (Target.HighestAttempt_[Order.Task_] >= Order.Attempt_)
+    Reply.Outcome_ = OrderOutcome::Superseded;
+  else if (Order.LeaseEnd_ <= Reply.Clock_)
+    Reply.Outcome_ = OrderOutcome::TooLate;
+  if (Reply.Outcome_ != OrderOutcome::Done)
+    return Reply;
+  Target.HighestEpoch_ = Worker.FencingToken_;
+  Target.extendLeases(Order.LeaseEnd_, Loop_.monotonic());
+  if (Target.Running_.count(Order.Task_) > 0)
+    return Reply;
+  if (Fleet_.isRunning(Order.Task_, Loop_.monotonic()))
+    Fleet_.ConcurrentRuns_.push_back(Order.Task_);
+  if (Fleet_.AcknowledgedTasks_.count(Order.Task_) > 0)
+    Fleet_.StartedAfterAcknowledgement_.push_back(Order.Task_);
+  Target.Running_[Order.Task_] = Order.Attempt_;
+  ++Fleet_.Starts_[Order.Task_];
+  // The payload is the duration of the task in milliseconds.
+  const Millis Duration{std::atoll(Order.Payload_.c_str())};
+  const std::string Id = Worker.Worker_;
+  const std::int64_t WorkerStart = Target.ProcessStart_;
+  Loop_.after(Duration, [this, Id, WorkerStart, Order] {
+    FakeWorkerState &State = Fleet_.Workers_[Id];
+    const auto RunningTask = State.Running_.find(Order.Task_);
+    if (State.ProcessStart_ != WorkerStart ||
+        RunningTask == State.Running_.end() ||
+        RunningTask->second != Order.Attempt_)
+      return;
+    const bool Expired = State.clock(Loop_.monotonic()) > State.LeaseEnd_;
+    end(State, Order.Task_, Expired ? TaskEnd::LeaseExpired : TaskEnd::Done);
+  });
+  return Reply;
+}
+
 void FakeWorkerClient::stop(const WorkerTarget &Worker, const std::string &Task,
                             std::int64_t Attempt, OrderHandler Done) {
   Loop_.after(WorkerDelay, [this, Worker, Task, Attempt, Done] {
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -147,6 +147,9 @@
   bool LosesStartReplies_ = false; ///< Starts take effect but time out.
   bool LosesStopReplies_ = false;  ///< Stops take effect but time out.
   Millis RepliesHeldUntil_{};      ///< Replies arrive at this time at least.
+  /// If not zero, starts get no reply and are carried out so much later, by the
+  /// process that runs then.
+  Millis StartDelay_{};
   std::map<std::string, std::int64_t> Running_; ///< Attempt by task.
   /// Last stopped or ended attempt of each task.
   std::map<std::string, std::int64_t> HighestAttempt_;
@@ -217,6 +220,8 @@
   };
 
   FakeWorkerState *findReachable(const WorkerTarget &Worker);
+  OrderReply carryOut(FakeWorkerState &Target, const WorkerTarget &Worker,
+                      const StartOrder &Order);
   /// Makes a call later if the host of the worker is up again before the
   /// timeout.
   bool isDelayed(const WorkerTarget &Worker, Millis Timeout,
--- a/tests/cell/takeover_explorer_test.cpp
+++ b/tests/cell/takeover_explorer_test.cpp
@@ -184,6 +184,28 @@
   return Schedules;
 }
 
+/// Schedules in which a worker gets tasks of another one while it carries out
+/// starts late, and starts again before it does, with the same leader or the
+/// next one.
+std::vector<Schedule> schedulesOfLateStarts() {
+  constexpr int ShortestToRestart = 4;
+  constexpr int LongestToRestart = 5;
+  std::vector<Schedule> Schedules;
+  for (int Start = 0; Start < PointCount; ++Start)
+    for (int Restart = Start + ShortestToRestart;
+         Restart <= Start + LongestToRestart; ++Restart)
+      for (const char *Late : {"w1", "w3"}) {
+        const Schedule Events{Event{Start, EventKind::DelayStarts, Late},
+                              Event{Start, EventKind::RestartWorker, "w2"},
+                              Event{Restart, EventKind::RestartWorker, Late}};
+        Schedules.push_back(Events);
+        Schedules.push_back(Events);
+        Schedules.back().insert(Schedules.back().begin() + 2,
+                                Event{Restart - 1, EventKind::KillLeader, ""});
+      }
+  return Schedules;
+}
+
 template <typename Matches>
 std::optional<Finding> explore(const std::vector<Schedule> &Schedules,
                                const RowFault &Fault, const Matches &IsSought,
@@ -405,6 +427,10 @@
                                    EventKind::IsolateLeader}));
 }
 
+BOOST_AUTO_TEST_CASE(LateStartsRepeatNoTask) {
+  checkNoViolation(schedulesOfLateStarts());
+}
+
 BOOST_AUTO_TEST_CASE(RestartedWorkerRepeatsNoTaskWithRelays) {
   checkNoViolation(schedulesOfARestartedWorker({EventKind::KillLeader}),
                    WithRelays);
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -28,6 +28,7 @@
 constexpr Millis CutOffDuration{3100};
 // A worker that starts again is back before the next point.
 constexpr Millis WorkerDownTime{600};
+constexpr Millis StartDelay{6000};
 constexpr Millis SettleTime{12000};
 // Covers the wait for the leases of a leader that only a minority elected.
 constexpr Millis RecoveryLimit{20000};
@@ -37,7 +38,7 @@
   const char *Name_;
 };
 
-constexpr std::array<NamedKind, 21> NamedKinds{{
+constexpr std::array<NamedKind, 22> NamedKinds{{
     {EventKind::KillLeader, "kill-leader"},
     {EventKind::StopLeader, "stop-leader"},
     {EventKind::IsolateLeader, "isolate-leader"},
@@ -59,6 +60,7 @@
     {EventKind::MainPartRejects, "main-part-rejects"},
     {EventKind::SparePartRejects, "spare-part-rejects"},
     {EventKind::RestartWorker, "restart-worker"},
+    {EventKind::DelayStarts, "delay-starts"},
 }};
 
 std::string nameOf(EventKind Kind) {
@@ -203,6 +205,12 @@
     return Cell_.removeWorker(Happening.Worker_);
   case EventKind::RestartWorker:
     return Cell_.restartWorker(Happening.Worker_, WorkerDownTime);
+  case EventKind::DelayStarts:
+    Workers.at(Happening.Worker_).StartDelay_ = StartDelay;
+    return Cell_.Loop_.after(CutOffDuration,
+                             [State = &Workers.at(Happening.Worker_)] {
+                               State->StartDelay_ = Millis{};
+                             });
   case EventKind::KillRelay:
   case EventKind::StopRelay:
   case EventKind::IsolateRelay:
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -39,6 +39,7 @@
   MainPartRejects,  ///< The store rejects it for all nodes, for a while.
   SparePartRejects, ///< The same for the spare part.
   RestartWorker,    ///< It loses power and starts again under its id.
+  DelayStarts,      ///< A worker carries out starts late, for a while.
 };
 
 struct Event {
--- a/tests/cell/worker_restart_test.cpp
+++ b/tests/cell/worker_restart_test.cpp
@@ -225,4 +225,27 @@
     }
 }
 
+// Guards against a task that runs twice: a start that got no reply is carried
+// out by the next process of the worker, which knows of no stop.
+BOOST_AUTO_TEST_CASE(LateStartIsRejectedByTheNextProcess) {
+  constexpr Millis StartDelay{5000};
+  constexpr Millis OrderTime{100};
+  constexpr Millis TimeToRestart{1500};
+  for (Millis Phase{}; Phase < LongestPhase; Phase = Phase + PhaseStep) {
+    FakeCell Cell(3, 3);
+    const std::string Leader = waitForLeader(Cell);
+    Cell.Loop_.run(Phase);
+    Cell.Fleet_.Workers_["w1"].StartDelay_ = StartDelay;
+    Cell.submitLongRunning(Leader, jobId(1), 6);
+    Cell.submit(Leader, jobId(2), 6, Millis{200});
+    Cell.Loop_.run(OrderTime);
+    Cell.Fleet_.Workers_["w1"].StartDelay_ = Millis{};
+    Cell.Loop_.run(TimeToRestart);
+    Cell.restartWorker("w1", DownTime);
+    Cell.Loop_.run(SettleTime);
+    checkNoRepeatedRuns(Cell, Phase);
+    BOOST_TEST((Cell.state(Leader, jobId(2)) == dispatch::JobState::Complete));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
