dispatch: Take a doubted clock only from a later poll

A start had shown the clock of another process, so the worker got no orders until a poll gave its clock. A late reply of the process before, to a poll that was sent earlier, gave the old clock back: starts, renewals and acknowledgements went on to the new process until the next reply. Seen in virtual time only.

LateReplyOfTheProcessBeforeDoesNotRestoreItsClock failed before. StartOnAConnectionThatOpensTooLateIsNotSent, with a full queue of new connections whose opening packet is sent again after a second, passed before, too.

--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -48,6 +48,7 @@
   if (Attempt.State_ == RunState::Starting)
     Attempt.State_ = RunState::Uncertain;
   W.WorkerClock_ = Millis{};
+  W.ClockLostAt_ = Now;
   countLongestLease(W, Now);
 }
 
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -363,7 +363,8 @@
     forgetUnseenRuns(W);
   W.Reachability_ = Reachability::Reachable;
   W.UnreachableSince_ = Millis{};
-  updateClock(W, Reply.Clock_, Now);
+  if (SentAt >= W.ClockLostAt_)
+    updateClock(W, Reply.Clock_, Now);
   for (const EndedTask &End : Reply.Ended_)
     handleEnd(W, End, Now);
   for (const RunningEntry &Entry : Reply.Running_)
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -144,6 +144,9 @@
   /// reply arrived.
   Millis WorkerClock_{};
   Millis ClockReadAt_{};
+  /// When another process was found to take its orders. Only a poll that was
+  /// sent later tells which one has the clock.
+  Millis ClockLostAt_{};
   /// The worker numbers its reports of ended tasks; the highest number
   /// processed.
   std::int64_t LastEnd_ = 0;
--- a/tests/adapter/worker_process_test.cpp
+++ b/tests/adapter/worker_process_test.cpp
@@ -6,11 +6,16 @@
 #include "platform/workers.h"
 #include "tests/stand_ins/relay.h"
 
+#include <arpa/inet.h>
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <future>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace damaskglade;
 using namespace damaskglade::platform;
@@ -139,6 +144,74 @@
   std::thread Thread_;
 };
 
+/// A listener that accepts nothing and whose queue of new connections is full.
+class FullQueue {
+public:
+  FullQueue() : Listener_(openSocket()) {
+    sockaddr_in Address = loopback(0);
+    bind(Listener_, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    listen(Listener_, 0);
+    socklen_t Size = sizeof(Address);
+    getsockname(Listener_, reinterpret_cast<sockaddr *>(&Address), &Size);
+    Port_ = ntohs(Address.sin_port);
+    constexpr int Fillers = 4;
+    for (int Count = 0; Count < Fillers; ++Count) {
+      Fillers_.push_back(openSocket());
+      connect(Fillers_.back(), reinterpret_cast<sockaddr *>(&Address),
+              sizeof(Address));
+    }
+  }
+  ~FullQueue() {
+    for (const int Each : Fillers_)
+      close(Each);
+    close(Listener_);
+  }
+  FullQueue(const FullQueue &) = delete;
+  FullQueue &operator=(const FullQueue &) = delete;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(Port_); }
+
+  /// Accepts connections for longer than a lost opening packet takes, and
+  /// returns what arrives on them.
+  std::string receiveAll() {
+    std::string Received;
+    std::vector<int> Accepted;
+    constexpr int Rounds = 25;
+    for (int Round = 0; Round < Rounds; ++Round) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      for (int Each = accept4(Listener_, nullptr, nullptr, SOCK_NONBLOCK);
+           Each >= 0;
+           Each = accept4(Listener_, nullptr, nullptr, SOCK_NONBLOCK))
+        Accepted.push_back(Each);
+      std::array<char, 4096> Chunk{};
+      for (const int Each : Accepted)
+        if (const ssize_t Size = recv(Each, Chunk.data(), Chunk.size(), 0);
+            Size > 0)
+          Received.append(Chunk.data(), static_cast<std::size_t>(Size));
+    }
+    BOOST_TEST(!Accepted.empty());
+    for (const int Each : Accepted)
+      close(Each);
+    return Received;
+  }
+
+private:
+  static int openSocket() {
+    return socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  }
+  static sockaddr_in loopback(std::uint16_t Port) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(Port);
+    return Address;
+  }
+
+  const int Listener_;
+  int Port_ = 0;
+  std::vector<int> Fillers_;
+};
+
 /// A path to a worker through a relay.
 class RelayedPath {
 public:
@@ -296,6 +369,19 @@
   }
 }
 
+// Guards against a start that is sent after its timeout because the queue of
+// new connections was full: the system opens the connection a second later.
+BOOST_AUTO_TEST_CASE(StartOnAConnectionThatOpensTooLateIsNotSent) {
+  RestartingWorker Worker(LongIdle);
+  FullQueue Queue;
+  Worker.CalledAt_ = Queue.address();
+  const auto Failed = Worker.start(0);
+  BOOST_TEST_REQUIRE(!Failed.has_value());
+  BOOST_TEST((Failed.error().Reason_ == Reason::Timeout));
+  BOOST_TEST((Failed.error().Effect_ == Effect::None));
+  BOOST_TEST(Queue.receiveAll() == "");
+}
+
 // Guards against orders for a process whose replies were lost before it ended,
 // and for one that has ended before it was heard.
 BOOST_AUTO_TEST_CASE(OrdersAfterLostRepliesReachNoLaterProcess) {
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -662,6 +662,26 @@
   BOOST_TEST(Pass.Starts_.front().Task_.Job_ == Next.Id_);
 }
 
+// Guards against trust in a process that has ended: its last reply to a poll
+// arrives after the next process has answered a start.
+BOOST_AUTO_TEST_CASE(LateReplyOfTheProcessBeforeDoesNotRestoreItsClock) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.advance(Millis{5});
+  PollReply Late;
+  Late.Clock_ = Fixture.Now_ + Fixture.ClockOffset;
+  Late.ProcessStart_ = 1;
+  const Millis LateSentAt = Fixture.Now_;
+  Fixture.advance(Millis{5});
+  BOOST_TEST(!startConfirmedWith(Fixture, Millis{300}));
+  Fixture.advance(Millis{1});
+  Fixture.Dispatcher_.handlePollReply("w1", Late, LateSentAt, Fixture.Now_);
+  BOOST_TEST((Fixture.Dispatcher_.findWorker("w1")->WorkerClock_ == Millis{}));
+  BOOST_TEST((Fixture.Dispatcher_.grantLease("w1", Fixture.Now_) == Millis{}));
+  Fixture.pollWorker("w1", {}, 2);
+  BOOST_TEST((Fixture.Dispatcher_.grantLease("w1", Fixture.Now_) > Millis{}));
+}
+
 // Guards against polls after orders to sound workers: replies overtake each
 // other and are read late, and clocks may run 2% slow.
 BOOST_AUTO_TEST_CASE(ClockOfTheSameProcessIsRecognized) {
