cell: Call no node for advice whose answer is overdue

Cause: short calls go to reserved nodes, the first quarter of the list, which is sorted by address. All of them were in the zone that was cut off. A node got further calls until its first one had timed out (about a second) or it had not pinged for 1.5 s, and short calls went to other nodes only once the backlog of the reserved ones was full.

A node is now expected to answer one of its calls within the duration of those that are open. If it is late by more than 100 ms, it gets no calls while other nodes are in time. If all are late, the service or the leader is slow, and nothing changes. Short calls go to the least loaded of all nodes, the reserved ones first among equals.

--- a/cell/advice_balancer.cpp
+++ b/cell/advice_balancer.cpp
@@ -16,11 +16,18 @@
 constexpr Millis MaxDeferrableBacklog = MaxBacklog / 2;
 // How long a node gets no calls after a failed one.
 constexpr Millis FailureBackoff{1500};
+// An answer that is late by more than this is overdue. A node that is cut off
+// would otherwise get calls until the first one times out.
+constexpr Millis OverdueMargin{100};
 // Added to the timeout of a call, and again if another node makes the call.
 constexpr Millis TimeoutMargin{400};
 // A quarter of the nodes, rounded up, is reserved for short calls.
 constexpr std::size_t NodesPerReservedNode = 4;
 
+bool isOverdue(const AdviceNode &Node, Millis Now) {
+  return Node.Backlog_ > Millis{} && Now > Node.AnswerDueAt_ + OverdueMargin;
+}
+
 } // namespace
 
 int chooseAdviceNode(const std::vector<AdviceNode> &Nodes,
@@ -29,11 +36,17 @@
   const std::size_t ReservedNodes = std::max<std::size_t>(
       1, (Nodes.size() + NodesPerReservedNode - 1) / NodesPerReservedNode);
   const bool IsShort = ExpectedDuration < ShortCallLimit;
+  // If all are overdue, the advice service or this node is slow.
+  const bool AllOverdue =
+      std::all_of(Nodes.begin(), Nodes.end(), [Now](const AdviceNode &Node) {
+        return Node.AvoidUntil_ > Now || isOverdue(Node, Now);
+      });
   const auto ChooseLeastLoaded = [&](std::size_t Begin, std::size_t End) {
     int LeastLoaded = -1;
     for (std::size_t Index = Begin; Index < End; ++Index) {
       const AdviceNode &Node = Nodes[Index];
-      if (Node.AvoidUntil_ > Now || Node.Backlog_ > BacklogLimit)
+      if (Node.AvoidUntil_ > Now || Node.Backlog_ > BacklogLimit ||
+          (!AllOverdue && isOverdue(Node, Now)))
         continue;
       if (LeastLoaded < 0 ||
           Node.Backlog_ < Nodes[static_cast<std::size_t>(LeastLoaded)].Backlog_)
@@ -41,10 +54,9 @@
     }
     return LeastLoaded;
   };
-  if (IsShort) {
-    const int Chosen = ChooseLeastLoaded(0, ReservedNodes);
-    return Chosen >= 0 ? Chosen : ChooseLeastLoaded(0, Nodes.size());
-  }
+  // The reserved nodes come first among equals.
+  if (IsShort)
+    return ChooseLeastLoaded(0, Nodes.size());
   const int Chosen = ChooseLeastLoaded(ReservedNodes, Nodes.size());
   // With no unreserved nodes left, long calls use the reserved ones.
   return Chosen >= 0 || Nodes.size() > ReservedNodes
@@ -95,6 +107,8 @@
   AdviceNode &Node = Nodes_[static_cast<std::size_t>(Chosen)];
   const Millis Timeout =
       Node.Backlog_ * 2 + Question.Expected_ * 2 + TimeoutMargin;
+  if (Node.Backlog_ == Millis{})
+    Node.AnswerDueAt_ = Ports_.Clock_.monotonic() + Question.Expected_;
   Node.Backlog_ = Node.Backlog_ + Question.Expected_;
   const std::string Address = Node.Address_;
   const std::string Step = dispatch::stepName(Question.Job_, Question.Step_);
@@ -133,8 +147,11 @@
     if (Node.Address_ != Address)
       continue;
     Node.Backlog_ = std::max(Millis{}, Node.Backlog_ - Question.Expected_);
-    if (!Reply)
-      Node.AvoidUntil_ = Ports_.Clock_.monotonic() + FailureBackoff;
+    const Millis Now = Ports_.Clock_.monotonic();
+    if (Reply)
+      Node.AnswerDueAt_ = Now + Node.Backlog_;
+    else
+      Node.AvoidUntil_ = Now + FailureBackoff;
   }
   if (!Reply)
     Ports_.Metrics_.countRetry(Reply.error().Reason_);
--- a/cell/advice_balancer.h
+++ b/cell/advice_balancer.h
@@ -16,6 +16,8 @@
   std::string Address_; ///< Empty: this node.
   Millis Backlog_{};    ///< Expected duration of its unanswered calls.
   Millis AvoidUntil_{}; ///< Gets no calls until then, after a failed one.
+  /// When an answer to one of its unanswered calls is due at the latest.
+  Millis AnswerDueAt_{};
 
   friend bool operator==(const AdviceNode &, const AdviceNode &) = default;
 };
@@ -24,7 +26,8 @@
 /// -1 if all suitable nodes have a full backlog or have just failed.
 /// ExpectedDuration is that of the call. The service handles one call at a time
 /// for each calling VM, so the first nodes are reserved for short calls. Urgent
-/// calls may wait in a longer backlog than others.
+/// calls may wait in a longer backlog than others. A node whose answer is
+/// overdue gets no calls while another one is suitable or busy.
 int chooseAdviceNode(const std::vector<AdviceNode> &Nodes,
                      Millis ExpectedDuration, bool Urgent, Millis Now);
 
