dispatch: Drop the tickets of a worker that has restarted

After workers had crashed and come back, their first starts were rejected, up to 227 in one second, and callers waited for the next advice.

Cause: a ticket is valid for one process of its worker. The leader kept those that it had for the former process, and sent them to the next one. A worker that has just come back has the most free capacity, so that all steps with such a ticket chose it first. The rejection of a start removed the ticket of its own step only.

The tickets of a worker now end when the leader sees that it has restarted. The worker stays allowed, so that its ticket is renewed.

TicketsEndWithTheProcessOfTheWorker failed before: the start went out with the ticket of before the restart.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -377,6 +377,8 @@
                   const std::function<bool(const TaskRef &, const Run &)> &Keep,
                   Millis Now);
   bool handleOvertakenReply(Worker &W, const PollReply &Reply, Millis Now);
+  /// Drops the tickets that steps have for the worker.
+  void dropTickets(const Worker &W);
   void handleRestart(Worker &W, const PollReply &Reply, Millis SentAt,
                      Millis Now);
   static bool isStartingAt(const Worker &W, const Run &Attempt);
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -260,6 +260,14 @@
   return Ids;
 }
 
+// A worker stays allowed, but its tickets are valid for one process only.
+void Dispatcher::dropTickets(const Worker &W) {
+  for (const auto &[Id, Job] : ActiveJobs_)
+    for (StepRun &Step : Job->Steps_)
+      if (findTicket(Step.Advice_, W.Index_))
+        allowWorker(Step.Advice_, W.Index_, Ticket{});
+}
+
 void Dispatcher::requestAdvice(const RankedStep &Ranked, bool CapacityExpected,
                                Millis Now) {
   if (!Ranked.Policy_->NeedsAdvice_)
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -217,6 +217,7 @@
                ReportedAttempts.count({taskName(Ref), Attempt.Attempt_}) > 0;
       },
       Now);
+  dropTickets(W);
   // Stops that the previous process confirmed do not apply to the new one.
   for (const TaskRef &Ref : W.Tasks_)
     task(Ref)->Run_->StopConfirmedAt_ = Millis{};
--- a/tests/dispatch/advice_test.cpp
+++ b/tests/dispatch/advice_test.cpp
@@ -181,4 +181,23 @@
   BOOST_ERROR("no advice was asked for the second step");
 }
 
+// Guards against starts that a worker rejects because their tickets were issued
+// for its former process.
+BOOST_AUTO_TEST_CASE(TicketsEndWithTheProcessOfTheWorker) {
+  DispatcherFixture Fixture;
+  Fixture.Dispatcher_.setQueues({{"slow", slowAdvicePolicy()}});
+  Fixture.addWorkers({makeWorker("w1", 8000)});
+  Fixture.submit(makeJob("1", "slow", {makeStep(1, 500)}));
+  const Actions BeforeRestart = Fixture.decideAndExecute();
+  BOOST_TEST_REQUIRE(BeforeRestart.Questions_.size() == 1U);
+  allowAll(Fixture, BeforeRestart.Questions_.front());
+  Fixture.pollWorker("w1", {}, 2);
+  Fixture.advance(Millis{100});
+  const Actions AfterRestart = Fixture.decideAndExecute();
+  BOOST_TEST(AfterRestart.Starts_.empty());
+  BOOST_TEST_REQUIRE(AfterRestart.Questions_.size() == 1U);
+  allowAll(Fixture, AfterRestart.Questions_.front());
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
