dispatch: Bound a worker's clock by when its last reading was asked for

A leader that had been paused read replies seconds after they were written.

A reading was written between its call and its arrival, so the clock is now bounded by when the call was sent, and no delay is assumed. The new check of a paused leader in ClockOfTheSameProcessIsRecognized failed with the bound of before.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -458,7 +458,7 @@
   void forgetUnseenRuns(Worker &W);
   void handleReplyOfOtherProcess(Worker &W, const StartAction &Order,
                                  Run &Attempt, Millis Clock, Millis Now);
-  static void updateClock(Worker &W, Millis Clock, Millis Now);
+  static void updateClock(Worker &W, Millis Clock, Millis SentAt, Millis Now);
   void recordTaskDuration(Worker &W, const StepSpec &Step, const Run &Attempt,
                           Millis Now);
   void handleEnd(Worker &W, const EndedTask &End, Millis Now);
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -79,7 +79,7 @@
       handleReplyOfOtherProcess(W, Order, Attempt, Clock, Now);
       return false;
     }
-    updateClock(W, Clock, Now);
+    updateClock(W, Clock, Attempt.OrderedAt_, Now);
   }
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Order.Task_.Step_)];
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -264,11 +264,13 @@
   W.LeaseExpiry_ = Millis{};
 }
 
-void Dispatcher::updateClock(Worker &W, Millis Clock, Millis Now) {
+void Dispatcher::updateClock(Worker &W, Millis Clock, Millis SentAt,
+                             Millis Now) {
   if (Clock == Millis{})
     return;
   W.WorkerClock_ = Clock;
   W.ClockReadAt_ = Now;
+  W.ClockAskedAt_ = SentAt;
 }
 
 void Dispatcher::handlePollFailure(const std::string &Id, const Error &Failure,
@@ -365,7 +367,7 @@
   W.Reachability_ = Reachability::Reachable;
   W.UnreachableSince_ = Millis{};
   if (SentAt >= W.ClockLostAt_)
-    updateClock(W, Reply.Clock_, Now);
+    updateClock(W, Reply.Clock_, SentAt, Now);
   for (const EndedTask &End : Reply.Ended_)
     handleEnd(W, End, Now);
   for (const RunningEntry &Entry : Reply.Running_)
--- a/dispatch/fleet.cpp
+++ b/dispatch/fleet.cpp
@@ -30,8 +30,6 @@
 // long as an order waits for its reply.
 constexpr Millis AliveTime{250};
 
-// Replies are read up to this long after they were written.
-constexpr Millis ReadDelay{1000};
 // Clocks are told in whole milliseconds, and may run 2% slow.
 constexpr Millis ClockRounding{10};
 constexpr std::int64_t DriftDivisor = 50;
@@ -52,11 +50,14 @@
 bool isClockOf(const Worker &W, Millis Clock, Millis SentAt, Millis Now) {
   if (W.WorkerClock_ == Millis{})
     return false;
-  const Millis SinceRead = SentAt - W.ClockReadAt_;
-  const Millis Drift{std::abs(SinceRead.Value_) / DriftDivisor};
-  const Millis Earliest = W.WorkerClock_ + SinceRead - Drift - ClockRounding;
-  const Millis Latest = W.WorkerClock_ + (Now - W.ClockReadAt_) + ReadDelay;
-  return Clock >= Earliest && Clock <= Latest;
+  const auto Error = [](Millis Duration) {
+    return Millis{std::abs(Duration.Value_) / DriftDivisor} + ClockRounding;
+  };
+  // Both replies were written between their call and their arrival.
+  const Millis Shortest = SentAt - W.ClockReadAt_;
+  const Millis Longest = Now - W.ClockAskedAt_;
+  return Clock >= W.WorkerClock_ + Shortest - Error(Shortest) &&
+         Clock <= W.WorkerClock_ + Longest + Error(Longest);
 }
 
 bool wasAliveAt(const Worker &W, Millis Time) {
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -144,6 +144,7 @@
   /// reply arrived.
   Millis WorkerClock_{};
   Millis ClockReadAt_{};
+  Millis ClockAskedAt_{}; ///< When the call with that reply was sent.
   /// When another process was found to take its orders. Only a poll that was
   /// sent later tells which one has the clock.
   Millis ClockLostAt_{};
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -688,6 +688,7 @@
   Worker W;
   W.WorkerClock_ = Millis{50000};
   W.ClockReadAt_ = Millis{2000};
+  W.ClockAskedAt_ = Millis{1200};
   const auto IsOwn = [&W](std::int64_t Clock, std::int64_t SentAt,
                           std::int64_t Now) {
     return isClockOf(W, Millis{Clock}, Millis{SentAt}, Millis{Now});
@@ -701,6 +702,10 @@
   BOOST_TEST(!IsOwn(50000, 4000, 4002));
   BOOST_TEST(!IsOwn(49000, 1900, 2100));
   BOOST_TEST(!IsOwn(54000, 2000, 2010));
+  // The leader was paused before it read the reply.
+  W.ClockReadAt_ = Millis{4500};
+  BOOST_TEST(IsOwn(53200, 4510, 4530));
+  BOOST_TEST(!IsOwn(54000, 4510, 4530));
   W.WorkerClock_ = Millis{};
   BOOST_TEST(!IsOwn(50000, 2000, 2000));
 }
