--- a/tests/adapter/worker_process_test.cpp
+++ b/tests/adapter/worker_process_test.cpp
@@ -149,16 +149,17 @@
 public:
   FullQueue() : Listener_(openSocket()) {
     sockaddr_in Address = loopback(0);
-    bind(Listener_, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
-    listen(Listener_, 0);
+    BOOST_TEST_REQUIRE(bind(Listener_, reinterpret_cast<sockaddr *>(&Address),
+                            sizeof(Address)) == 0);
+    BOOST_TEST_REQUIRE(listen(Listener_, 0) == 0);
     socklen_t Size = sizeof(Address);
     getsockname(Listener_, reinterpret_cast<sockaddr *>(&Address), &Size);
     Port_ = ntohs(Address.sin_port);
     constexpr int Fillers = 4;
     for (int Count = 0; Count < Fillers; ++Count) {
       Fillers_.push_back(openSocket());
-      connect(Fillers_.back(), reinterpret_cast<sockaddr *>(&Address),
-              sizeof(Address));
+      (void)connect(Fillers_.back(), reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address));
     }
   }
   ~FullQueue() {
