dispatch: Remember one start without a reply for each task

A worker that leaves all starts unanswered gets many of each task. Each of them was remembered, reserved what the task would use, and was stopped in the next process, so a worker could seem full for as long as the stops took. A stop of the latest attempt makes a worker reject the earlier ones, so the latest is enough. A worker that another one has replaced at its address needs no stops.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -475,8 +475,6 @@
   /// it got no reply.
   static void rememberStart(Worker &W, const TaskRef &Ref, const StepSpec &Step,
                             const Run &Dropped);
-  void forgetAnsweredStart(const StartAction &Order,
-                           const Result<OrderReply> &Reply);
   static bool mayStartLate(const Worker &W, Millis Now);
   /// Whether a run that the worker has not listed in the reply to a poll sent
   /// at the given time may still begin.
--- a/dispatch/dispatcher_late.cpp
+++ b/dispatch/dispatcher_late.cpp
@@ -22,34 +22,30 @@
 
 } // namespace
 
+// A stop of the latest attempt makes a worker reject all earlier ones.
 void Dispatcher::rememberStart(Worker &W, const TaskRef &Ref,
                                const StepSpec &Step, const Run &Dropped) {
   if (Dropped.StartedAt_ > Millis{} || Dropped.Reported_)
     return;
   const bool IsStopped = Dropped.StopConfirmedAt_ > Millis{};
-  W.UnansweredStarts_.push_back(
-      UnansweredStart{taskName(Ref), Dropped.Attempt_, reservedSize(Step),
-                      Dropped.OrderedAt_, IsStopped ? W.ProcessStart_ : 0});
-}
-
-void Dispatcher::forgetAnsweredStart(const StartAction &Order,
-                                     const Result<OrderReply> &Reply) {
-  const auto WorkerEntry = Workers_.find(Order.Target_.Worker_);
-  // A copy of the order that the worker knows may be another one's reply.
-  const bool IsAnswered =
-      Reply ? Reply.value().Outcome_ != OrderOutcome::Superseded
-            : Reply.error().Effect_ == Effect::None;
-  if (!IsAnswered || WorkerEntry == Workers_.end())
-    return;
-  auto &Starts = WorkerEntry->second.UnansweredStarts_;
-  const auto Start =
-      findAttempt(Starts, Order.Order_.Task_, Order.Order_.Attempt_);
-  if (Start != Starts.end())
-    Starts.erase(Start);
+  const UnansweredStart Latest{taskName(Ref), Dropped.Attempt_,
+                               reservedSize(Step), Dropped.OrderedAt_,
+                               IsStopped ? W.ProcessStart_ : 0};
+  const auto Earlier =
+      std::find_if(W.UnansweredStarts_.begin(), W.UnansweredStarts_.end(),
+                   [&](const UnansweredStart &Start) {
+                     return Start.Task_ == Latest.Task_;
+                   });
+  if (Earlier != W.UnansweredStarts_.end())
+    *Earlier = Latest;
+  else
+    W.UnansweredStarts_.push_back(Latest);
 }
 
 bool Dispatcher::mayStartLate(const Worker &W, Millis Now) {
-  return std::any_of(W.UnansweredStarts_.begin(), W.UnansweredStarts_.end(),
+  // Another worker at its address rejects what was meant for it.
+  return W.Reachability_ != Reachability::Replaced &&
+         std::any_of(W.UnansweredStarts_.begin(), W.UnansweredStarts_.end(),
                      [Now](const UnansweredStart &Start) {
                        return Now <= Start.OrderedAt_ + LongestDelay;
                      });
--- a/dispatch/dispatcher_orders.cpp
+++ b/dispatch/dispatcher_orders.cpp
@@ -59,7 +59,6 @@
   const bool WrongWorker =
       Reply && Reply.value().Outcome_ == OrderOutcome::WrongWorker;
   TaskState *Task = task(Order.Task_);
-  forgetAnsweredStart(Order, Reply);
   if (!Task || !Task->Run_ || Task->Run_->Attempt_ != Order.Order_.Attempt_ ||
       Task->Run_->Worker_ != Id)
     return true;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -93,8 +93,9 @@
                          const UnexpectedRun &) = default;
 };
 
-/// A start order that got no reply and whose run has been dropped since. It may
-/// still be carried out, by a later process of the worker as well.
+/// The latest start order for a task that got no reply and whose run has been
+/// dropped since. It may still be carried out, by a later process of the worker
+/// as well.
 struct UnansweredStart {
   std::string Task_;
   std::int64_t Attempt_ = 0;
