dispatch: Bound the wait for late starts, and forget the clock of an ended process

- A task waited without limit for a start that the next process of a worker might carry out, if the stop for it got no reply.
- If a probe came too early to tell which process has the clock, nothing asked again, and the worker got no starts and renewals until its long poll ended (WorkerIsAskedAgainIfItsClockIsNotTaken).

--- a/dispatch/dispatcher_late.cpp
+++ b/dispatch/dispatcher_late.cpp
@@ -54,7 +54,7 @@
 bool Dispatcher::mayBegin(const UnexpectedRun &Entry, Millis SentAt) {
   const bool Rejected =
       Entry.StopConfirmedAt_ > Millis{} && Entry.StopConfirmedAt_ < SentAt;
-  return Entry.Expected_ && !Rejected;
+  return Entry.Expected_ && !Rejected && SentAt <= Entry.ExpectedUntil_;
 }
 
 void Dispatcher::expectLateStarts(Worker &W, Millis Now) {
@@ -67,8 +67,13 @@
         findAttempt(W.UnexpectedRuns_, Start.Task_, Start.Attempt_) !=
             W.UnexpectedRuns_.end())
       continue;
-    UnexpectedRun Expected{Start.Task_, Start.Attempt_, Start.Reserved_,
-                           Millis{},    true,           Millis{}};
+    UnexpectedRun Expected{Start.Task_,
+                           Start.Attempt_,
+                           Start.Reserved_,
+                           Millis{},
+                           true,
+                           Millis{},
+                           Start.OrderedAt_ + LongestDelay};
     W.Used_ = W.Used_ + Expected.Reserved_;
     const auto Ref = parseTaskName(Start.Task_);
     if (TaskState *Task = Ref ? task(Ref.value()) : nullptr)
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -337,6 +337,7 @@
     log("", "look at worker", Id, "worker has restarted, its runs are lost");
     handleRestart(W, Reply, SentAt, Now);
     W.LastEnd_ = 0;
+    W.WorkerClock_ = Millis{};
   }
   if (Restarted || W.LatestPoll_.ReceivedAt_ == Millis{})
     W.LatestPoll_.ProcessKnownSince_ = Now;
@@ -368,6 +369,8 @@
   W.UnreachableSince_ = Millis{};
   if (SentAt >= W.ClockLostAt_)
     updateClock(W, Reply.Clock_, SentAt, Now);
+  else
+    PendingActions_.Probes_.push_back(Id);
   for (const EndedTask &End : Reply.Ended_)
     handleEnd(W, End, Now);
   for (const RunningEntry &Entry : Reply.Running_)
--- a/tests/dispatch/late_start_test.cpp
+++ b/tests/dispatch/late_start_test.cpp
@@ -225,4 +225,31 @@
   BOOST_TEST(Second.Stops_.front().Target_.ProcessStart_ == 2);
 }
 
+// Guards against a task that waits for ever for a stop without a reply.
+BOOST_AUTO_TEST_CASE(ExpectedStartIsGivenUpAfterTheLongestDelay) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1"), makeWorker("w2")});
+  const JobSpec Job = makeJob("1", "urgent", {makeStep(1, 1000)});
+  Fixture.submit(Job);
+  Fixture.advance(Millis{1});
+  const Actions First = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(First.Starts_.size() == 1U);
+  const std::string Id = First.Starts_.front().Target_.Worker_;
+  Fixture.Dispatcher_.handleStartReply(
+      First.Starts_.front(), startError(Effect::Unknown), Fixture.Now_);
+  Fixture.Dispatcher_.handlePollFailure(Id, Error{}, Fixture.Now_);
+  Fixture.advance(Millis{10500});
+  Fixture.Dispatcher_.expireUnreachable(Fixture.Now_);
+  BOOST_TEST(Fixture.Dispatcher_.findWorker(Id)->Tasks_.empty());
+  // Polls are answered, stops are not.
+  for (int Poll = 0; Poll < 60; ++Poll) {
+    Fixture.pollWorker(Id, {}, 2);
+    Fixture.advance(Millis{1000});
+    const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+    if (!Pass.Starts_.empty())
+      return;
+  }
+  BOOST_ERROR("the task does not start within 60 s");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -731,4 +731,69 @@
   BOOST_TEST((keptWhileSilent(Fixture) > LongestLease));
 }
 
+// Guards against lease ends on the clock of the process before.
+BOOST_AUTO_TEST_CASE(RestartWithAClockOfZeroForgetsTheClock) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  PollReply Next;
+  Next.ProcessStart_ = 2;
+  Fixture.advance(Millis{10});
+  Fixture.Dispatcher_.handlePollReply("w1", Next, Fixture.Now_, Fixture.Now_);
+  BOOST_TEST((Fixture.Dispatcher_.findWorker("w1")->WorkerClock_ == Millis{}));
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+}
+
+// Guards against taking a worker for another process because its reply was read
+// late: the leader stood still.
+BOOST_AUTO_TEST_CASE(PollReplyReadLateLeavesTheWorkerInUse) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  const Millis SentAt = Fixture.Now_;
+  PollReply Late;
+  Late.ProcessStart_ = 1;
+  Fixture.advance(Millis{500});
+  Late.Clock_ = Fixture.Now_ + Fixture.ClockOffset;
+  Fixture.advance(Millis{1500});
+  Fixture.Dispatcher_.handlePollReply("w1", Late, SentAt, Fixture.Now_);
+  Fixture.submit(makeJob("1", "urgent", {makeStep(1, 1000)}));
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 1U);
+  Fixture.advance(Millis{5});
+  BOOST_TEST(Fixture.Dispatcher_.handleStartReply(
+      Pass.Starts_.front(),
+      OrderReply{OrderOutcome::Done, Fixture.Now_ + Fixture.ClockOffset},
+      Fixture.Now_));
+}
+
+// Guards against a worker that gets nothing until its long poll ends, since the
+// reply to a probe came too early to tell its clock.
+BOOST_AUTO_TEST_CASE(WorkerIsAskedAgainIfItsClockIsNotTaken) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1")});
+  Fixture.submit(makeJob("1", "urgent", {makeStep(2, 1000)}));
+  const Actions Pass = Fixture.Dispatcher_.decide(Fixture.Now_);
+  BOOST_TEST_REQUIRE(Pass.Starts_.size() == 2U);
+  const auto Reply = [&](const StartAction &Start) {
+    Fixture.advance(Millis{1});
+    BOOST_TEST(!Fixture.Dispatcher_.handleStartReply(
+        Start, OrderReply{OrderOutcome::Done, Millis{300}}, Fixture.Now_));
+  };
+  Reply(Pass.Starts_[0]);
+  const Millis ProbeSentAt = Fixture.Now_;
+  Reply(Pass.Starts_[1]);
+  Fixture.advance(Millis{1});
+  PollReply Probe;
+  Probe.ProcessStart_ = 2;
+  Probe.Clock_ = Millis{303};
+  for (const StartAction &Start : Pass.Starts_)
+    Probe.Running_.push_back(
+        RunningEntry{Start.Order_.Task_, Start.Order_.Attempt_, "", 1, 0});
+  Fixture.Dispatcher_.handlePollReply("w1", Probe, ProbeSentAt, Fixture.Now_);
+  const bool Known =
+      Fixture.Dispatcher_.findWorker("w1")->WorkerClock_ > Millis{};
+  BOOST_TEST(
+      (Known || !Fixture.Dispatcher_.decide(Fixture.Now_).Probes_.empty()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
