dispatch: Start suspects apart on workers that have not just crashed

A worker that has crashed within 10 s comes last for such starts, since its next crash says little about the task.

SuspectIsNotStartedApartOnAWorkerThatHasJustCrashed failed before.

--- a/dispatch/dispatcher_crashes.cpp
+++ b/dispatch/dispatcher_crashes.cpp
@@ -14,6 +14,9 @@
 // A job fails after this many crashes at the start of one of its tasks, the
 // last of them while the worker started nothing else.
 constexpr std::size_t MaxCrashes = 3;
+// A worker that has crashed is not used as a witness for this time if others
+// are free.
+constexpr Millis UnsteadyTime{10000};
 // A verdict does not wait longer for workers that are polled at once. Polls
 // time out after 700 ms.
 constexpr Millis LongestVerdict{1000};
@@ -293,7 +296,8 @@
 }
 
 // If the worker crashes again, the task is the only one that can be the cause.
-// Workers with few tasks are preferred, since these are lost then.
+// A worker that has crashed shortly before may do so by itself. Workers with
+// few tasks are preferred, since these are lost then.
 bool Dispatcher::placeApart(const RankedStep &Ranked, int Index,
                             std::vector<Candidate> &Candidates,
                             std::int64_t Attempt, Millis Now) {
@@ -302,8 +306,10 @@
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const auto Cost = [&](const Candidate &Entry) {
     const Worker &W = *Entry.Worker_;
-    return std::make_tuple(!isStartingNothing(W, Now), W.ReservedUntil_ <= Now,
-                           W.Tasks_.size());
+    const bool HasCrashed = W.LastCrash_.SeenAt_ > Millis{} &&
+                            Now < W.LastCrash_.SeenAt_ + UnsteadyTime;
+    return std::make_tuple(HasCrashed, !isStartingNothing(W, Now),
+                           W.ReservedUntil_ <= Now, W.Tasks_.size());
   };
   Candidate *Best = nullptr;
   for (Candidate &Entry : Candidates)
--- a/tests/dispatch/crash_verdict_test.cpp
+++ b/tests/dispatch/crash_verdict_test.cpp
@@ -160,4 +160,27 @@
   }
 }
 
+// Guards against a task that is condemned by a single worker which keeps losing
+// power, while others live.
+BOOST_AUTO_TEST_CASE(SuspectIsNotStartedApartOnAWorkerThatHasJustCrashed) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers({makeWorker("w1"), makeWorker("w2"), makeWorker("w3")});
+  Fixture.submit(makeJob("9", "urgent", {makeStep(2, 3500)}));
+  BOOST_TEST_REQUIRE(Fixture.decideAndExecute().Starts_.size() == 2U);
+  Fixture.advance(Millis{600});
+  const JobSpec Suspect = makeJob("5", "urgent", {makeStep(1, 100)});
+  JobProgress Progress;
+  Progress.CrashedAttempts_[{0, 0}] = {1, 2};
+  std::string Flapping;
+  for (const char *Id : {"w1", "w2", "w3"})
+    if (Fixture.RunningTasks_[Id].empty())
+      Flapping = Id;
+  for (const char *Id : {"w1", "w2", "w3"})
+    Fixture.pollWorker(Id, {}, Id == Flapping ? 2 : 1);
+  Fixture.Dispatcher_.restoreJob(Suspect, Progress, Fixture.Now_);
+  const Actions Apart = Fixture.decideAndExecute();
+  BOOST_TEST_REQUIRE(Apart.Starts_.size() == 1U);
+  BOOST_TEST(Apart.Starts_.front().Target_.Worker_ != Flapping);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
