soak: Let a stop reject all attempts up to its own

A worker that is told to stop an attempt rejects that one and all earlier ones from then on. The stand-in did so only if it ran no attempt of the task: if an earlier attempt was running, it ended that one and still took the attempts between, and the one that the stop had named. So a start that the worker was bound to reject was found as TWICE.

A stop now always counts, as with the stand-in of the cell tests. What ends a running attempt stays the same, and no check is changed.

--- a/tests/soak/worker_server.cpp
+++ b/tests/soak/worker_server.cpp
@@ -191,8 +191,7 @@
                   if (Born == Born_)
                     end(Task, Running, "stopped");
                 });
-  else
-    Highest_[Task] = std::max(Highest_[Task], Attempt);
+  Highest_[Task] = std::max(Highest_[Task], Attempt);
   Json::Value Out;
   Out["clockMs"] = Json::Int64(clock());
   return WebReply{Ok, writeJson(Out)};
