tests/cell: Play more kinds of restarts in the explorer

The explorer of restarts knew one kind: a worker that is down for 0.6 s. It now also plays two restarts in a row, last replies of a process that arrive after those of the next one, and a restart after orders whose replies were lost. Jobs with a short task arrive all along, so that orders are under way, registry entries list start times, and that of a new process is written 0.3 s after its start. Polls that acknowledge more ends than the process has listed count as a violation.

Some schedules with three or more crashes of one worker end with the job of the long-running tasks shown as failed, because of its crashes at the start.

--- a/tests/cell/takeover_explorer_test.cpp
+++ b/tests/cell/takeover_explorer_test.cpp
@@ -21,6 +21,8 @@
 
 constexpr PlaySettings WithRelays{true, false};
 constexpr PlaySettings InSparePart{false, true};
+constexpr PlaySettings WithArrivals{false, false, true};
+constexpr PlaySettings WithRelaysAndArrivals{true, false, true};
 
 struct Finding {
   Schedule Events_;
@@ -94,6 +96,14 @@
   return Schedules;
 }
 
+const std::vector<EventKind> Restarts{
+    EventKind::RestartWorker, EventKind::RestartWorkerTwice,
+    EventKind::RestartWithLateReplies, EventKind::RestartAfterLostReplies};
+
+bool isRestart(EventKind Kind) {
+  return std::find(Restarts.begin(), Restarts.end(), Kind) != Restarts.end();
+}
+
 const std::vector<EventKind> PartFaults{EventKind::MainPartRejects,
                                         EventKind::SparePartRejects};
 
@@ -104,8 +114,7 @@
   // The first worker, whose clock is slow, is concerned more often.
   std::vector<Event> Events = eventsWithWorkers({"w1", "w1", "w2"});
   for (const EventKind Kind : FurtherKinds)
-    Events.push_back(
-        Event{0, Kind, Kind == EventKind::RestartWorker ? "w1" : ""});
+    Events.push_back(Event{0, Kind, isRestart(Kind) ? "w1" : ""});
   std::size_t EventsLeft = MinEvents + Random() % EventCounts;
   Schedule Sample;
   for (int Point = 0; Point < PointCount; ++Point) {
@@ -119,8 +128,9 @@
 
 std::vector<Schedule>
 sampleSchedules(const std::vector<EventKind> &FurtherKinds = {},
-                std::size_t Count = SampledSchedules) {
-  std::mt19937 Random(Seed);
+                std::size_t Count = SampledSchedules,
+                unsigned RandomSeed = Seed) {
+  std::mt19937 Random(RandomSeed);
   std::vector<Schedule> Schedules;
   while (Schedules.size() < Count)
     Schedules.push_back(sampleSchedule(Random, FurtherKinds));
@@ -164,16 +174,17 @@
 /// Schedules in which a worker starts again, is cut off after that, and the
 /// leader changes in one of the given ways since.
 std::vector<Schedule>
-schedulesOfARestartedWorker(const std::vector<EventKind> &Changes) {
+schedulesOfARestartedWorker(const std::vector<EventKind> &Changes,
+                            EventKind Kind = EventKind::RestartWorker) {
   std::vector<Schedule> Schedules;
   for (int Restart = 0; Restart < PointCount; ++Restart)
     for (int Cut = Restart + 1; Cut < PointCount; ++Cut) {
-      const Event Back{Restart, EventKind::RestartWorker, "w1"};
+      const Event Back{Restart, Kind, "w1"};
       const Event CutOff{Cut, EventKind::CutWorkerOff, "w1"};
       Schedules.push_back({Back, CutOff});
       for (int Change = Restart; Change < PointCount; ++Change)
-        for (const EventKind Kind : Changes) {
-          Schedule Events{Back, CutOff, Event{Change, Kind, ""}};
+        for (const EventKind ChangeKind : Changes) {
+          Schedule Events{Back, CutOff, Event{Change, ChangeKind, ""}};
           std::stable_sort(Events.begin(), Events.end(),
                            [](const Event &A, const Event &B) {
                              return A.Point_ < B.Point_;
@@ -442,6 +453,44 @@
       {EventKind::RestartWorker, EventKind::RestartWorker}, Count));
 }
 
+// Two restarts in a row, replies of an earlier process that arrive after those
+// of the next one, and orders whose replies are lost before a restart.
+BOOST_AUTO_TEST_CASE(SampledKindsOfRestartsRepeatNoTask) {
+  constexpr std::size_t Count = 150;
+  checkNoViolation(sampleSchedules(Restarts, Count), WithArrivals);
+}
+
+BOOST_AUTO_TEST_CASE(SampledKindsOfRestartsRepeatNoTaskWithRelays) {
+  constexpr std::size_t Count = 60;
+  checkNoViolation(sampleSchedules(Restarts, Count), WithRelaysAndArrivals);
+}
+
+// For runs by hand.
+BOOST_AUTO_TEST_CASE(AllKindsOfRestartsRepeatNoTask,
+                     *boost::unit_test::disabled()) {
+  for (const EventKind Kind : Restarts)
+    for (const PlaySettings &Settings : {WithArrivals, WithRelaysAndArrivals})
+      checkNoViolation(schedulesOfARestartedWorker({EventKind::KillLeader,
+                                                    EventKind::StopLeader,
+                                                    EventKind::IsolateLeader},
+                                                   Kind),
+                       Settings);
+}
+
+// The same, with the seed that follows "--" on the command line.
+BOOST_AUTO_TEST_CASE(MoreSampledKindsOfRestartsRepeatNoTask,
+                     *boost::unit_test::disabled()) {
+  const auto &Suite = boost::unit_test::framework::master_test_suite();
+  const unsigned RandomSeed =
+      Suite.argc > 1 ? static_cast<unsigned>(std::stoul(Suite.argv[1])) : Seed;
+  std::vector<EventKind> Kinds;
+  for (int Weight = 0; Weight < 3; ++Weight)
+    Kinds.insert(Kinds.end(), Restarts.begin(), Restarts.end());
+  for (const PlaySettings &Settings : {WithArrivals, WithRelaysAndArrivals})
+    checkNoViolation(sampleSchedules(Kinds, SampledSchedules, RandomSeed),
+                     Settings);
+}
+
 // Plays the schedule that follows "--" on the command line.
 BOOST_AUTO_TEST_CASE(GivenScheduleRepeatsNoTask) {
   const auto &Suite = boost::unit_test::framework::master_test_suite();
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -29,6 +29,14 @@
 // A worker that starts again is back before the next point.
 constexpr Millis WorkerDownTime{600};
 constexpr Millis StartDelay{6000};
+// Less than the timeout of a call.
+constexpr Millis ReplyHoldTime{500};
+constexpr Millis LifeBeforeRestart{200};
+constexpr Millis ShortDownTime{100};
+constexpr Millis ShortLife{60};
+constexpr Millis EntryDelay{300};
+constexpr Millis ArrivalInterval{170};
+constexpr Millis ArrivingTaskDuration{250};
 constexpr Millis SettleTime{12000};
 // Covers the wait for the leases of a leader that only a minority elected.
 constexpr Millis RecoveryLimit{20000};
@@ -38,7 +46,7 @@
   const char *Name_;
 };
 
-constexpr std::array<NamedKind, 22> NamedKinds{{
+constexpr std::array<NamedKind, 25> NamedKinds{{
     {EventKind::KillLeader, "kill-leader"},
     {EventKind::StopLeader, "stop-leader"},
     {EventKind::IsolateLeader, "isolate-leader"},
@@ -61,6 +69,9 @@
     {EventKind::SparePartRejects, "spare-part-rejects"},
     {EventKind::RestartWorker, "restart-worker"},
     {EventKind::DelayStarts, "delay-starts"},
+    {EventKind::RestartWorkerTwice, "restart-worker-twice"},
+    {EventKind::RestartWithLateReplies, "restart-with-late-replies"},
+    {EventKind::RestartAfterLostReplies, "restart-after-lost-replies"},
 }};
 
 std::string nameOf(EventKind Kind) {
@@ -122,6 +133,8 @@
   return list("in two places at once", Found.ConcurrentRuns_) +
          list("started after its acknowledged end",
               Found.StartedAfterAcknowledgement_) +
+         (Found.ForeignAcknowledgements_ > 0 ? "unlisted ends acknowledged "
+                                             : "") +
          list("not running at the end", Found.MissingTasks_) +
          list("with an older configuration", Found.StaleNodes_);
 }
@@ -154,6 +167,8 @@
   Found.MissingTasks_ = missingTasks();
   if (Found.any())
     return Found;
+  JobsArrive_ = Settings_.WithArrivals_;
+  submitShortJobs();
   auto Next = Events.begin();
   for (int Point = 0; Next != Events.end(); ++Point) {
     Cell_.changeConfig();
@@ -162,6 +177,7 @@
     if (Next != Events.end())
       Cell_.Loop_.run(Intervals[static_cast<std::size_t>(Point % PointCount)]);
   }
+  JobsArrive_ = false;
   Cell_.Loop_.run(SettleTime);
   const int TasksWithoutRoom =
       std::max(0, LongRunningTasks - TasksPerWorker * usableWorkers());
@@ -177,6 +193,7 @@
   Found.ConcurrentRuns_ = Cell_.Fleet_.ConcurrentRuns_;
   Found.StartedAfterAcknowledgement_ =
       Cell_.Fleet_.StartedAfterAcknowledgement_;
+  Found.ForeignAcknowledgements_ = Cell_.Fleet_.ForeignAcknowledgements_;
   Found.StaleNodes_ = Cell_.ConfigRegressions_;
   for (const std::string &Name : Cell_.nodes())
     if (Cell_.configVersion(Name) < Cell_.StoreState_.Configs_.back()->Version_)
@@ -204,7 +221,10 @@
   case EventKind::EndWorker:
     return Cell_.removeWorker(Happening.Worker_);
   case EventKind::RestartWorker:
-    return Cell_.restartWorker(Happening.Worker_, WorkerDownTime);
+  case EventKind::RestartWorkerTwice:
+  case EventKind::RestartWithLateReplies:
+  case EventKind::RestartAfterLostReplies:
+    return restart(Happening);
   case EventKind::DelayStarts:
     Workers.at(Happening.Worker_).StartDelay_ = StartDelay;
     return Cell_.Loop_.after(CutOffDuration,
@@ -230,6 +250,40 @@
   }
 }
 
+void TakeoverPlay::restart(const Event &Happening) {
+  const std::string &Id = Happening.Worker_;
+  FakeWorkerState &Worker = Cell_.Fleet_.Workers_.at(Id);
+  const auto RestartLater = [this, Id](Millis Delay, Millis DownTime) {
+    Cell_.Loop_.after(Delay, [this, Id, DownTime] {
+      if (!Cell_.Fleet_.Workers_.at(Id).Refuses_)
+        Cell_.restartWorker(Id, DownTime, EntryDelay);
+    });
+  };
+  switch (Happening.Kind_) {
+  case EventKind::RestartWorkerTwice:
+    RestartLater(ShortDownTime + ShortLife, ShortDownTime);
+    return Cell_.restartWorker(Id, ShortDownTime, EntryDelay);
+  case EventKind::RestartWithLateReplies:
+    Worker.RepliesHeldUntil_ = Cell_.Loop_.monotonic() + ReplyHoldTime;
+    return RestartLater(LifeBeforeRestart, ShortDownTime);
+  case EventKind::RestartAfterLostReplies:
+    Worker.LosesStartReplies_ = true;
+    Worker.LosesStopReplies_ = true;
+    return RestartLater(LifeBeforeRestart, ShortDownTime);
+  default:
+    return Cell_.restartWorker(Id, WorkerDownTime, EntryDelay);
+  }
+}
+
+// Any node may be down.
+void TakeoverPlay::submitShortJobs() {
+  if (!JobsArrive_)
+    return;
+  Cell_.submit(Cell_.nodes().front(), jobId(++LastJob_), 1,
+               ArrivingTaskDuration);
+  Cell_.Loop_.after(ArrivalInterval, [this] { submitShortJobs(); });
+}
+
 void TakeoverPlay::applyToRelay(EventKind Kind, const std::string &Relay) {
   switch (Kind) {
   case EventKind::KillRelay:
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -28,18 +28,21 @@
   CutWorkerOffForNow, ///< For a while.
   HealWorkers,        ///< All workers that are cut off.
   DrainWorker,
-  EndWorker,        ///< The worker leaves with all its tasks.
-  PauseLeader,      ///< For a while.
-  KillRelay,        ///< Its node starts again later.
-  StopRelay,        ///< A planned stop; the node starts again later.
-  IsolateRelay,     ///< For a while; so are the next four.
-  PauseRelay,       ///< Its process runs nothing.
-  MuteRelay,        ///< Its calls to other nodes are lost.
-  BlindRelay,       ///< It reaches no worker.
-  MainPartRejects,  ///< The store rejects it for all nodes, for a while.
-  SparePartRejects, ///< The same for the spare part.
-  RestartWorker,    ///< It loses power and starts again under its id.
-  DelayStarts,      ///< A worker carries out starts late, for a while.
+  EndWorker,               ///< The worker leaves with all its tasks.
+  PauseLeader,             ///< For a while.
+  KillRelay,               ///< Its node starts again later.
+  StopRelay,               ///< A planned stop; the node starts again later.
+  IsolateRelay,            ///< For a while; so are the next four.
+  PauseRelay,              ///< Its process runs nothing.
+  MuteRelay,               ///< Its calls to other nodes are lost.
+  BlindRelay,              ///< It reaches no worker.
+  MainPartRejects,         ///< The store rejects it for all nodes, for a while.
+  SparePartRejects,        ///< The same for the spare part.
+  RestartWorker,           ///< It loses power and starts again under its id.
+  RestartWorkerTwice,      ///< The same once more, a moment after it is back.
+  RestartWithLateReplies,  ///< Its last replies arrive after those of the next.
+  RestartAfterLostReplies, ///< The replies to its last orders are lost.
+  DelayStarts,             ///< A worker carries out starts late, for a while.
 };
 
 struct Event {
@@ -64,6 +67,8 @@
 struct Violations {
   std::vector<std::string> ConcurrentRuns_;
   std::vector<std::string> StartedAfterAcknowledgement_;
+  /// Polls that acknowledged ends which the process had not listed.
+  int ForeignAcknowledgements_ = 0;
   std::vector<std::string> MissingTasks_;
   /// Nodes without the newest configuration in the end, and those that have
   /// gone back to an older one.
@@ -73,7 +78,8 @@
     return !ConcurrentRuns_.empty() || !StartedAfterAcknowledgement_.empty();
   }
   bool any() const {
-    return repeatedRuns() || !MissingTasks_.empty() || !StaleNodes_.empty();
+    return repeatedRuns() || ForeignAcknowledgements_ > 0 ||
+           !MissingTasks_.empty() || !StaleNodes_.empty();
   }
 };
 
@@ -84,6 +90,8 @@
   bool WithRelays_ = false;
   /// The jobs are recorded in the spare part of the store.
   bool InSparePart_ = false;
+  /// Jobs with a short task arrive all along.
+  bool WithArrivals_ = false;
 };
 
 /// Plays one schedule on a new cell with a job of long-running tasks and a
@@ -99,6 +107,8 @@
   void applyToRelay(EventKind Kind, const std::string &Relay);
   /// The node that the leader uses as its relay.
   std::string chooseRelay() const;
+  void restart(const Event &Happening);
+  void submitShortJobs();
   void setStoreMode(const std::string &Node, StoreMode Mode);
   void rejectPart(const std::string &Part);
   std::string chooseLeader() const;
@@ -108,6 +118,8 @@
   const PlaySettings Settings_;
   FakeCell Cell_;
   std::set<std::string> DisturbedNodes_; ///< Isolated or without the store.
+  int LastJob_ = 2;
+  bool JobsArrive_ = false;
 };
 
 } // namespace damaskglade::fakes
