dispatch, cell: Add workspaces to the configuration and to jobs

The users' configuration names workspaces with keys, weights and limits, and nothing reads them. Adds the types that the parts share: the policy of a workspace, the workspace of a job (stored with it), and the tables that the gateway needs to check a key.

--- a/cell/gateway.h
+++ b/cell/gateway.h
@@ -15,6 +15,7 @@
   std::string Id_;         ///< Job id; empty for CountPendingJobs.
   dispatch::JobSpec Spec_; ///< Only for submissions.
   Millis Timeout_{};       ///< How long the caller waits.
+  std::string Workspace_;  ///< Of the caller's key; empty if none is needed.
 
   friend bool operator==(const CallerRequest &,
                          const CallerRequest &) = default;
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -178,9 +178,9 @@
   OnLeadershipLost_();
 }
 
-void Leader::setQueues(
-    const std::map<std::string, dispatch::QueuePolicy> &Queues) {
-  Dispatcher_.setQueues(Queues);
+void Leader::setConfig(const CellConfig &Config) {
+  Dispatcher_.setQueues(Config.Queues_);
+  Dispatcher_.setWorkspaces(Config.Workspaces_);
   scheduleDecision();
 }
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -61,7 +61,8 @@
   void resign(const std::function<void()> &Done);
   bool active() const { return Loaded_ && !Stopped_; }
   const LeaderRecord &leaderRecord() const { return LeaderRecord_; }
-  void setQueues(const std::map<std::string, dispatch::QueuePolicy> &Queues);
+  /// Takes over the policies of queues and workspaces.
+  void setConfig(const CellConfig &Config);
   /// Sets the live nodes other than this one.
   void setNodes(const std::vector<std::string> &Addresses) {
     AdviceBalancer_.setNodes(Addresses);
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -72,7 +72,7 @@
 void Member::setConfig(const SharedConfig &Config) {
   Config_ = Config;
   if (Leader_)
-    Leader_->setQueues(Config->Queues_);
+    Leader_->setConfig(*Config);
 }
 
 bool Member::ready() const {
@@ -401,7 +401,7 @@
       });
   updateLeader();
   if (Config_)
-    Leader_->setQueues(Config_->Queues_);
+    Leader_->setConfig(*Config_);
   Leader_->start();
 }
 
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/job_run.h"
 #include "dispatch/placement.h"
 #include "dispatch/ranking.h"
+#include "dispatch/workspace.h"
 #include "ports/advisor.h"
 #include "ports/task_worker.h"
 
@@ -144,6 +145,9 @@
   Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
 
   void setQueues(const std::map<std::string, QueuePolicy> &Queues);
+  /// Sets the policies of the workspaces. Those of removed workspaces are kept
+  /// for their jobs.
+  void setWorkspaces(const WorkspacePolicies &Workspaces);
   /// QueuePolicy::Priority_ of the queue.
   int priorityOf(const std::string &Queue) const;
 
@@ -539,6 +543,7 @@
   /// When every lease that an earlier leader granted has expired.
   Millis EarlierLeaseExpiry_;
   std::map<std::string, QueuePolicy> Queues_;
+  WorkspacePolicies Workspaces_;
   std::unordered_map<std::string, std::unique_ptr<JobRun>> Jobs_;
   /// Jobs that have not ended, or whose end is not stored, or that have runs.
   std::map<std::string, JobRun *> ActiveJobs_;
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -28,6 +28,13 @@
   PassNumber_ += 2;
 }
 
+void Dispatcher::setWorkspaces(const WorkspacePolicies &Workspaces) {
+  for (const auto &[Name, Policy] : Workspaces)
+    Workspaces_[Name] = Policy;
+  // A step may have found no capacity because of an earlier limit.
+  PassNumber_ += 2;
+}
+
 JobRun *Dispatcher::job(const std::string &Id) {
   const auto JobEntry = Jobs_.find(Id);
   return JobEntry == Jobs_.end() ? nullptr : JobEntry->second.get();
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -125,6 +125,8 @@
   Body["q"] = Spec.Queue_;
   Body["p"] = Spec.Payload_;
   Body["t"] = Json::Int64(Spec.Accepted_.Value_);
+  if (!Spec.Workspace_.empty())
+    Body["w"] = Spec.Workspace_;
   Body["s"] = Json::arrayValue;
   for (const StepSpec &Step : Spec.Steps_)
     Body["s"].append(encodeStep(Step));
@@ -139,6 +141,7 @@
     Spec.Queue_ = Row["q"].asString();
     Spec.Payload_ = Row["p"].asString();
     Spec.Accepted_ = Millis{Row["t"].asInt64()};
+    Spec.Workspace_ = Row.get("w", "").asString();
     for (const Json::Value &StepRow : Row["s"])
       Spec.Steps_.push_back(decodeStep(StepRow));
     return Spec;
--- a/dispatch/job.h
+++ b/dispatch/job.h
@@ -83,7 +83,8 @@
   std::string Queue_;
   std::string Payload_;
   std::vector<StepSpec> Steps_;
-  Millis Accepted_{}; ///< Wall-clock time at which the job was accepted.
+  Millis Accepted_{};     ///< Wall-clock time at which the job was accepted.
+  std::string Workspace_; ///< That submitted the job; empty if it has none.
 
   friend bool operator==(const JobSpec &, const JobSpec &) = default;
 };
--- a/ports/cell_sources.h
+++ b/ports/cell_sources.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/fleet.h"
 #include "dispatch/job.h"
+#include "dispatch/workspace.h"
 
 #include <functional>
 #include <map>
@@ -17,6 +18,7 @@
   std::string Host_;
   std::string PathPrefix_;
   std::string Queue_;
+  bool Public_ = false; ///< Its requests need no API key.
 
   friend bool operator==(const QueueRoute &, const QueueRoute &) = default;
 };
@@ -27,6 +29,10 @@
   std::int64_t Version_ = 0;
   std::vector<QueueRoute> Routes_;
   std::map<std::string, dispatch::QueuePolicy> Queues_;
+  /// Whether requests need an API key, unless their route is public.
+  bool KeysRequired_ = false;
+  dispatch::WorkspacePolicies Workspaces_;
+  std::map<std::string, std::string> WorkspaceOfKey_; ///< By API key.
   /// As the operators have written it. Nodes pass it on to each other
   /// unchanged, so that it does not lose what one of them does not know.
   std::string Text_;
