cell, platform: Decide by API keys at the entry VM how recent keys have to be

The gateway now finds the workspace of a key in the configuration in force. With strict revocation, which a deployment's settings switch on, it admits a key only while its configuration is known to have been the newest one less than the revocation time ago. That time is never later than the truth: it counts from the request that confirmed it, or from the store's clock in the reply, on a clock that runs on while the machine is suspended; ages that other nodes tell add up. The leader tells its version and age in the replies to pings, so that nodes that the store turns away go on serving keys.

A job belongs to the workspace of the key that has submitted it.

--- a/cell/config_follower.cpp
+++ b/cell/config_follower.cpp
@@ -3,6 +3,7 @@
 #include "core/codec.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace damaskglade::cell {
 
@@ -29,6 +30,9 @@
 constexpr Millis ServePeriod{50};
 constexpr double MillisPerSecond = 1000;
 constexpr double BytesPerKib = 1024;
+// ConfirmedAt_ of a process that has had no confirmation yet, so that it does
+// not count as current. Times and ages of this size can be added up.
+constexpr Millis Never{std::numeric_limits<std::int64_t>::min() / 8};
 
 } // namespace
 
@@ -39,13 +43,14 @@
 }
 
 ConfigFollower::ConfigFollower(const ConfigPorts &Ports, std::string OwnAddress,
-                               ApplyHandler Apply)
+                               ApplyHandler Apply, ConfirmHandler Confirm)
     : Ports_(Ports), OwnAddress_(std::move(OwnAddress)),
-      Apply_(std::move(Apply)),
+      Apply_(std::move(Apply)), Confirm_(std::move(Confirm)),
       Random_(static_cast<unsigned>(std::hash<std::string>()(OwnAddress_))) {}
 
 void ConfigFollower::start() {
-  Known_.ConfirmedAt_ = now();
+  StartedAt_ = now();
+  Known_.ConfirmedAt_ = Never;
   ServedAt_ = now() - ServePeriod;
   request();
 }
@@ -62,6 +67,20 @@
   checkPeers();
 }
 
+void ConfigFollower::noteConfirmation(std::int64_t Version,
+                                      Millis ConfirmedAt) {
+  if (Version == Known_.Version_)
+    confirm(std::min(ConfirmedAt, now()));
+}
+
+void ConfigFollower::confirm(Millis ConfirmedAt) {
+  if (ConfirmedAt <= Known_.ConfirmedAt_)
+    return;
+  Known_.ConfirmedAt_ = ConfirmedAt;
+  if (Confirm_)
+    Confirm_(ConfirmedAt);
+}
+
 void ConfigFollower::setNodes(std::vector<std::string> Addresses) {
   Nodes_ = std::move(Addresses);
   std::erase(Nodes_, OwnAddress_);
@@ -88,13 +107,15 @@
 void ConfigFollower::reportAge() const {
   Ports_.Metrics_.gauge(
       "config_age_seconds",
-      static_cast<double>((now() - Known_.ConfirmedAt_).Value_) /
+      static_cast<double>(
+          (now() - std::max(Known_.ConfirmedAt_, StartedAt_)).Value_) /
           MillisPerSecond);
 }
 
 void ConfigFollower::request() {
-  Ports_.Source_.next(
-      [this](const Result<ConfigRead> &Read) { handleRead(Read); });
+  Ports_.Source_.next([this, SentAt = now()](const Result<ConfigRead> &Read) {
+    handleRead(Read, SentAt);
+  });
 }
 
 void ConfigFollower::requestAfter(Millis Delay) {
@@ -103,7 +124,7 @@
 
 // A store that has always lost its history is read as seldom as one that fails,
 // since each of these reads is of the whole configuration.
-void ConfigFollower::handleRead(const Result<ConfigRead> &Read) {
+void ConfigFollower::handleRead(const Result<ConfigRead> &Read, Millis SentAt) {
   const bool Succeeded = Read && !Read.value().HistoryLost_;
   RetryDelay_ = Succeeded
                     ? Millis{}
@@ -113,13 +134,16 @@
     return requestAfter(RetryDelay_);
   }
   endFailures();
-  Known_.ConfirmedAt_ = now();
   if (Read.value().HistoryLost_) {
     Ports_.Metrics_.count("config_history_lost");
     log(LogLevel::Info, "", "read again, history lost");
   }
   if (Read.value().Config_)
     take(Read.value().Config_, "store");
+  const StoreClockReading Reading{SentAt, now(), Read.value().StoreClock_};
+  if (Reading.StoreClock_ > Millis{})
+    StoreClockLead_ = updateLead(StoreClockLead_, Reading);
+  confirm(earliestWriteTime(StoreClockLead_, Reading));
   requestAfter(RetryDelay_);
 }
 
@@ -196,17 +220,19 @@
   PeerCallOpen_ = true;
   Json::Value Params;
   Params["version"] = Json::Int64(Known_.Version_);
-  Ports_.Peers_.call(Address, "config.get", Params, PeerTimeout,
-                     [this, Address](const Result<Json::Value> &Reply) {
-                       PeerCallOpen_ = false;
-                       handlePeerReply(Reply, Address);
-                     });
+  Ports_.Peers_.call(
+      Address, "config.get", Params, PeerTimeout,
+      [this, Address, SentAt = now()](const Result<Json::Value> &Reply) {
+        PeerCallOpen_ = false;
+        handlePeerReply(Reply, Address, SentAt);
+      });
 }
 
 void ConfigFollower::handlePeerReply(const Result<Json::Value> &Reply,
-                                     const std::string &Address) {
-  const Status Taken =
-      Reply ? takePeerReply(Reply.value(), Address) : Status(Reply.error());
+                                     const std::string &Address,
+                                     Millis SentAt) {
+  const Status Taken = Reply ? takePeerReply(Reply.value(), Address, SentAt)
+                             : Status(Reply.error());
   if (Taken)
     return;
   Ports_.Metrics_.countReason("config_peer_failures", Taken.error().Reason_);
@@ -214,8 +240,11 @@
       "not received from another node: " + describe(Taken.error()));
 }
 
+// The node has told its age after the call was sent, so its confirmation is not
+// older than that.
 Status ConfigFollower::takePeerReply(const Json::Value &Reply,
-                                     const std::string &Address) {
+                                     const std::string &Address,
+                                     Millis SentAt) {
   if (!Reply.isObject() || !Reply["version"].isInt64() ||
       !Reply["age_ms"].isInt64() || Reply["age_ms"].asInt64() < 0)
     return invalidField("receive configuration", Address,
@@ -224,9 +253,8 @@
     BOOST_OUTCOME_TRY(Config, Ports_.Source_.decode(Reply["text"].asString()));
     take(Config, Address);
   }
-  if (Known_.Version_ >= Reply["version"].asInt64())
-    Known_.ConfirmedAt_ = std::max(Known_.ConfirmedAt_,
-                                   now() - Millis{Reply["age_ms"].asInt64()});
+  noteConfirmation(Reply["version"].asInt64(),
+                   SentAt - Millis{Reply["age_ms"].asInt64()});
   return success();
 }
 
--- a/cell/config_follower.h
+++ b/cell/config_follower.h
@@ -2,6 +2,7 @@
 #define DAMASKGLADE_CELL_CONFIG_FOLLOWER_H
 
 #include "cell/rpc.h"
+#include "cell/store_clock.h"
 #include "core/clock.h"
 #include "ports/async_http.h"
 #include "ports/cell_sources.h"
@@ -31,7 +32,8 @@
   std::int64_t Version_ = 0;       ///< Of the newest one received; zero: none.
   std::int64_t NewestVersion_ = 0; ///< The highest that another node has.
   Millis NewestHeardAt_{};         ///< When that was first heard.
-  /// Up to when the store is known to have had no newer version.
+  /// A time at which the store is known to have had no newer version. Never
+  /// later than that, whatever the delay of the reply that has told it.
   Millis ConfirmedAt_{};
   bool ReadsFail_ = false; ///< The last read of the store failed.
 
@@ -49,14 +51,20 @@
 class ConfigFollower {
 public:
   using ApplyHandler = std::function<void(const SharedConfig &)>;
+  using ConfirmHandler = std::function<void(Millis ConfirmedAt)>;
 
-  /// Apply is called with each newer version.
+  /// Apply is called with each newer version, and Confirm each time that the
+  /// version that was applied last is known to be the newest one at a later
+  /// time, on the clock of the ports.
   ConfigFollower(const ConfigPorts &Ports, std::string OwnAddress,
-                 ApplyHandler Apply);
+                 ApplyHandler Apply, ConfirmHandler Confirm = {});
 
   void start();
   /// Another node has this version in force.
   void noteVersion(std::int64_t Version, const std::string &Holder);
+  /// Another node knows that the store had no newer version than this one at
+  /// the given time.
+  void noteConfirmation(std::int64_t Version, Millis ConfirmedAt);
   /// Sets the addresses of the nodes that can be asked. May list this one.
   void setNodes(std::vector<std::string> Addresses);
   /// Handles the call "config.get" of another node. Errors: invalid_field;
@@ -71,7 +79,8 @@
   Millis now() const { return Ports_.Clock_.monotonic(); }
   void request();
   void requestAfter(Millis Delay);
-  void handleRead(const Result<ConfigRead> &Read);
+  void handleRead(const Result<ConfigRead> &Read, Millis SentAt);
+  void confirm(Millis ConfirmedAt);
   void handleFailure(const Error &Failure);
   void endFailures();
   /// Takes a configuration over unless it is older than the newest one.
@@ -81,15 +90,19 @@
   std::string choosePeer();
   void askPeer(const std::string &Address);
   void handlePeerReply(const Result<Json::Value> &Reply,
-                       const std::string &Address);
-  Status takePeerReply(const Json::Value &Reply, const std::string &Address);
+                       const std::string &Address, Millis SentAt);
+  Status takePeerReply(const Json::Value &Reply, const std::string &Address,
+                       Millis SentAt);
   void log(LogLevel Level, const std::string &Peer,
            const std::string &Message) const;
 
   const ConfigPorts Ports_;
   const std::string OwnAddress_;
   const ApplyHandler Apply_;
+  const ConfirmHandler Confirm_;
   SharedConfig Config_;
+  std::optional<StoreClockLead> StoreClockLead_;
+  Millis StartedAt_{};
   ConfigKnowledge Known_;
   Millis FailingSince_{};
   Millis FailureLoggedAt_{};
--- a/cell/gateway.cpp
+++ b/cell/gateway.cpp
@@ -1,6 +1,7 @@
 #include "cell/gateway.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace damaskglade::cell {
 
@@ -47,12 +48,39 @@
   return BestRoute;
 }
 
+std::optional<Millis> Gateway::configAge() const {
+  if (!ConfirmedAt_)
+    return std::nullopt;
+  return AgeClock_.monotonic() - *ConfirmedAt_;
+}
+
+AccessDecision Gateway::checkAccess(const QueueRoute &Route,
+                                    const std::string &Key) {
+  constexpr Millis Unknown{std::numeric_limits<std::int64_t>::max()};
+  const Millis Age = configAge().value_or(Unknown);
+  const AccessDecision Decision =
+      decideAccess(Route, Key, *Config_, Age, AccessSettings_);
+  if (Decision.Access_ == Access::Admitted)
+    return Decision;
+  const bool IsUnknown = Decision.Access_ == Access::UnknownKey;
+  Ports_.Metrics_.count(IsUnknown ? "requests_with_unknown_key"
+                                  : "requests_with_old_config");
+  logEvent(Ports_, LogLevel::Info, "", "access", "",
+           std::string(IsUnknown ? "unknown key" : "configuration too old") +
+               ", queue=" + Route.Queue_ +
+               " version=" + std::to_string(Config_->Version_) +
+               " age_ms=" + std::to_string(Age.Value_));
+  return Decision;
+}
+
 void Gateway::handle(const CallerRequest &Request, const CallerReply &Reply) {
   Json::Value Params;
   if (Request.Verb_ == CallerVerb::CountPendingJobs)
     Params["queue"] = Request.Queue_;
   else
     Params["id"] = Request.Id_;
+  if (!Request.Workspace_.empty())
+    Params["workspace"] = Request.Workspace_;
   if (Request.Verb_ == CallerVerb::Submit) {
     const Status SpecStatus = dispatch::checkSpec(Request.Spec_);
     if (!SpecStatus) {
@@ -79,6 +107,7 @@
         Error Failure = Outcome.error();
         if (Failure.RetryAfter_ == Millis{} &&
             Failure.Reason_ != Reason::NotFound &&
+            Failure.Reason_ != Reason::IdempotencyKeyReused &&
             Failure.Reason_ != Reason::NeverFits)
           Failure.RetryAfter_ = RetryAfter;
         Ports_.Metrics_.countRefusal(Failure.Reason_);
--- a/cell/gateway.h
+++ b/cell/gateway.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_CELL_GATEWAY_H
 #define DAMASKGLADE_CELL_GATEWAY_H
 
+#include "cell/access.h"
 #include "cell/member.h"
 
 namespace damaskglade::cell {
@@ -34,22 +35,36 @@
 /// Accepts callers' requests at any node and forwards them to the leader.
 class Gateway {
 public:
-  Gateway(const CellPorts &Ports, std::shared_ptr<Member> Node)
-      : Ports_(Ports), Node_(std::move(Node)) {}
+  /// The age of the configuration is told by AgeClock.
+  Gateway(const CellPorts &Ports, std::shared_ptr<Member> Node,
+          const AccessSettings &AccessRules, const Clock &AgeClock)
+      : Ports_(Ports), Node_(std::move(Node)), AccessSettings_(AccessRules),
+        AgeClock_(AgeClock) {}
 
   void setConfig(SharedConfig Config) { Config_ = std::move(Config); }
+  /// The configuration that was set last is known to have been the newest one
+  /// at this time.
+  void setConfirmed(Millis ConfirmedAt) { ConfirmedAt_ = ConfirmedAt; }
+  /// Time since then; empty before the first confirmation.
+  std::optional<Millis> configAge() const;
   /// Null until the first one.
   const SharedConfig &config() const { return Config_; }
   /// Finds the route with the host and the longest matching path prefix; null
   /// if there is none.
   const QueueRoute *findRoute(const std::string &Host,
                               const std::string &Path) const;
+  /// Decides whether a request with this API key may use the route, and counts
+  /// the rejections.
+  AccessDecision checkAccess(const QueueRoute &Route, const std::string &Key);
   void handle(const CallerRequest &Request, const CallerReply &Reply);
 
 private:
   const CellPorts Ports_;
   const std::shared_ptr<Member> Node_;
+  const AccessSettings AccessSettings_;
+  const Clock &AgeClock_;
   SharedConfig Config_;
+  std::optional<Millis> ConfirmedAt_;
 };
 
 } // namespace damaskglade::cell
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -82,10 +82,13 @@
   bool shouldHandOver() const;
 
   // Callers' requests, which any node forwards to the leader. Errors: not_ready
-  // while the rows are being loaded.
+  // while the rows are being loaded. To a workspace, jobs of others do not
+  // exist; an empty one is that of a request without a key.
   void submit(const dispatch::JobSpec &Spec, const RpcReply &Reply);
-  void state(const std::string &Id, const RpcReply &Reply) const;
-  void cancel(const std::string &Id, const RpcReply &Reply);
+  void state(const std::string &Id, const std::string &Workspace,
+             const RpcReply &Reply) const;
+  void cancel(const std::string &Id, const std::string &Workspace,
+              const RpcReply &Reply);
   void countPendingJobs(const std::string &Queue, const RpcReply &Reply) const;
 
 private:
--- a/cell/leader_calls.cpp
+++ b/cell/leader_calls.cpp
@@ -9,18 +9,30 @@
                "the leader is still loading or has lost leadership"};
 }
 
+// Jobs that were submitted without a key, and ended jobs whose row is removed,
+// have no workspace.
+bool isOfOtherWorkspace(const dispatch::JobRun &Job,
+                        const std::string &Workspace) {
+  return !Job.Spec_.Workspace_.empty() && !Workspace.empty() &&
+         Job.Spec_.Workspace_ != Workspace;
+}
+
 } // namespace
 
 void Leader::submit(const dispatch::JobSpec &Spec, const RpcReply &Reply) {
   const WorkMeter::Scope Callers(WorkMeter_, Work::Callers);
   if (!active())
     return Reply(notReady("submit"));
+  const dispatch::JobRun *Known = Dispatcher_.findJob(Spec.Id_);
+  if (Known && isOfOtherWorkspace(*Known, Spec.Workspace_))
+    return Reply(Error{Reason::IdempotencyKeyReused, Effect::None, "submit", "",
+                       "another workspace has a job with this id"});
   const auto EarlierSubmission = PendingSubmissions_.find(Spec.Id_);
   if (EarlierSubmission != PendingSubmissions_.end()) {
     EarlierSubmission->second.push_back(Reply);
     return;
   }
-  if (Dispatcher_.findJob(Spec.Id_)) {
+  if (Known) {
     if (Dispatcher_.isConfirmed(Spec.Id_))
       return Reply(Json::Value(Json::objectValue));
     return Reply(Error{Reason::AnswerLost, Effect::Unknown, "submit", "",
@@ -53,11 +65,12 @@
       });
 }
 
-void Leader::state(const std::string &Id, const RpcReply &Reply) const {
+void Leader::state(const std::string &Id, const std::string &Workspace,
+                   const RpcReply &Reply) const {
   if (!active())
     return Reply(notReady("state"));
   const dispatch::JobRun *Job = Dispatcher_.findJob(Id);
-  if (!Job)
+  if (!Job || isOfOtherWorkspace(*Job, Workspace))
     return Reply(
         Error{Reason::NotFound, Effect::None, "state", "", "no such job"});
   dispatch::JobState ReportedState = Job->State_;
@@ -71,11 +84,14 @@
   Reply(std::move(Body));
 }
 
-void Leader::cancel(const std::string &Id, const RpcReply &Reply) {
+void Leader::cancel(const std::string &Id, const std::string &Workspace,
+                    const RpcReply &Reply) {
   const WorkMeter::Scope Callers(WorkMeter_, Work::Callers);
   if (!active())
     return Reply(notReady("cancel"));
   const dispatch::JobRun *Job = Dispatcher_.findJob(Id);
+  if (Job && isOfOtherWorkspace(*Job, Workspace))
+    Job = nullptr;
   if (Job && !Dispatcher_.isConfirmed(Id))
     return Reply(notReady("cancel"));
   if (!Job)
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -157,8 +157,12 @@
   ++OpenPings_;
   Ports_.Peers_.call(
       Address, "node.ping", Params, PingTimeout,
-      [Self = shared_from_this(), Address](const Result<Json::Value> &Reply) {
+      [Self = shared_from_this(), Address,
+       SentAt = ConfigHints_.Now_ ? ConfigHints_.Now_() : Millis{}](
+          const Result<Json::Value> &Reply) {
         --Self->OpenPings_;
+        if (Reply)
+          Self->noteConfigAge(Reply.value(), SentAt);
         Self->handlePingReply(Reply, Address);
       });
 }
--- a/cell/member.h
+++ b/cell/member.h
@@ -42,6 +42,13 @@
       OnNewerVersion_;
   /// Addresses of the live nodes, this one among them.
   std::function<void(std::vector<std::string> Addresses)> OnNodes_;
+  /// Age of the configuration in force; see Gateway::configAge(). Not set: it
+  /// is not told to other nodes.
+  std::function<std::optional<Millis>()> Age_;
+  /// Clock on which the age is counted.
+  std::function<Millis()> Now_;
+  /// The leader knows that this version was the newest one at the given time.
+  std::function<void(std::int64_t Version, Millis ConfirmedAt)> OnConfirmed_;
 };
 
 /// One node of the cell: finds the leader, monitors it with pings, and takes
@@ -88,6 +95,9 @@
   void tick();
   void scheduleTick(Millis Delay);
   void ping();
+  /// Takes from a reply how recent the version of the leader is.
+  void noteConfigAge(const Json::Value &Reply, Millis SentAt) const;
+  void addConfigAge(Json::Value &Reply) const;
   void handlePingReply(const Result<Json::Value> &Reply,
                        const std::string &Address);
   void readLeaderRow();
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -49,9 +49,30 @@
     Body["nodes_digest"] = NodeListDigest_;
   }
   addNewerConfig(ConfigVersion, Body);
+  addConfigAge(Body);
   Reply(std::move(Body));
 }
 
+void Member::addConfigAge(Json::Value &Reply) const {
+  const auto Age = ConfigHints_.Age_ ? ConfigHints_.Age_() : std::nullopt;
+  if (!Age)
+    return;
+  Reply["config_in_force"] = Json::Int64(configVersion());
+  Reply["config_age_ms"] = Json::Int64(Age->Value_);
+}
+
+// The age was told after the ping was sent, so the confirmation is not older
+// than the age at that time.
+void Member::noteConfigAge(const Json::Value &Reply, Millis SentAt) const {
+  if (!ConfigHints_.OnConfirmed_ || !Reply.isObject() ||
+      !Reply["config_in_force"].isInt64() || !Reply["config_age_ms"].isInt64())
+    return;
+  const std::int64_t Age = Reply["config_age_ms"].asInt64();
+  if (Age >= 0)
+    ConfigHints_.OnConfirmed_(Reply["config_in_force"].asInt64(),
+                              SentAt - Millis{Age});
+}
+
 void Member::handleConfigVersion(std::int64_t Version,
                                  const std::string &Holder) {
   NewestConfigHeard_ = std::max(NewestConfigHeard_, Version);
@@ -176,10 +197,11 @@
     return Reply(Error{Reason::NotOwner, Effect::None, Method, "",
                        "this node is not the leader"});
   const std::string Id = Params["id"].asString();
+  const std::string Workspace = Params.get("workspace", "").asString();
   if (Method == "job.state")
-    return Leader_->state(Id, Reply);
+    return Leader_->state(Id, Workspace, Reply);
   if (Method == "job.cancel")
-    return Leader_->cancel(Id, Reply);
+    return Leader_->cancel(Id, Workspace, Reply);
   if (Method == "queue.pending")
     return Leader_->countPendingJobs(Params["queue"].asString(), Reply);
   auto Spec = dispatch::decodeSpec(Id, Params["spec"].asString());
@@ -203,6 +225,8 @@
     const bool IsFinal = Failure.Reason_ == Reason::NotFound ||
                          Failure.Reason_ == Reason::NeverFits ||
                          Failure.Reason_ == Reason::InvalidField ||
+                         Failure.Reason_ == Reason::IdempotencyKeyReused ||
+                         Failure.Reason_ == Reason::QuotaExceeded ||
                          Failure.Reason_ == Reason::QueueFull ||
                          Failure.Reason_ == Reason::DeadlineUnreachable ||
                          Failure.Reason_ == Reason::TableUnavailable;
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_CELL_SETTINGS_H
 #define DAMASKGLADE_CELL_SETTINGS_H
 
+#include "cell/access.h"
 #include "core/clock.h"
 
 #include <cstddef>
@@ -30,6 +31,7 @@
   /// A leader with fewer workers than this uses no relays: they add two hops to
   /// each call and save little.
   std::size_t RelayMinWorkers_ = 400;
+  AccessSettings Access_;
 
   friend bool operator==(const CellSettings &, const CellSettings &) = default;
 };
--- a/main/cell_node.cpp
+++ b/main/cell_node.cpp
@@ -3,6 +3,7 @@
 #include "cell/config_follower.h"
 #include "cell/gateway.h"
 #include "cell/member.h"
+#include "core/boot_clock.h"
 #include "drivers/beast/loop_thread.h"
 #include "drivers/log/bounded_log.h"
 #include "drivers/log/log.h"
@@ -55,15 +56,25 @@
                                *Workers_, *Advisor_, *Registry_,
                                Peers_,    *Log_,     Metrics_},
         Member_(std::make_shared<cell::Member>(Ports_, Settings_)),
-        Gateway_(Ports_, Member_), ConfigPeers_(*ConfigHttp_),
-        Config_(cell::ConfigPorts{Clock_, ConfigThread_.loop(), *Configs_,
-                                  ConfigPeers_, *Log_, Metrics_},
-                Settings_.PeerListen_, [this](const SharedConfig &Config) {
-                  Loop_.after(Millis{},
-                              [this, Config, ReceivedAt = Clock_.monotonic()] {
-                                applyConfig(Config, ReceivedAt);
-                              });
-                }) {}
+        Gateway_(Ports_, Member_, Settings_.Access_, AgeClock_),
+        ConfigPeers_(*ConfigHttp_),
+        Config_(
+            cell::ConfigPorts{AgeClock_, ConfigThread_.loop(), *Configs_,
+                              ConfigPeers_, *Log_, Metrics_},
+            Settings_.PeerListen_,
+            [this](const SharedConfig &Config) {
+              Loop_.after(Millis{},
+                          [this, Config, ReceivedAt = Clock_.monotonic()] {
+                            applyConfig(Config, ReceivedAt);
+                          });
+            },
+            // The event loop runs tasks in order, so this arrives after the
+            // version that is confirmed.
+            [this](Millis ConfirmedAt) {
+              Loop_.after(Millis{}, [this, ConfirmedAt] {
+                Gateway_.setConfirmed(ConfirmedAt);
+              });
+            }) {}
 
   int run() {
     Member_->addMethods(Rpc_);
@@ -128,17 +139,20 @@
   // The follower has a thread of its own: however much other work the event
   // loop has, a new configuration waits for one turn of it only.
   void connectConfig() {
-    Member_->setConfigHints(cell::ConfigHints{
-        [this](std::int64_t Version, const std::string &Holder) {
-          onConfigThread([this, Version, Holder] {
-            Config_.noteVersion(Version, Holder);
-          });
-        },
-        [this](std::vector<std::string> Nodes) {
-          onConfigThread([this, Nodes = std::move(Nodes)]() mutable {
-            Config_.setNodes(std::move(Nodes));
-          });
-        }});
+    cell::ConfigHints Hints;
+    Hints.OnNewerVersion_ = [this](std::int64_t Version,
+                                   const std::string &Holder) {
+      onConfigThread(
+          [this, Version, Holder] { Config_.noteVersion(Version, Holder); });
+    };
+    Hints.OnNodes_ = [this](std::vector<std::string> Nodes) {
+      onConfigThread([this, Nodes = std::move(Nodes)]() mutable {
+        Config_.setNodes(std::move(Nodes));
+      });
+    };
+    if (Settings_.Access_.StrictRevocation_)
+      tellConfigAge(Hints);
+    Member_->setConfigHints(std::move(Hints));
     Rpc_.add("config.get", [this](const Json::Value &Params,
                                   const cell::RpcReply &Reply) {
       onConfigThread([this, Params, Reply] {
@@ -149,6 +163,18 @@
     });
   }
 
+  // Nodes that the store turns away learn from the leader that their keys are
+  // current.
+  void tellConfigAge(cell::ConfigHints &Hints) {
+    Hints.Age_ = [this] { return Gateway_.configAge(); };
+    Hints.Now_ = [this] { return AgeClock_.monotonic(); };
+    Hints.OnConfirmed_ = [this](std::int64_t Version, Millis ConfirmedAt) {
+      onConfigThread([this, Version, ConfirmedAt] {
+        Config_.noteConfirmation(Version, ConfirmedAt);
+      });
+    };
+  }
+
   void applyConfig(const SharedConfig &Config, Millis ReceivedAt) {
     constexpr double MillisPerSecond = 1000;
     const Millis Waited = Clock_.monotonic() - ReceivedAt;
@@ -213,6 +239,7 @@
 
   const cell::CellSettings Settings_;
   const SystemClock Clock_;
+  const BootClock AgeClock_;
   drivers::EventLoop Loop_;
   drivers::LoopThread ConfigThread_;
   drivers::PrometheusMetrics Metrics_;
--- a/ports/cell_sources.h
+++ b/ports/cell_sources.h
@@ -48,6 +48,8 @@
   SharedConfig Config_; ///< Null: there is no newer one.
   /// The changes since the last request were no longer known, so all was read.
   bool HistoryLost_ = false;
+  /// The store's clock when it answered; zero if it was not told.
+  Millis StoreClock_{};
 
   friend bool operator==(const ConfigRead &, const ConfigRead &) = default;
 };
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -514,15 +514,22 @@
                             Rpc_,           Log_,       Metrics_},
         Member_(
             std::make_shared<cell::Member>(Ports_, makeSettings(Cell, Name))),
-        Gateway_(Ports_, Member_),
+        Gateway_(Ports_, Member_, cell::AccessSettings{true}, Processor_),
         Configs_(Cell.Loop_, Cell.StoreState_, ConfigProcessor_, Name),
         ConfigHttp_(Cell, Name, ConfigProcessor_), ConfigRpc_(ConfigHttp_),
-        Follower_(cell::ConfigPorts{ConfigProcessor_, ConfigProcessor_,
-                                    Configs_, ConfigRpc_, Log_, Metrics_},
-                  Name, [this](const SharedConfig &Config) {
-                    Processor_.run(TimerCost,
-                                   [this, Config] { applyConfig(Config); });
-                  }) {
+        Follower_(
+            cell::ConfigPorts{ConfigProcessor_, ConfigProcessor_, Configs_,
+                              ConfigRpc_, Log_, Metrics_},
+            Name,
+            [this](const SharedConfig &Config) {
+              Processor_.run(TimerCost,
+                             [this, Config] { applyConfig(Config); });
+            },
+            [this](Millis ConfirmedAt) {
+              Processor_.run(TimerCost, [this, ConfirmedAt] {
+                Gateway_.setConfirmed(ConfirmedAt);
+              });
+            }) {
     Member_->addMethods(Server_);
     connectConfig();
     applyConfig(Cell.StoreState_.Configs_.front());
@@ -532,16 +539,25 @@
 
   // As in the daemon, the follower has a thread of its own.
   void connectConfig() {
-    Member_->setConfigHints(cell::ConfigHints{
-        [this](std::int64_t Version, const std::string &Holder) {
-          ConfigProcessor_.run(TimerCost, [this, Version, Holder] {
-            Follower_.noteVersion(Version, Holder);
-          });
-        },
-        [this](const std::vector<std::string> &Nodes) {
-          ConfigProcessor_.run(TimerCost,
-                               [this, Nodes] { Follower_.setNodes(Nodes); });
-        }});
+    cell::ConfigHints Hints;
+    Hints.OnNewerVersion_ = [this](std::int64_t Version,
+                                   const std::string &Holder) {
+      ConfigProcessor_.run(TimerCost, [this, Version, Holder] {
+        Follower_.noteVersion(Version, Holder);
+      });
+    };
+    Hints.OnNodes_ = [this](const std::vector<std::string> &Nodes) {
+      ConfigProcessor_.run(TimerCost,
+                           [this, Nodes] { Follower_.setNodes(Nodes); });
+    };
+    Hints.Age_ = [this] { return Gateway_.configAge(); };
+    Hints.Now_ = [this] { return Processor_.monotonic(); };
+    Hints.OnConfirmed_ = [this](std::int64_t Version, Millis ConfirmedAt) {
+      ConfigProcessor_.run(TimerCost, [this, Version, ConfirmedAt] {
+        Follower_.noteConfirmation(Version, ConfirmedAt);
+      });
+    };
+    Member_->setConfigHints(std::move(Hints));
     Server_.add("config.get", [this](const Json::Value &Params,
                                      const cell::RpcReply &Reply) {
       ConfigProcessor_.run(TimerCost, [this, Params, Reply] {
@@ -771,6 +787,10 @@
   return Nodes_.at(Name)->Gateway_.config()->Version_;
 }
 
+std::optional<Millis> FakeCell::configAge(const std::string &Name) const {
+  return Nodes_.at(Name)->Gateway_.configAge();
+}
+
 void FakeCell::holdBack(const std::string &Name) {
   HeldBackNodes_.insert(Name);
 }
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -271,6 +271,8 @@
   std::int64_t changeConfig(const std::vector<std::string> &Queues = {});
   /// Version of the configuration by which a node handles requests.
   std::int64_t configVersion(const std::string &Name) const;
+  /// Gateway::configAge() of a node.
+  std::optional<Millis> configAge(const std::string &Name) const;
   /// From now on messages of other nodes to this one are delivered late, by
   /// deliverHeldBack().
   void holdBack(const std::string &Name);
