dispatch: Keep workspaces within their limits

The limit of a workspace was in the configuration, but nothing enforced it. The dispatcher now counts what the tasks of each workspace use: all runs, runs that are unexpected or being stopped, starts without a reply that may still be carried out, and, until the workers with open rows are reached or their leases have ended, restored tasks that are not located, at most the capacity of these workers. A task starts if it fits within the limit, or if the workspace uses nothing. A gang starts as a whole; one beyond the limit is rejected (never fits). A gang or a task of over a quarter of the limit that the limit has held back for 2 s gets a turn: the others of the workspace wait for it, more urgent ones after 8 s. Steps that the limit holds back preempt nothing, ask for no advice and are examined again by the next pass.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/job_run.h"
 #include "dispatch/placement.h"
 #include "dispatch/ranking.h"
+#include "dispatch/usage.h"
 #include "dispatch/workspace.h"
 #include "ports/advisor.h"
 #include "ports/task_worker.h"
@@ -457,8 +458,8 @@
   void releaseUnexpectedRun(Worker &W, const UnexpectedRun &Ended);
   /// Called when a run is dropped. Its start order may still be carried out if
   /// it got no reply.
-  static void rememberStart(Worker &W, const TaskRef &Ref, const StepSpec &Step,
-                            const Run &Dropped);
+  void rememberStart(Worker &W, const TaskRef &Ref, const StepSpec &Step,
+                     const Run &Dropped) const;
   static bool mayStartLate(const Worker &W, Millis Now);
   /// Whether a run that the worker has not listed in the reply to a poll sent
   /// at the given time may still begin.
@@ -480,6 +481,41 @@
   void markFailed(JobRun &Job, const TaskRef &Ref, std::int64_t Attempt,
                   Millis Now);
 
+  /// Add to the usage of a workspace; a negative count removes from it.
+  void countRun(const JobRun &Job, const StepSpec &Step, int Count);
+  void countUnexpectedRun(const UnexpectedRun &Entry, int Count);
+  /// Whether an earlier leader may have left a task of a restored job running
+  /// on a worker that is not reached yet.
+  static bool isUnlocated(const StepSpec &Step, const TaskState &Task);
+  /// Counts such tasks of a restored job, before the steps of an ended one are
+  /// dropped.
+  void countUnlocated(JobRun &Job);
+  /// Sets TaskState::Located_.
+  void locate(JobRun &Job, const TaskRef &Ref, TaskState &Task);
+  /// Called when the job is removed.
+  void forgetUnlocated(const JobRun &Job);
+  /// Sets WorkspaceUsage::Pending_ and ends turns.
+  void updatePendingUsage(Millis Now);
+  /// Adds the starts on the worker without a reply that may still be carried
+  /// out to the usage.
+  void addLateStarts(const Worker &W, Millis Now);
+  Size limitOf(const std::string &Workspace) const;
+  bool keepsTurn(WorkspaceUsage &Usage, const Size &Limit, Millis Now) const;
+  /// Whether the limit lets one more task, or the whole gang, start.
+  static bool hasRoom(const WorkspaceUsage &Usage, const StepSpec &Step,
+                      const Size &Limit);
+  /// Whether smaller steps could starve the step, and its turn could end.
+  static bool mayHaveTurn(const WorkspaceUsage &Usage, const StepSpec &Step,
+                          const Size &Limit);
+  /// How many of the waiting tasks may start within the limit of the workspace.
+  /// For a gang: all or none. Gives the step a turn if it needs one.
+  int allowedStarts(const RankedStep &Ranked, Millis Now);
+  /// Called when tasks were stopped for so many tasks of the step.
+  void awaitTasks(const RankedStep &Ranked, int Count);
+  /// Rejects a job with a gang beyond the limit. Errors: never_fits.
+  Status checkLimit(const JobSpec &Spec) const;
+  std::string verifyUsage() const;
+
   std::vector<RankedStep> rankedSteps(Millis Now);
   /// Position of the worker in WorkersById_.
   std::vector<Worker *>::const_iterator
@@ -544,6 +580,7 @@
   Millis EarlierLeaseExpiry_;
   std::map<std::string, QueuePolicy> Queues_;
   WorkspacePolicies Workspaces_;
+  std::map<std::string, WorkspaceUsage> Usage_; ///< By workspace.
   std::unordered_map<std::string, std::unique_ptr<JobRun>> Jobs_;
   /// Jobs that have not ended, or whose end is not stored, or that have runs.
   std::map<std::string, JobRun *> ActiveJobs_;
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -28,13 +28,6 @@
   PassNumber_ += 2;
 }
 
-void Dispatcher::setWorkspaces(const WorkspacePolicies &Workspaces) {
-  for (const auto &[Name, Policy] : Workspaces)
-    Workspaces_[Name] = Policy;
-  // A step may have found no capacity because of an earlier limit.
-  PassNumber_ += 2;
-}
-
 JobRun *Dispatcher::job(const std::string &Id) {
   const auto JobEntry = Jobs_.find(Id);
   return JobEntry == Jobs_.end() ? nullptr : JobEntry->second.get();
@@ -128,12 +121,9 @@
   Job.RecordedState_ = Progress.State_;
   Job.Started_ = Progress.State_ != JobState::Queued;
   initialize(Job, Now);
+  if (const JobRun *Earlier = findJob(Spec.Id_))
+    forgetUnlocated(*Earlier);
   Jobs_[Spec.Id_] = std::move(NewJob);
-  if (isTerminal(Progress.State_)) {
-    Job.Steps_.clear();
-    Job.EndedAt_ = Now;
-    return;
-  }
   for (std::size_t Step = 0;
        Step < std::min(Progress.Done_.size(), Job.Steps_.size()); ++Step) {
     StepRun &State = Job.Steps_[Step];
@@ -144,6 +134,12 @@
       ++State.DoneCount_;
     }
   }
+  countUnlocated(Job);
+  if (isTerminal(Progress.State_)) {
+    Job.Steps_.clear();
+    Job.EndedAt_ = Now;
+    return;
+  }
   for (const auto &[TaskKey, Attempts] : Progress.FailedAttempts_) {
     if (TaskState *Task =
             task(TaskRef{Spec.Id_, TaskKey.first, TaskKey.second}))
@@ -169,7 +165,7 @@
 
 Status Dispatcher::checkFits(const JobSpec &Spec) const {
   if (!RegistryReceived_)
-    return success();
+    return checkLimit(Spec);
   for (const StepSpec &Step : Spec.Steps_) {
     const bool Fits =
         std::any_of(Workers_.begin(), Workers_.end(), [&](const auto &Entry) {
@@ -180,7 +176,7 @@
                    "no known worker has the capacity and the label that a step "
                    "requires"};
   }
-  return success();
+  return checkLimit(Spec);
 }
 
 bool Dispatcher::cancelJob(const std::string &Id, Millis Now) {
@@ -275,8 +271,10 @@
     if (isTerminal(Job->RecordedState_) && ActiveJobs_.count(Id) == 0 &&
         Job->EndedAt_ < Before)
       RemovedIds.push_back(Id);
-  for (const std::string &Id : RemovedIds)
+  for (const std::string &Id : RemovedIds) {
+    forgetUnlocated(*findJob(Id));
     Jobs_.erase(Id);
+  }
   return RemovedIds;
 }
 
@@ -311,6 +309,9 @@
   const auto MarkTask = [&](TaskState &Task) {
     if (Task.Done_)
       return;
+    // Located first, since that counts only tasks that are not done.
+    if (!Spec.Gang_)
+      locate(Job, Ref, Task);
     Task.Done_ = true;
     ++Step.DoneCount_;
   };
--- a/dispatch/dispatcher_late.cpp
+++ b/dispatch/dispatcher_late.cpp
@@ -24,13 +24,17 @@
 
 // A stop of the latest attempt makes a worker reject all earlier ones.
 void Dispatcher::rememberStart(Worker &W, const TaskRef &Ref,
-                               const StepSpec &Step, const Run &Dropped) {
+                               const StepSpec &Step, const Run &Dropped) const {
   if (Dropped.StartedAt_ > Millis{} || Dropped.Reported_)
     return;
   const bool IsStopped = Dropped.StopConfirmedAt_ > Millis{};
-  const UnansweredStart Latest{taskName(Ref), Dropped.Attempt_,
-                               reservedSize(Step), Dropped.OrderedAt_,
-                               IsStopped ? W.ProcessStart_ : 0};
+  const UnansweredStart Latest{taskName(Ref),
+                               Dropped.Attempt_,
+                               reservedSize(Step),
+                               Dropped.OrderedAt_,
+                               IsStopped ? W.ProcessStart_ : 0,
+                               findJob(Ref.Job_)->Spec_.Workspace_,
+                               Step.Size_};
   const auto Earlier =
       std::find_if(W.UnansweredStarts_.begin(), W.UnansweredStarts_.end(),
                    [&](const UnansweredStart &Start) {
@@ -51,6 +55,21 @@
                      });
 }
 
+// A start that one process of the worker rejects because of a stop may still be
+// carried out by the next one.
+void Dispatcher::addLateStarts(const Worker &W, Millis Now) {
+  if (W.Reachability_ == Reachability::Replaced)
+    return;
+  for (const UnansweredStart &Start : W.UnansweredStarts_) {
+    if (Start.Workspace_.empty() || Now > Start.OrderedAt_ + LongestDelay ||
+        findAttempt(W.UnexpectedRuns_, Start.Task_, Start.Attempt_) !=
+            W.UnexpectedRuns_.end())
+      continue;
+    Size &Pending = Usage_[Start.Workspace_].Pending_;
+    Pending = Pending + Start.Size_;
+  }
+}
+
 bool Dispatcher::mayBegin(const UnexpectedRun &Entry, Millis SentAt) {
   const bool Rejected =
       Entry.StopConfirmedAt_ > Millis{} && Entry.StopConfirmedAt_ < SentAt;
@@ -73,8 +92,11 @@
                            Millis{},
                            true,
                            Millis{},
-                           Start.OrderedAt_ + LongestDelay};
+                           Start.OrderedAt_ + LongestDelay,
+                           Start.Workspace_,
+                           Start.Size_};
     W.Used_ = W.Used_ + Expected.Reserved_;
+    countUnexpectedRun(Expected, 1);
     const auto Ref = parseTaskName(Start.Task_);
     if (TaskState *Task = Ref ? task(Ref.value()) : nullptr)
       ++Task->UnexpectedRuns_;
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -159,7 +159,7 @@
     TaskState *Task = task(TaskRef{Range.Job_, Range.Step_, Index});
     if (!Task)
       return;
-    Task->Located_ = true;
+    locate(*job(Range.Job_), TaskRef{Range.Job_, Range.Step_, Index}, *Task);
   }
 }
 
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -81,14 +81,18 @@
     UnexpectedRun NewRun{Entry.Task_, Entry.Attempt_, Size{}, Millis{}};
     const auto Ref = parseTaskName(Entry.Task_);
     if (const JobRun *Job = Ref ? findJob(Ref.value().Job_) : nullptr;
-        Job && Ref.value().Step_ < static_cast<int>(Job->Spec_.Steps_.size()))
-      NewRun.Reserved_ = reservedSize(
-          Job->Spec_.Steps_[static_cast<std::size_t>(Ref.value().Step_)]);
-    else
+        Job && Ref.value().Step_ < static_cast<int>(Job->Spec_.Steps_.size())) {
+      const StepSpec &Step =
+          Job->Spec_.Steps_[static_cast<std::size_t>(Ref.value().Step_)];
+      NewRun.Reserved_ = reservedSize(Step);
+      NewRun.Workspace_ = Job->Spec_.Workspace_;
+      NewRun.Size_ = Step.Size_;
+    } else
       // The size of the run is unknown: reserve all free capacity of the
       // worker.
       NewRun.Reserved_ = positivePart(freeCapacity(W));
     W.Used_ = W.Used_ + NewRun.Reserved_;
+    countUnexpectedRun(NewRun, 1);
     if (TaskState *Task = Ref ? task(Ref.value()) : nullptr)
       ++Task->UnexpectedRuns_;
     log(Entry.Task_.substr(0, Entry.Task_.find('.')), Entry.Task_, W.Info_.Id_,
@@ -106,6 +110,7 @@
 
 void Dispatcher::releaseUnexpectedRun(Worker &W, const UnexpectedRun &Ended) {
   W.Used_ = W.Used_ - Ended.Reserved_;
+  countUnexpectedRun(Ended, -1);
   const auto Ref = parseTaskName(Ended.Task_);
   TaskState *Task = Ref ? task(Ref.value()) : nullptr;
   // A job that was removed and added again has no count of its earlier runs.
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -68,6 +68,7 @@
         WorkerEntry != Workers_.end())
       paceFillers(WorkerEntry->second, Now);
   updateFleetCapacity(Now);
+  updatePendingUsage(Now);
   PreemptingSteps_ = 0;
   if (AdviceQueue_)
     AdviceQueue_->beginPass();
@@ -95,9 +96,11 @@
     ++StepsReached_;
     if (State.Ready_)
       placeStep(Ranked, StartLimit, Now);
-    requestAdvice(Ranked, CapacityExpected, Now);
-    const auto WaitingTasks = static_cast<std::int64_t>(State.Tasks_.size()) -
-                              State.DoneCount_ - State.RunCount_;
+    // Tasks beyond the limit of their workspace need no capacity now.
+    const std::int64_t WaitingTasks =
+        State.Ready_ ? allowedStarts(Ranked, Now) : 0;
+    if (!State.Ready_ || WaitingTasks > 0)
+      requestAdvice(Ranked, CapacityExpected, Now);
     if (State.Ready_)
       HigherRankedMilliCpus += WaitingTasks * reservedSize(Spec).MilliCpus_;
   }
@@ -294,7 +297,7 @@
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const bool FoundNoCapacity =
       std::exchange(State.NoCapacityPass_, 0) == PassNumber_ - 1;
-  if (!keepsReserve(Ranked, Spec))
+  if (!keepsReserve(Ranked, Spec) || allowedStarts(Ranked, Now) == 0)
     return;
   // A step that found no capacity in the last pass examines only workers that
   // gained some since. Gangs and steps with a limit per worker examine all: the
@@ -330,6 +333,10 @@
     if (!keepsReserve(Ranked, Spec) ||
         PendingActions_.Starts_.size() >= StartLimit)
       return;
+    if (allowedStarts(Ranked, Now) == 0) {
+      AllCombinationsChecked = false;
+      break;
+    }
     const std::int64_t Attempt = std::max(Task.LastAttempt_ + 1, FirstAttempt);
     if (isCrashSuspect(Task)) {
       AllCombinationsChecked = false;
@@ -355,7 +362,8 @@
     return;
   if (AllCombinationsChecked)
     State.NoCapacityPass_ = PassNumber_;
-  if (mayPreempt(Ranked, Now))
+  UnplacedTasks = std::min(UnplacedTasks, allowedStarts(Ranked, Now));
+  if (UnplacedTasks > 0 && mayPreempt(Ranked, Now))
     preemptFor(Ranked, UnplacedTasks,
                GainedCapacityOnly ? findCandidates(Ranked, false, Now)
                                   : Candidates,
--- a/dispatch/dispatcher_preempt.cpp
+++ b/dispatch/dispatcher_preempt.cpp
@@ -142,6 +142,7 @@
     if (!BestWorker)
       return;
     UsedWorkers.insert(BestWorker->Info_.Id_);
+    awaitTasks(Ranked, 1);
     for (const TaskRef &Ref : Victims)
       requestStop(Ref, *task(Ref), "preempted for " + Ranked.Job_->Spec_.Id_,
                   Now);
--- a/dispatch/dispatcher_verify.cpp
+++ b/dispatch/dispatcher_verify.cpp
@@ -37,7 +37,7 @@
     if (!(Sum == W.Used_))
       return "worker " + Id + " has wrong used capacity";
   }
-  return "";
+  return verifyUsage();
 }
 
 } // namespace damaskglade::dispatch
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -152,8 +152,9 @@
   W.Tasks_.insert(Ref);
   Task.LastAttempt_ = std::max(Task.LastAttempt_, Attempt.Attempt_);
   Task.Run_ = std::move(Attempt);
-  Task.Located_ = true;
   JobRun *Job = job(Ref.Job_);
+  locate(*Job, Ref, Task);
+  countRun(*Job, Step, 1);
   ++Job->Steps_[static_cast<std::size_t>(Ref.Step_)].RunCount_;
 }
 
@@ -166,6 +167,7 @@
   W.Tasks_.erase(Ref);
   Task.Run_.reset();
   JobRun *Job = job(Ref.Job_);
+  countRun(*Job, Step, -1);
   --Job->Steps_[static_cast<std::size_t>(Ref.Step_)].RunCount_;
   if (!isTerminal(Job->State_) || hasRuns(Ref.Job_))
     return;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -89,6 +89,8 @@
   bool Expected_ = false;    ///< Not reported yet.
   Millis StopConfirmedAt_{}; ///< Of expected runs; zero until confirmed.
   Millis ExpectedUntil_{};   ///< Of expected runs.
+  std::string Workspace_{};  ///< Of the job; empty if none is known.
+  Size Size_{};              ///< Of the task, with the processors of a filler.
 
   friend bool operator==(const UnexpectedRun &,
                          const UnexpectedRun &) = default;
@@ -104,6 +106,8 @@
   Millis OrderedAt_{};
   /// The process that rejects it because of a stop; zero if none does.
   std::int64_t StoppedIn_ = 0;
+  std::string Workspace_; ///< Of the job.
+  Size Size_;             ///< Of the task, with the processors of a filler.
 
   friend bool operator==(const UnansweredStart &,
                          const UnansweredStart &) = default;
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -106,6 +106,9 @@
   /// Read from the store by this leader. Tasks that an earlier leader started
   /// may be running on any worker.
   bool Restored_ = false;
+  /// Size of its tasks that an earlier leader may have left running on workers
+  /// that are not reached yet.
+  Size Unlocated_;
   Millis ArrivedAt_{}; ///< On the leader's monotonic clock.
   Millis EndedAt_{};
   Millis CriticalPath_{}; ///< Estimated duration of the longest chain of steps.
