dispatch: Learn the speeds of kinds of workers and use them in placement

Tasks of urgent steps ran on slow kinds of workers while fast ones ran long work, so that short jobs missed their objectives.

The leader compares the durations of the tasks of each completed step between kinds of workers (their first label): median per kind, log ratio, decaying average, limited influence of one step. Differences below 15% are taken for noise and leave placement as it was. Urgent steps prefer kinds on which their job ends in time, others prefer slower kinds slightly. Nothing waits for a kind. A worker counts as slow only against its normalised typical ratio.

--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -661,7 +661,8 @@
             " unadvised=" + std::to_string(Queue.Unadvised_) +
             " skipped=" + std::to_string(Queue.Skipped_);
   Text += " free_milli_cpus=" + std::to_string(Backlog.FreeMilliCpus_) +
-          " milli_cpus=" + std::to_string(Backlog.MilliCpus_);
+          " milli_cpus=" + std::to_string(Backlog.MilliCpus_) +
+          dispatch::describeSpeeds(Dispatcher_.speeds());
   logEvent(Ports_, LogLevel::Info, "", "load", "", Text);
 }
 
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -34,6 +34,10 @@
   /// Fraction of the fleet's processors that batch work leaves free for urgent
   /// jobs.
   double UrgentReserve_ = 0.06;
+  /// Factor by which a task takes longer outside the rack of its data or gang.
+  double RemotePenalty_ = 1;
+  /// Off in tests that compare with placement without learned speeds.
+  bool UseSpeeds_ = true;
 
   friend bool operator==(const DispatchLimits &,
                          const DispatchLimits &) = default;
@@ -288,6 +292,7 @@
   /// leader.
   bool fenced() const { return Fenced_; }
   std::int64_t epoch() const { return Epoch_; }
+  const WorkerSpeeds &speeds() const { return Speeds_; }
 
   /// How often planning has examined a worker for a step so far. Tests use it
   /// to measure the cost of planning.
@@ -445,6 +450,17 @@
   static void updateClock(Worker &W, Millis Clock, Millis SentAt, Millis Now);
   void recordTaskDuration(Worker &W, const StepSpec &Step, const Run &Attempt,
                           Millis Now);
+  void setKind(Worker &W);
+  /// Factor by which a task of the step takes longer on the worker because of
+  /// the worker's rack.
+  double penaltyOn(const StepSpec &Step, const Worker &W) const;
+  void recordSpeedSample(const Worker &W, StepRun &State, const StepSpec &Step,
+                         const Run &Attempt, Millis Now);
+  /// Called when the step has ended.
+  void learnSpeeds(StepRun &State, Millis Now);
+  void updateSpeeds(Millis Now);
+  /// Cost of each kind of worker for the step, see kindCosts().
+  std::vector<double> costsByKind(const RankedStep &Ranked, Millis Now) const;
   void handleEnd(Worker &W, const EndedTask &End, Millis Now);
   void applyEnd(JobRun &Job, const TaskRef &Ref, const EndedTask &End,
                 Worker &W, Millis Now);
@@ -589,6 +605,8 @@
   /// Moving average, over tasks on all workers, of actual divided by estimated
   /// duration.
   double TypicalDurationRatio_ = 0;
+  WorkerSpeeds Speeds_;
+  Millis SpeedsUpdatedAt_{};
   AdviceQueue *AdviceQueue_ = nullptr; ///< Null: accepts all requests.
   std::size_t AdviceServerCount_ = 1;
   std::map<std::string, AllowedShare> AllowedShares_; ///< By queue.
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -227,6 +227,14 @@
         std::stable_partition(Workers.begin(), Workers.end(),
                               [&](const Worker *W) { return HasCapacity(*W); });
       };
+  // A short request has to name workers of the kinds that placement prefers.
+  const std::vector<double> KindCosts = costsByKind(Ranked, Now);
+  if (!KindCosts.empty())
+    std::stable_sort(WorkersWithoutAnswer.begin(), WorkersWithoutAnswer.end(),
+                     [&](const Worker *A, const Worker *B) {
+                       return KindCosts[static_cast<std::size_t>(A->Kind_)] <
+                              KindCosts[static_cast<std::size_t>(B->Kind_)];
+                     });
   MoveWorkersWithCapacityToFront(WorkersToRenew);
   MoveWorkersWithCapacityToFront(WorkersWithoutAnswer);
   const bool FastQueue = Ranked.Policy_->AdviceBase_ < FastAdviceLimit;
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -324,6 +324,7 @@
   markChanged(Ref.Job_);
   if (!Step.ended())
     return;
+  learnSpeeds(Step, Now);
   const bool Complete =
       std::all_of(Job.Steps_.begin(), Job.Steps_.end(),
                   [](const StepRun &State) { return State.ended(); });
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -176,24 +176,6 @@
   }
 }
 
-void Dispatcher::recordTaskDuration(Worker &W, const StepSpec &Step,
-                                    const Run &Attempt, Millis Now) {
-  // Skips tasks whose duration says little about the worker: fillers depend on
-  // idle processors, gang members wait for each other, and a task resumed from
-  // a checkpoint does only part of its work.
-  if (Step.Filler_ || Step.Gang_ || Step.Checkpointing_ ||
-      Step.Estimate_ <= Millis{} || Attempt.StartedAt_ == Millis{})
-    return;
-  constexpr double SmoothingFactor = 0.02;
-  const double Ratio = static_cast<double>((Now - Attempt.StartedAt_).Value_) /
-                       static_cast<double>(Step.Estimate_.Value_);
-  TypicalDurationRatio_ +=
-      TypicalDurationRatio_ == 0
-          ? Ratio
-          : SmoothingFactor * (Ratio - TypicalDurationRatio_);
-  recordDurationRatio(W, Ratio, Now);
-}
-
 void Dispatcher::handleEnd(Worker &W, const EndedTask &End, Millis Now) {
   if (End.SequenceNumber_ <= W.LastEnd_)
     return;
@@ -214,8 +196,11 @@
     Task.Checkpoint_ = End.Checkpoint_;
   const bool IsCurrentRun = Task.Run_ && Task.Run_->Attempt_ == End.Attempt_ &&
                             Task.Run_->Worker_ == W.Info_.Id_;
-  if (IsCurrentRun && End.End_ == TaskEnd::Done)
+  if (IsCurrentRun && End.End_ == TaskEnd::Done) {
     recordTaskDuration(W, Step, *Task.Run_, Now);
+    recordSpeedSample(W, Job.Steps_[static_cast<std::size_t>(Ref.Step_)], Step,
+                      *Task.Run_, Now);
+  }
   if (IsCurrentRun) {
     clearCrashes(Ref, Task, Now);
     removeRun(Task, Ref, Step);
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -68,6 +68,7 @@
         WorkerEntry != Workers_.end())
       paceFillers(WorkerEntry->second, Now);
   updateFleetCapacity(Now);
+  updateSpeeds(Now);
   PreemptingSteps_ = 0;
   if (AdviceQueue_)
     AdviceQueue_->beginPass();
@@ -192,7 +193,8 @@
                                     Millis Now) const {
   return Candidate{
       &W,         countTasksOfStep(W, Job, Step),        W.ServingRuns_ > 0,
-      W.Fillers_, isSlow(W, TypicalDurationRatio_, Now), isSuspect(W, Now)};
+      W.Fillers_, isSlow(W, TypicalDurationRatio_, Now), isSuspect(W, Now),
+      0};
 }
 
 bool Dispatcher::isCandidate(const RankedStep &Ranked, const Worker &W,
@@ -212,10 +214,15 @@
   std::vector<Candidate> Candidates;
   if (!GainedCapacityOnly && !Ranked.Policy_->NeedsAdvice_)
     Candidates.reserve(WorkersByFreeCapacity_.size());
+  const std::vector<double> KindCosts = costsByKind(Ranked, Now);
   const auto AddIfSuitable = [&](Worker &W) {
     ++WorkerChecks_;
-    if (isCandidate(Ranked, W, Now))
-      Candidates.push_back(makeCandidate(W, *Ranked.Job_, Ranked.Step_, Now));
+    if (!isCandidate(Ranked, W, Now))
+      return;
+    Candidates.push_back(makeCandidate(W, *Ranked.Job_, Ranked.Step_, Now));
+    if (!KindCosts.empty())
+      Candidates.back().KindCost_ =
+          KindCosts[static_cast<std::size_t>(W.Kind_)];
   };
   const StepAdvice &Advice =
       Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)].Advice_;
@@ -267,6 +274,7 @@
   NewRun.Worker_ = W.Info_.Id_;
   NewRun.Process_ = W.ProcessStart_;
   NewRun.OrderedAt_ = Now;
+  NewRun.WholeTask_ = Task.Checkpoint_.empty();
   addRun(Task, Ref, Spec, NewRun);
   FleetFreeCapacity_ = FleetFreeCapacity_ - reservedSize(Spec);
   ++CandidateWorker.TasksOfStep_;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -4,6 +4,7 @@
 #include "dispatch/job.h"
 #include "ports/task_worker.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,6 +28,11 @@
   friend bool operator==(const WorkerInfo &, const WorkerInfo &) = default;
 };
 
+inline bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
+  return std::find(Info.Labels_.begin(), Info.Labels_.end(), Label) !=
+         Info.Labels_.end();
+}
+
 /// Whether a worker answers the polls of this leader.
 enum class Reachability {
   Unknown,     ///< Has not answered this leader; may be running any task.
@@ -135,6 +141,7 @@
   WorkerInfo Info_;
   /// Position in Dispatcher::WorkersByIndex_, not reused for another worker.
   int Index_ = 0;
+  int Kind_ = 0;           ///< Index of its kind in WorkerSpeeds::Kinds_.
   bool Registered_ = true; ///< Listed in the latest registry snapshot.
   /// Info_ is from an earlier snapshot, since the latest entry cannot be used.
   bool EntryIgnored_ = false;
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -306,6 +306,25 @@
   return LongestPath;
 }
 
+Millis followingPath(const JobSpec &Spec, int Step) {
+  // Time from the end of the step to the end of each later one; below zero for
+  // those that do not depend on it.
+  std::vector<Millis> EndTimes(Spec.Steps_.size(), Millis{-1});
+  EndTimes[static_cast<std::size_t>(Step)] = Millis{};
+  Millis LongestPath{};
+  for (auto Later = static_cast<std::size_t>(Step) + 1;
+       Later < Spec.Steps_.size(); ++Later) {
+    for (const int Dependency : Spec.Steps_[Later].Dependencies_) {
+      const Millis Start = EndTimes[static_cast<std::size_t>(Dependency)];
+      if (Start >= Millis{})
+        EndTimes[Later] =
+            std::max(EndTimes[Later], Start + Spec.Steps_[Later].Estimate_);
+    }
+    LongestPath = std::max(LongestPath, EndTimes[Later]);
+  }
+  return LongestPath;
+}
+
 double estimatedWork(const JobSpec &Spec) {
   constexpr double MilliCpusPerCpu = 1000.0;
   double Work = 0;
--- a/dispatch/job.h
+++ b/dispatch/job.h
@@ -154,6 +154,8 @@
 
 /// Estimated duration of the longest chain of dependent steps.
 Millis criticalPathEstimate(const JobSpec &Spec);
+/// Estimated duration of the longest chain of steps that follow the step.
+Millis followingPath(const JobSpec &Spec, int Step);
 /// Estimated processor time of all tasks, in processor milliseconds.
 double estimatedWork(const JobSpec &Spec);
 
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/advice.h"
 #include "dispatch/job.h"
+#include "dispatch/speed.h"
 
 #include <optional>
 #include <set>
@@ -35,6 +36,8 @@
   Millis StartedAt_{}; ///< When the start was confirmed; zero if it was not.
   /// Started while the worker started no task of another job.
   bool Apart_ = false;
+  /// Ordered by this leader and not resumed from a checkpoint.
+  bool WholeTask_ = false;
   bool Reported_ = false; ///< Listed in at least one poll reply of the worker.
   /// Progress that the worker reports; 100 in a long-running task: it serves.
   int Percent_ = 0;
@@ -78,6 +81,10 @@
   /// one more task of the step.
   std::int64_t NoCapacityPass_ = 0;
 
+  /// Durations of its tasks, from which the speeds of workers are learned once
+  /// it has ended.
+  std::vector<SpeedSample> SpeedSamples_;
+
   bool ended() const { return DoneCount_ == static_cast<int>(Tasks_.size()); }
 };
 
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -9,11 +9,7 @@
 namespace {
 
 bool hasLabelFor(const StepSpec &Step, const WorkerInfo &Info) {
-  const auto HasLabel = [&](const std::string &Label) {
-    return std::find(Info.Labels_.begin(), Info.Labels_.end(), Label) !=
-           Info.Labels_.end();
-  };
-  return Step.Label_.empty() || HasLabel(Step.Label_);
+  return Step.Label_.empty() || hasLabel(Info, Step.Label_);
 }
 
 } // namespace
@@ -46,9 +42,8 @@
   const double FreeCpus =
       static_cast<double>(freeCapacity(*CandidateWorker.Worker_).MilliCpus_) /
       MilliCpusPerCpu;
-  double Cost = FreeCpus;
-  if (!Step.Rack_.empty() && std::find(Info.Labels_.begin(), Info.Labels_.end(),
-                                       Step.Rack_) == Info.Labels_.end())
+  double Cost = FreeCpus + CandidateWorker.KindCost_;
+  if (!Step.Rack_.empty() && !hasLabel(Info, Step.Rack_))
     Cost += OtherRackCost;
   if (Step.Filler_) {
     // A filler runs on idle processors, so workers with more of them cost less.
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -22,6 +22,8 @@
   bool Slow_ = false;           ///< See isSlow().
   bool Suspect_ = false; ///< The latest task on the worker failed; isSuspect().
 
+  double KindCost_ = 0; ///< See kindCosts().
+
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
 
--- a/tests/dispatch/played_load.cpp
+++ b/tests/dispatch/played_load.cpp
@@ -15,8 +15,6 @@
 constexpr Millis DecisionPeriod{100};
 constexpr Millis PollPeriod{2000};
 
-DispatchLimits makeLimits() { return DispatchLimits{}; }
-
 Millis scaled(Millis Duration, double Factor) {
   return Millis{std::llround(static_cast<double>(Duration.Value_) * Factor)};
 }
@@ -29,7 +27,7 @@
 
 PlayedLoad::PlayedLoad(LoadSettings Settings)
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
-      Dispatcher_(makeLimits(), 1, Now_),
+      Dispatcher_(Settings_.Limits_, 1, Now_),
       AdviceServersFreeAt_(
           static_cast<std::size_t>(Settings_.AdviceServerCount_), Now_) {
   std::map<std::string, QueuePolicy> Queues;
@@ -45,7 +43,11 @@
     Info.Id_ = workerName(Number);
     Info.Address_ = Info.Id_ + ":1";
     Info.Service_ = "desk";
-    Info.Labels_ = {"a", "r" + std::to_string(Number / 8)};
+    const auto &[Kind, Factor] =
+        Settings_
+            .Kinds_[static_cast<std::size_t>(Number) % Settings_.Kinds_.size()];
+    Info.Labels_ = {Kind, "r" + std::to_string(Number / 8)};
+    DurationFactors_[Info.Id_] = Factor;
     Info.Capacity_ = Settings_.Capacity_;
     Infos.push_back(Info);
   }
@@ -163,6 +165,7 @@
   ++StartCount_;
   const std::string &Worker = Action.Target_.Worker_;
   const std::string &Task = Action.Order_.Task_;
+  Placements_ += Worker + " " + Task + "\n";
   const JobRun &Job = *Dispatcher_.findJob(Action.Task_.Job_);
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Action.Task_.Step_)];
@@ -172,7 +175,11 @@
   RunningTask NewTask;
   NewTask.Entry_ = RunningEntry{Task, Action.Order_.Attempt_, "", 0, 0};
   NewTask.StartedAt_ = Now_;
-  NewTask.Length_ = scaled(Step.Estimate_, 0.7 + 0.6 * uniform());
+  constexpr double LongTaskFactor = 7;
+  double Factor = DurationFactors_[Worker] * (0.7 + 0.6 * uniform());
+  if (Settings_.LongTaskShare_ > 0 && uniform() < Settings_.LongTaskShare_)
+    Factor *= LongTaskFactor;
+  NewTask.Length_ = scaled(Step.Estimate_, Factor);
   if (!Step.LongRunning_)
     schedule(NewTask.Length_,
              [this, Worker, Task, Attempt = Action.Order_.Attempt_] {
--- a/tests/dispatch/played_load.h
+++ b/tests/dispatch/played_load.h
@@ -51,6 +51,12 @@
   Millis ArrivalsEnd_{};
   /// Minimum time between two planning passes.
   Millis PassInterval_{5};
+  DispatchLimits Limits_;
+  /// Kinds of workers, which take turns: label and duration of tasks relative
+  /// to the usual one.
+  std::vector<std::pair<std::string, double>> Kinds_{{"a", 1.0}};
+  /// Share of the tasks that take seven times as long.
+  double LongTaskShare_ = 0;
   std::vector<LoadClass> Classes_;
 };
 
@@ -69,6 +75,8 @@
   const Dispatcher &dispatcher() const { return Dispatcher_; }
   /// Number of start orders executed.
   int starts() const { return StartCount_; }
+  /// The executed start orders: worker and task of each.
+  const std::string &placements() const { return Placements_; }
   /// Number of planning passes.
   int decisions() const { return DecisionCount_; }
   /// Number of jobs that have not ended, long-running ones excepted.
@@ -109,12 +117,14 @@
   std::map<std::pair<Millis, std::uint64_t>, std::function<void()>> Events_;
   std::map<std::string, std::map<std::string, RunningTask>> RunningTasks_;
   std::map<std::string, std::int64_t> LastEndNumbers_;
+  std::map<std::string, double> DurationFactors_; ///< By worker.
   std::map<std::string, OpenJob> OpenJobs_;
   std::map<std::string, LoadOutcome> Outcomes_;
   /// When each server of the advice service has answered all its requests.
   std::vector<Millis> AdviceServersFreeAt_;
   int JobCount_ = 0;
   int StartCount_ = 0;
+  std::string Placements_;
   int DecisionCount_ = 0;
   bool DecisionPending_ = false;
 };
