beast, main: Bound the sessions and memory of callers' listeners

Callers could use all descriptors and memory of a node by requests that stop before their end. With [limits] memory_mb and max_descriptors the callers' and readiness listeners now share bounds: half of the descriptors as sessions (16 more for readiness), a quarter of the memory for requests and unread replies, 128 header fields (431), 5 s for a header and 16 KiB/s as the least average pace of a body. When a bound is met, the oldest session with the least progress that has no request in its handler is closed. The readiness listener takes bodies of up to 4 KB. An accept that fails for lack of descriptors closes such a session and is repeated after 50 ms instead of at once. Bodies of callers are checked for depth and number of values before they are parsed. Each rejection is counted by reason. Large blocks are returned to the system when freed (malloc thresholds), if memory_mb is set. Without the settings these bounds are off, except those of JSON and of readiness bodies.

--- a/cell/settings.h
+++ b/cell/settings.h
@@ -30,6 +30,8 @@
   /// A leader with fewer workers than this uses no relays: they add two hops to
   /// each call and save little.
   std::size_t RelayMinWorkers_ = 400;
+  std::size_t MemoryMb_ = 0;       ///< Of the machine; 0: not limited.
+  std::size_t MaxDescriptors_ = 0; ///< Of the process; 0: not limited.
 
   friend bool operator==(const CellSettings &, const CellSettings &) = default;
 };
--- a/core/codec.cpp
+++ b/core/codec.cpp
@@ -98,6 +98,32 @@
   return Root;
 }
 
+bool isWithin(const JsonLimits &Limits, const std::string &Text) {
+  std::size_t Depth = 0;
+  std::size_t Values = 1;
+  bool Quoted = false;
+  for (std::size_t At = 0; At < Text.size(); ++At) {
+    const char Letter = Text[At];
+    if (Letter == '"')
+      Quoted = !Quoted;
+    else if (Quoted && Letter == '\\')
+      ++At;
+    if (Quoted)
+      continue;
+    if (Letter == '{' || Letter == '[') {
+      ++Depth;
+      ++Values;
+    } else if (Letter == ',') {
+      ++Values;
+    } else if ((Letter == '}' || Letter == ']') && Depth > 0) {
+      --Depth;
+    }
+    if (Depth > Limits.Depth_ || Values > Limits.Values_)
+      return false;
+  }
+  return true;
+}
+
 std::string writeJson(const Json::Value &Value) {
   thread_local const std::unique_ptr<Json::StreamWriter> Writer = [] {
     Json::StreamWriterBuilder Builder;
--- a/core/codec.h
+++ b/core/codec.h
@@ -14,6 +14,17 @@
 /// Parses a JSON object. Errors: invalid_field with the parser's message.
 Result<Json::Value> parseJson(const std::string &Text, const std::string &Step);
 
+/// Bounds of a JSON text, checked before it is parsed.
+struct JsonLimits {
+  std::size_t Depth_ = 0;
+  std::size_t Values_ = 0;
+
+  friend bool operator==(const JsonLimits &, const JsonLimits &) = default;
+};
+
+/// True if no bound is exceeded. The text need not be valid.
+bool isWithin(const JsonLimits &Limits, const std::string &Text);
+
 /// JSON on one line, without a trailing newline.
 std::string writeJson(const Json::Value &Value);
 
--- a/drivers/beast/event_loop.cpp
+++ b/drivers/beast/event_loop.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr int MaxAcceptsPerTurn = 64;
+// An accept that fails for lack of descriptors would fail again at once.
+constexpr std::chrono::milliseconds AcceptRetry{50};
 
 /// Runs a task unless it has been run, and empties it.
 void runOnce(std::function<void()> &Task) {
@@ -50,11 +52,24 @@
           if (!Failure) {
             serveConnection(std::move(Socket), Limits, Handler, Registry_);
             acceptWaiting(Acceptor, Limits, Handler);
+          } else if (Failure != asio::error::connection_aborted) {
+            closeOneSession(*Registry_, false, "no_descriptors");
+            return acceptLater(Acceptor, Limits, Handler);
           }
           accept(Acceptor, Limits, Handler);
         });
   }
 
+  void acceptLater(tcp::acceptor &Acceptor, const ListenerLimits &Limits,
+                   const WebHandler &Handler) {
+    auto Timer = std::make_shared<asio::steady_timer>(Loop_, AcceptRetry);
+    Timer->async_wait([this, Timer, &Acceptor, Limits,
+                       Handler](boost::system::error_code Failure) {
+      if (!Failure && Acceptor.is_open())
+        accept(Acceptor, Limits, Handler);
+    });
+  }
+
   // An asynchronous accept takes one connection per turn of the loop. When
   // turns are long, callers whose calls have timed out would wait for each
   // other.
@@ -113,6 +128,13 @@
   return success();
 }
 
+void EventLoop::limitSessions(
+    const SessionLimits &Limits,
+    std::function<void(const std::string &)> OnRejected) {
+  State_->Registry_->Limits_ = Limits;
+  State_->Registry_->OnRejected_ = std::move(OnRejected);
+}
+
 std::unique_ptr<WebClient>
 EventLoop::makeClient(WebTransferHandler OnTransfer) {
   return makeWebClient(State_->Loop_, std::move(OnTransfer));
--- a/drivers/beast/event_loop.h
+++ b/drivers/beast/event_loop.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_DRIVERS_BEAST_EVENT_LOOP_H
 #define DAMASKGLADE_DRIVERS_BEAST_EVENT_LOOP_H
 
+#include "drivers/beast/session_limits.h"
 #include "ports/async_http.h"
 
 #include <memory>
@@ -15,6 +16,10 @@
   /// A connection is closed if no request arrives on it for this time, or if
   /// its peer has not taken a reply by then.
   Millis Idle_{60000};
+  /// The limits of EventLoop::limitSessions() apply to the sessions.
+  bool Guarded_ = false;
+  /// Sessions beyond SessionLimits::Sessions_ that only this listener may use.
+  std::size_t ReservedSessions_ = 0;
 };
 
 /// Boost.Asio event loop with HTTP listeners, a client and timers. All
@@ -28,6 +33,10 @@
   /// Accepts connections on "ip:port". Errors: connect_failed.
   Status listen(const std::string &Address, const ListenerLimits &Limits,
                 const WebHandler &Handler);
+  /// Sets the common limits of the guarded listeners. The handler receives the
+  /// reason of each closed session and rejected request.
+  void limitSessions(const SessionLimits &Limits,
+                     std::function<void(const std::string &)> OnRejected);
   /// The handler, if any, is told how large replies were received.
   std::unique_ptr<WebClient> makeClient(WebTransferHandler OnTransfer = {});
 
--- a/drivers/beast/http_session.h
+++ b/drivers/beast/http_session.h
@@ -17,6 +17,10 @@
   std::set<HttpSession *> Sessions_;
   std::size_t OpenRequests_ = 0;
   bool Draining_ = false;
+  SessionLimits Limits_;
+  std::size_t Guarded_ = 0; ///< Open sessions of guarded listeners.
+  std::size_t Bytes_ = 0;   ///< Held by these.
+  std::function<void(const std::string &)> OnRejected_;
 };
 
 /// Serves requests on an accepted connection until it closes.
@@ -24,6 +28,12 @@
                      const ListenerLimits &Limits, const WebHandler &Handler,
                      const std::shared_ptr<SessionRegistry> &Registry);
 
+/// Closes the session that chooseSession() names, other than the given one.
+/// Returns false if there is none.
+bool closeOneSession(SessionRegistry &Registry, bool HoldsBytes,
+                     const std::string &Reason,
+                     const HttpSession *Except = nullptr);
+
 /// Closes all sessions that wait for a request.
 void closeIdleSessions(SessionRegistry &Registry);
 
--- a/main/cell_node.cpp
+++ b/main/cell_node.cpp
@@ -87,14 +87,24 @@
 
 private:
   Status listen() {
+    Loop_.limitSessions(
+        drivers::deriveSessionLimits(Settings_.MemoryMb_,
+                                     Settings_.MaxDescriptors_),
+        [this](const std::string &Reason) { reportRejection(Reason); });
     drivers::ListenerLimits Callers;
+    Callers.Guarded_ = true;
     BOOST_OUTCOME_TRYV(Loop_.listen(
         Settings_.CallerListen_, Callers,
         [this](const WebRequest &Request, const WebReplier &Reply) {
           platform::handleCallerRequest(Gateway_, Request, Reply);
         }));
+    drivers::ListenerLimits Checks = Callers;
+    constexpr std::size_t MaxCheckBody = 4096;
+    constexpr std::size_t ReservedForChecks = 16;
+    Checks.BodyBytes_ = MaxCheckBody;
+    Checks.ReservedSessions_ = ReservedForChecks;
     BOOST_OUTCOME_TRYV(
-        Loop_.listen(Settings_.ReadinessListen_, Callers,
+        Loop_.listen(Settings_.ReadinessListen_, Checks,
                      [this](const WebRequest &, const WebReplier &Reply) {
                        const bool Ready = !Stopping_ && Member_->ready();
                        Reply(WebReply{Ready ? Ok : Unavailable, ""});
@@ -109,7 +119,7 @@
         }));
     if (Settings_.MetricsListen_.empty())
       return success();
-    return Loop_.listen(Settings_.MetricsListen_, Callers,
+    return Loop_.listen(Settings_.MetricsListen_, drivers::ListenerLimits{},
                         [this](const WebRequest &, const WebReplier &Reply) {
                           onConfigThread([this, Reply] {
                             Config_.reportAge();
@@ -121,6 +131,12 @@
                         });
   }
 
+  void reportRejection(const std::string &Reason) {
+    Metrics_.count("http_rejected_" + Reason, 1.0);
+    cell::logEvent(Ports_, LogLevel::Info, "", "http_limit", "",
+                   "request rejected or session closed, reason=" + Reason);
+  }
+
   void onConfigThread(std::function<void()> Task) {
     ConfigThread_.loop().after(Millis{}, std::move(Task));
   }
@@ -253,6 +269,15 @@
                  describe(Settings.error()).c_str());
     return ExitUsage;
   }
+  if (Settings.value().MemoryMb_ > 0) {
+    // The default threshold grows up to 32 MB with freed blocks. Bodies would
+    // then come from the heap, which keeps freed memory between others.
+    constexpr int MmapThreshold = 64 * 1024;
+    constexpr int MaxArenas = 2;
+    mallopt(M_MMAP_THRESHOLD, MmapThreshold);
+    mallopt(M_TRIM_THRESHOLD, MmapThreshold);
+    mallopt(M_ARENA_MAX, MaxArenas);
+  }
   CellNode Node(Settings.value());
   return Node.run();
 }
