--- a/drivers/beast/http_session.cpp
+++ b/drivers/beast/http_session.cpp
@@ -208,10 +208,13 @@
     if (Failure == http::error::body_limit ||
         Failure == http::error::header_limit) {
       constexpr int BodyTooLarge = 413;
+      constexpr int HeaderTooLarge = 431;
+      const bool IsHeader = Failure == http::error::header_limit;
       if (Limits_.Guarded_)
-        reject(Failure == http::error::body_limit ? "body_size"
-                                                  : "header_size");
-      refuse(WebReply{BodyTooLarge, R"({"error":"body_too_large"})"});
+        reject(IsHeader ? "header_size" : "body_size");
+      refuse(Limits_.Guarded_ && IsHeader
+                 ? WebReply{HeaderTooLarge, R"({"error":"header_too_large"})"}
+                 : WebReply{BodyTooLarge, R"({"error":"body_too_large"})"});
       return;
     }
     if (Failure) {
