dispatch, cell: Give workspaces their shares when demand exceeds capacity

A workspace that sends several times its usual load made the jobs of all others late. A job without a token is ranked behind the jobs in share of its priority and preempts nothing; while tasks of its priority or a more urgent one have waited over 100 ms and no worker that may run them has room, it is rejected (quota_exceeded, not run) with the time of the next token. Entry VMs reject further jobs of the workspace until then, except repeated submissions that they have sent before.

--- a/cell/gateway.cpp
+++ b/cell/gateway.cpp
@@ -30,6 +30,11 @@
   return "";
 }
 
+const std::string &workspaceOf(const CallerRequest &Request) {
+  return Request.Workspace_.empty() ? Request.Spec_.Workspace_
+                                    : Request.Workspace_;
+}
+
 } // namespace
 
 const QueueRoute *Gateway::findRoute(const std::string &Host,
@@ -47,6 +52,27 @@
   return BestRoute;
 }
 
+bool Gateway::rejectOverShare(const CallerRequest &Request,
+                              const CallerReply &Reply) {
+  const Millis Remaining = ShareRejections_.remaining(
+      workspaceOf(Request), Request.Id_, Ports_.Clock_.monotonic());
+  if (Remaining == Millis{}) {
+    ShareRejections_.noteSent(Request.Id_);
+    return false;
+  }
+  const Error Failure{Reason::QuotaExceeded,
+                      Effect::None,
+                      "submit",
+                      "",
+                      "workspace " + workspaceOf(Request) +
+                          " is over its share, as the leader has told",
+                      Remaining};
+  Ports_.Metrics_.count("jobs_rejected_over_share_locally");
+  Ports_.Metrics_.countRefusal(Failure.Reason_);
+  Reply(Failure);
+  return true;
+}
+
 void Gateway::handle(const CallerRequest &Request, const CallerReply &Reply) {
   Json::Value Params;
   if (Request.Verb_ == CallerVerb::CountPendingJobs)
@@ -59,6 +85,8 @@
       Ports_.Metrics_.countRefusal(SpecStatus.error().Reason_);
       return Reply(SpecStatus.error());
     }
+    if (rejectOverShare(Request, Reply))
+      return;
     Params["spec"] = dispatch::encodeSpec(Request.Spec_);
   }
   const Millis Timeout =
@@ -77,6 +105,11 @@
           return Reply(Answer);
         }
         Error Failure = Outcome.error();
+        if (Request.Verb_ == CallerVerb::Submit &&
+            Failure.Reason_ == Reason::QuotaExceeded)
+          ShareRejections_.noteRejected(workspaceOf(Request),
+                                        Ports_.Clock_.monotonic() +
+                                            Failure.RetryAfter_);
         if (Failure.RetryAfter_ == Millis{} &&
             Failure.Reason_ != Reason::NotFound &&
             Failure.Reason_ != Reason::NeverFits)
--- a/cell/gateway.h
+++ b/cell/gateway.h
@@ -2,6 +2,7 @@
 #define DAMASKGLADE_CELL_GATEWAY_H
 
 #include "cell/member.h"
+#include "cell/share_rejections.h"
 
 namespace damaskglade::cell {
 
@@ -47,9 +48,14 @@
   void handle(const CallerRequest &Request, const CallerReply &Reply);
 
 private:
+  /// Rejects a job of a workspace that is over its share, if the leader has
+  /// told so. False if the job has to be sent to the leader.
+  bool rejectOverShare(const CallerRequest &Request, const CallerReply &Reply);
+
   const CellPorts Ports_;
   const std::shared_ptr<Member> Node_;
   SharedConfig Config_;
+  ShareRejections ShareRejections_;
 };
 
 } // namespace damaskglade::cell
--- a/cell/leader_calls.cpp
+++ b/cell/leader_calls.cpp
@@ -32,7 +32,19 @@
   if (shouldReject(LoopDelay_, Dispatcher_.priorityOf(Spec.Queue_)))
     return Reply(Error{Reason::QueueFull, Effect::None, "submit", "",
                        "the leader has fallen behind"});
+  const dispatch::ShareDecision Share = Dispatcher_.decideJobShare(Spec, now());
+  if (Share.Verdict_ == dispatch::ShareVerdict::Rejected) {
+    Ports_.Metrics_.count("jobs_rejected_over_share");
+    return Reply(Error{Reason::QuotaExceeded, Effect::None, "submit", "",
+                       "workspace " + Spec.Workspace_ +
+                           " is over its share and the fleet is full",
+                       Share.RetryAfter_});
+  }
   Dispatcher_.addJob(Spec, now());
+  if (Share.Verdict_ == dispatch::ShareVerdict::OverShare) {
+    Ports_.Metrics_.count("jobs_accepted_over_share");
+    Dispatcher_.markOverShare(Spec.Id_);
+  }
   PendingSubmissions_[Spec.Id_].push_back(Reply);
   Recorder_.recordJob(
       Spec.Id_, [Self = shared_from_this(), Id = Spec.Id_](Status Outcome) {
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include "dispatch/job_run.h"
 #include "dispatch/placement.h"
 #include "dispatch/ranking.h"
+#include "dispatch/shares.h"
 #include "dispatch/usage.h"
 #include "dispatch/workspace.h"
 #include "ports/advisor.h"
@@ -171,6 +172,11 @@
   void restoreEnded(const std::string &Id, JobState State, Millis Now);
   /// Rejects a job that no worker could ever run. Errors: never_fits.
   Status checkFits(const JobSpec &Spec) const;
+  /// Decides whether a job that is about to be added is within the share of its
+  /// workspace, and takes a token for it.
+  ShareDecision decideJobShare(const JobSpec &Spec, Millis Now);
+  /// Ranks an added job behind those in share.
+  void markOverShare(const std::string &Id);
   /// False if the job does not exist or has ended.
   bool cancelJob(const std::string &Id, Millis Now);
   /// The job with the state of its tasks; null if it is unknown or was removed.
@@ -319,6 +325,14 @@
     std::string Service_;
     CrashSpan Crash_;
   };
+  /// The share of a workspace, and decisions beyond it since the last log line.
+  struct WorkspaceShare {
+    ShareBucket Bucket_;
+    int Level_ = 0; ///< shareLevel() at the start of the pass.
+    int Accepted_ = 0;
+    int Rejected_ = 0;
+    Millis LoggedAt_{};
+  };
   /// A step with waiting tasks and its place in the order of planning.
   struct RankedStep {
     JobRun *Job_ = nullptr;
@@ -515,6 +529,12 @@
   /// Rejects a job with a gang beyond the limit. Errors: never_fits.
   Status checkLimit(const JobSpec &Spec) const;
   std::string verifyUsage() const;
+  /// Whether tasks of the priority or a more urgent one wait for capacity.
+  bool isFullFor(int Priority) const;
+  /// Called for a ready step whose waiting tasks the pass has not started.
+  void noteWaitingStep(const RankedStep &Ranked, Millis Now);
+  void updateShareLevels();
+  int shareLevelOf(const JobRun &Job) const;
 
   std::vector<RankedStep> rankedSteps(Millis Now);
   /// Position of the worker in WorkersById_.
@@ -580,7 +600,10 @@
   Millis EarlierLeaseExpiry_;
   std::map<std::string, QueuePolicy> Queues_;
   WorkspacePolicies Workspaces_;
-  std::map<std::string, WorkspaceUsage> Usage_; ///< By workspace.
+  std::map<std::string, WorkspaceUsage> Usage_;  ///< By workspace.
+  std::map<std::string, WorkspaceShare> Shares_; ///< By workspace.
+  /// Most urgent priority of which the last pass left tasks without capacity.
+  std::optional<int> FullPriority_;
   std::unordered_map<std::string, std::unique_ptr<JobRun>> Jobs_;
   /// Jobs that have not ended, or whose end is not stored, or that have runs.
   std::map<std::string, JobRun *> ActiveJobs_;
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -69,6 +69,8 @@
       paceFillers(WorkerEntry->second, Now);
   updateFleetCapacity(Now);
   updatePendingUsage(Now);
+  updateShareLevels();
+  FullPriority_.reset();
   PreemptingSteps_ = 0;
   if (AdviceQueue_)
     AdviceQueue_->beginPass();
@@ -99,6 +101,8 @@
     // Tasks beyond the limit of their workspace need no capacity now.
     const std::int64_t WaitingTasks =
         State.Ready_ ? allowedStarts(Ranked, Now) : 0;
+    if (State.Ready_ && WaitingTasks > 0)
+      noteWaitingStep(Ranked, Now);
     if (!State.Ready_ || WaitingTasks > 0)
       requestAdvice(Ranked, CapacityExpected, Now);
     if (State.Ready_)
@@ -130,6 +134,8 @@
         Policy.Target_;
     Input.Work_ = Job->Work_;
     Input.Started_ = Job->Started_;
+    Input.OverShare_ = Job->OverShare_;
+    Input.ShareLevel_ = shareLevelOf(*Job);
     for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step) {
       const StepRun &State = Job->Steps_[Step];
       const StepSpec &Spec = Job->Spec_.Steps_[Step];
@@ -144,7 +150,8 @@
   std::sort(
       Steps.begin(), Steps.end(), [](const RankedStep &A, const RankedStep &B) {
         const auto SortKey = [](const RankedStep &Entry) {
-          return std::make_tuple(Entry.Rank_.Priority_, Entry.Rank_.Lateness_,
+          return std::make_tuple(Entry.Rank_.Priority_, Entry.Rank_.OverShare_,
+                                 Entry.Rank_.Lateness_, Entry.Rank_.ShareLevel_,
                                  Entry.Rank_.Weight_, Entry.Job_->ArrivedAt_,
                                  Entry.Step_);
         };
--- a/dispatch/dispatcher_preempt.cpp
+++ b/dispatch/dispatcher_preempt.cpp
@@ -106,7 +106,8 @@
 bool Dispatcher::mayPreempt(const RankedStep &Ranked, Millis Now) const {
   const StepRun &State =
       Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
-  return isUrgent(Ranked) &&
+  // Jobs over share get idle capacity only.
+  return isUrgent(Ranked) && !Ranked.Job_->OverShare_ &&
          Now >= State.LastPreemption_ + PreemptionInterval &&
          PreemptingSteps_ < MaxPreemptingSteps;
 }
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -102,7 +102,8 @@
   /// the job, and how many of these crashes are stored.
   int Crashes_ = 0;
   int RecordedCrashes_ = 0;
-  bool Started_ = false; ///< A worker has had one of the tasks.
+  bool Started_ = false;   ///< A worker has had one of the tasks.
+  bool OverShare_ = false; ///< Accepted beyond the share of its workspace.
   /// Read from the store by this leader. Tasks that an earlier leader started
   /// may be running on any worker.
   bool Restored_ = false;
--- a/dispatch/ranking.cpp
+++ b/dispatch/ranking.cpp
@@ -15,6 +15,8 @@
 Rank rankStep(const RankInput &Input) {
   Rank StepRank;
   StepRank.Priority_ = Input.Priority_;
+  StepRank.OverShare_ = Input.OverShare_;
+  StepRank.ShareLevel_ = Input.ShareLevel_;
   if (Input.LongRunning_)
     return StepRank;
   const Millis ProjectedTime = Input.Age_ + Input.Remaining_;
--- a/tests/dispatch/played_load.cpp
+++ b/tests/dispatch/played_load.cpp
@@ -38,6 +38,7 @@
     Outcomes_[Class.Queue_];
   }
   Dispatcher_.setQueues(Queues);
+  Dispatcher_.setWorkspaces(Settings_.Workspaces_);
   Dispatcher_.setAdviceServerCount(AdviceServersFreeAt_.size());
   std::vector<WorkerInfo> Infos;
   for (int Number = 0; Number < Settings_.Workers_; ++Number) {
@@ -88,7 +89,10 @@
   if (Settings_.ArrivalsEnd_ > Millis{} &&
       Now_ > StartTime + Settings_.ArrivalsEnd_)
     return;
-  std::exponential_distribution<> ArrivalInterval(Class.JobsPerSecond_);
+  const bool IsFlood = Now_ >= StartTime + Class.FloodStart_ &&
+                       Now_ < StartTime + Class.FloodEnd_;
+  std::exponential_distribution<> ArrivalInterval(
+      Class.JobsPerSecond_ * (IsFlood ? Class.FloodFactor_ : 1));
   constexpr double MillisPerSecond = 1000;
   schedule(Millis{std::llround(ArrivalInterval(Random_) * MillisPerSecond)},
            [this, &Class] {
@@ -119,7 +123,16 @@
       Step.Dependencies_ = {Number - 1};
     Spec.Steps_.push_back(Step);
   }
+  Spec.Workspace_ = Class.Workspace_;
+  const ShareVerdict Verdict = Dispatcher_.decideJobShare(Spec, Now_).Verdict_;
+  if (Verdict == ShareVerdict::Rejected) {
+    ++Outcomes_[Class.Queue_].Jobs_;
+    ++Outcomes_[Class.Queue_].Rejected_;
+    return;
+  }
   Dispatcher_.addJob(Spec, Now_);
+  if (Verdict == ShareVerdict::OverShare)
+    Dispatcher_.markOverShare(Spec.Id_);
   Dispatcher_.confirmJob(Spec.Id_);
   if (!Class.LongRunning_)
     OpenJobs_[Spec.Id_] =
--- a/tests/dispatch/played_load.h
+++ b/tests/dispatch/played_load.h
@@ -26,16 +26,22 @@
   bool LongRunning_ = false;
   bool Gang_ = false;
   int MaxPerWorker_ = 0; ///< Tasks of a step on one worker; zero: no limit.
+  std::string Workspace_;
+  /// Between these times after StartTime, so many times the jobs arrive.
+  double FloodFactor_ = 1;
+  Millis FloodStart_{};
+  Millis FloodEnd_{};
 };
 
 inline constexpr Millis StartTime{1000};
 
 /// Job counts of one queue. On time and late are measured from the arrival.
 struct LoadOutcome {
-  int Jobs_ = 0;   ///< Submitted jobs.
-  int OnTime_ = 0; ///< Ended within the objective.
-  int Late_ = 0;   ///< Ended later, within three times the objective.
-  int Starts_ = 0; ///< Started tasks.
+  int Jobs_ = 0;     ///< Submitted jobs.
+  int Rejected_ = 0; ///< Those that were over share while the fleet was full.
+  int OnTime_ = 0;   ///< Ended within the objective.
+  int Late_ = 0;     ///< Ended later, within three times the objective.
+  int Starts_ = 0;   ///< Started tasks.
   /// Longest time from the arrival of a job to the start of one of its tasks.
   Millis LongestWait_{};
 };
@@ -52,6 +58,7 @@
   /// Minimum time between two planning passes.
   Millis PassInterval_{5};
   std::vector<LoadClass> Classes_;
+  WorkspacePolicies Workspaces_;
 };
 
 /// Simulates workers, an advice service and arriving jobs around a dispatcher,
