--- a/tests/dispatch/shares_test.cpp
+++ b/tests/dispatch/shares_test.cpp
@@ -30,8 +30,9 @@
   Class.FloodEnd_ = FloodEnd;
   // Of the processors of a worker, 7 tasks of 2.2 cores use 15.4.
   constexpr double TasksPerWorker = 7;
-  const double JobsPerSecond = Settings.Workers_ * TasksPerWorker /
-                               (Class.Width_ * Class.Length_.Value_ / 1000.0);
+  const double JobsPerSecond =
+      Settings.Workers_ * TasksPerWorker /
+      (Class.Width_ * static_cast<double>(Class.Length_.Value_) / 1000);
   double Sum = 0;
   for (int Number = 0; Number < WorkspaceCount; ++Number)
     Sum += 1.0 / (Number + 1);
