tests/dispatch: Give start replies of the played load the workers' clock

The replies carried another clock than the polls, so the dispatcher took them for those of another process and placed nothing on the worker until its next poll. Most of the simulated fleet was unused.

--- a/tests/dispatch/played_load.cpp
+++ b/tests/dispatch/played_load.cpp
@@ -194,8 +194,8 @@
                endTask(Worker, Task, Attempt, TaskEnd::Done);
              });
   RunningTasks_[Worker][Task] = NewTask;
-  Dispatcher_.handleStartReply(Action, OrderReply{OrderOutcome::Done, Now_},
-                               Now_);
+  Dispatcher_.handleStartReply(
+      Action, OrderReply{OrderOutcome::Done, Now_ + Millis{50000}}, Now_);
 }
 
 void PlayedLoad::endTask(const std::string &Worker, const std::string &Task,
