--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -228,7 +228,6 @@
                          Failure.Reason_ == Reason::IdempotencyKeyReused ||
                          Failure.Reason_ == Reason::QuotaExceeded ||
                          Failure.Reason_ == Reason::QueueFull ||
-                         Failure.Reason_ == Reason::QuotaExceeded ||
                          Failure.Reason_ == Reason::DeadlineUnreachable ||
                          Failure.Reason_ == Reason::TableUnavailable;
     if (IsFinal && !Call->MayHaveEffect_)
