--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -70,6 +70,7 @@
   Limits.LeaderGrace_ =
       Record.ElectedByMinority_ ? MajorityUnconfirmedLimit : UnconfirmedLimit;
   Limits.GangWait_ = Settings.GangWait_;
+  Limits.RemotePenalty_ = Settings.RemotePenalty_;
   return Limits;
 }
 
@@ -178,9 +179,9 @@
   OnLeadershipLost_();
 }
 
-void Leader::setQueues(
-    const std::map<std::string, dispatch::QueuePolicy> &Queues) {
-  Dispatcher_.setQueues(Queues);
+void Leader::setConfig(const CellConfig &Config) {
+  Dispatcher_.setQueues(Config.Queues_);
+  Dispatcher_.setWorkspaces(Config.Workspaces_);
   scheduleDecision();
 }
 
@@ -661,7 +662,8 @@
             " unadvised=" + std::to_string(Queue.Unadvised_) +
             " skipped=" + std::to_string(Queue.Skipped_);
   Text += " free_milli_cpus=" + std::to_string(Backlog.FreeMilliCpus_) +
-          " milli_cpus=" + std::to_string(Backlog.MilliCpus_);
+          " milli_cpus=" + std::to_string(Backlog.MilliCpus_) +
+          dispatch::describeSpeeds(Dispatcher_.speeds());
   logEvent(Ports_, LogLevel::Info, "", "load", "", Text);
 }
 
--- a/cell/member.cpp
+++ b/cell/member.cpp
@@ -72,7 +72,7 @@
 void Member::setConfig(const SharedConfig &Config) {
   Config_ = Config;
   if (Leader_)
-    Leader_->setQueues(Config->Queues_);
+    Leader_->setConfig(*Config);
 }
 
 bool Member::ready() const {
@@ -157,8 +157,12 @@
   ++OpenPings_;
   Ports_.Peers_.call(
       Address, "node.ping", Params, PingTimeout,
-      [Self = shared_from_this(), Address](const Result<Json::Value> &Reply) {
+      [Self = shared_from_this(), Address,
+       SentAt = ConfigHints_.Now_ ? ConfigHints_.Now_() : Millis{}](
+          const Result<Json::Value> &Reply) {
         --Self->OpenPings_;
+        if (Reply)
+          Self->noteConfigAge(Reply.value(), SentAt);
         Self->handlePingReply(Reply, Address);
       });
 }
@@ -401,7 +405,7 @@
       });
   updateLeader();
   if (Config_)
-    Leader_->setQueues(Config_->Queues_);
+    Leader_->setConfig(*Config_);
   Leader_->start();
 }
 
--- a/cell/settings.h
+++ b/cell/settings.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_CELL_SETTINGS_H
 #define DAMASKGLADE_CELL_SETTINGS_H
 
+#include "cell/access.h"
 #include "core/clock.h"
 
 #include <cstddef>
@@ -25,11 +26,17 @@
   /// Workers end tasks of a gang step that wait longer for the other tasks of
   /// the step.
   Millis GangWait_{3000};
+  /// Factor by which a task takes longer outside the rack of its data. Above 1,
+  /// tasks may wait for that rack.
+  double RemotePenalty_ = 1;
   Millis StatusRetention_{120000}; ///< How long ended jobs can be queried.
   Millis StopGrace_{6000};         ///< From the stop signal to process exit.
   /// A leader with fewer workers than this uses no relays: they add two hops to
   /// each call and save little.
   std::size_t RelayMinWorkers_ = 400;
+  AccessSettings Access_;
+  std::size_t MemoryMb_ = 0;       ///< Of the machine; 0: not limited.
+  std::size_t MaxDescriptors_ = 0; ///< Of the process; 0: not limited.
 
   friend bool operator==(const CellSettings &, const CellSettings &) = default;
 };
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -3,8 +3,12 @@
 
 #include "dispatch/fleet.h"
 #include "dispatch/job_run.h"
+#include "dispatch/locality.h"
 #include "dispatch/placement.h"
 #include "dispatch/ranking.h"
+#include "dispatch/shares.h"
+#include "dispatch/usage.h"
+#include "dispatch/workspace.h"
 #include "ports/advisor.h"
 #include "ports/task_worker.h"
 
@@ -33,6 +37,10 @@
   /// Fraction of the fleet's processors that batch work leaves free for urgent
   /// jobs.
   double UrgentReserve_ = 0.06;
+  /// Factor by which a task takes longer outside the rack of its data or gang.
+  double RemotePenalty_ = 1;
+  /// Off in tests that compare with placement without learned speeds.
+  bool UseSpeeds_ = true;
 
   friend bool operator==(const DispatchLimits &,
                          const DispatchLimits &) = default;
@@ -144,6 +152,9 @@
   Dispatcher(const DispatchLimits &Limits, std::int64_t Epoch, Millis Now);
 
   void setQueues(const std::map<std::string, QueuePolicy> &Queues);
+  /// Sets the policies of the workspaces. Those of removed workspaces are kept
+  /// for their jobs.
+  void setWorkspaces(const WorkspacePolicies &Workspaces);
   /// QueuePolicy::Priority_ of the queue.
   int priorityOf(const std::string &Queue) const;
 
@@ -166,6 +177,11 @@
   void restoreEnded(const std::string &Id, JobState State, Millis Now);
   /// Rejects a job that no worker could ever run. Errors: never_fits.
   Status checkFits(const JobSpec &Spec) const;
+  /// Decides whether a job that is about to be added is within the share of its
+  /// workspace, and takes a token for it.
+  ShareDecision decideJobShare(const JobSpec &Spec, Millis Now);
+  /// Ranks an added job behind those in share.
+  void markOverShare(const std::string &Id);
   /// False if the job does not exist or has ended.
   bool cancelJob(const std::string &Id, Millis Now);
   /// The job with the state of its tasks; null if it is unknown or was removed.
@@ -284,6 +300,7 @@
   /// leader.
   bool fenced() const { return Fenced_; }
   std::int64_t epoch() const { return Epoch_; }
+  const WorkerSpeeds &speeds() const { return Speeds_; }
 
   /// How often planning has examined a worker for a step so far. Tests use it
   /// to measure the cost of planning.
@@ -314,6 +331,14 @@
     std::string Service_;
     CrashSpan Crash_;
   };
+  /// The share of a workspace, and decisions beyond it since the last log line.
+  struct WorkspaceShare {
+    ShareBucket Bucket_;
+    int Level_ = 0; ///< shareLevel() at the start of the pass.
+    int Accepted_ = 0;
+    int Rejected_ = 0;
+    Millis LoggedAt_{};
+  };
   /// A step with waiting tasks and its place in the order of planning.
   struct RankedStep {
     JobRun *Job_ = nullptr;
@@ -322,6 +347,17 @@
     Rank Rank_;
   };
 
+  /// A run that is expected to end.
+  struct RunEnd {
+    Worker *Worker_ = nullptr;
+    ExpectedEnd End_;
+  };
+  /// What a rack will have for the steps that wait for it.
+  struct RackOutlook {
+    std::vector<RunEnd> Ends_;
+    std::int64_t AheadMilliCpus_ = 0; ///< RackWaitInput::AheadMilliCpus_.
+  };
+
   JobRun *job(const std::string &Id);
   TaskState *task(const TaskRef &Ref);
   static TaskState *task(JobRun &Job, const TaskRef &Ref);
@@ -441,6 +477,17 @@
   static void updateClock(Worker &W, Millis Clock, Millis SentAt, Millis Now);
   void recordTaskDuration(Worker &W, const StepSpec &Step, const Run &Attempt,
                           Millis Now);
+  void setKind(Worker &W);
+  /// Factor by which a task of the step takes longer on the worker because of
+  /// the worker's rack.
+  double penaltyOn(const StepSpec &Step, const Worker &W) const;
+  void recordSpeedSample(const Worker &W, StepRun &State, const StepSpec &Step,
+                         const Run &Attempt, Millis Now);
+  /// Called when the step has ended.
+  void learnSpeeds(StepRun &State, Millis Now);
+  void updateSpeeds(Millis Now);
+  /// Cost of each kind of worker for the step, see kindCosts().
+  std::vector<double> costsByKind(const RankedStep &Ranked, Millis Now) const;
   void handleEnd(Worker &W, const EndedTask &End, Millis Now);
   void applyEnd(JobRun &Job, const TaskRef &Ref, const EndedTask &End,
                 Worker &W, Millis Now);
@@ -453,8 +500,8 @@
   void releaseUnexpectedRun(Worker &W, const UnexpectedRun &Ended);
   /// Called when a run is dropped. Its start order may still be carried out if
   /// it got no reply.
-  static void rememberStart(Worker &W, const TaskRef &Ref, const StepSpec &Step,
-                            const Run &Dropped);
+  void rememberStart(Worker &W, const TaskRef &Ref, const StepSpec &Step,
+                     const Run &Dropped) const;
   static bool mayStartLate(const Worker &W, Millis Now);
   /// Whether a run that the worker has not listed in the reply to a poll sent
   /// at the given time may still begin.
@@ -476,6 +523,47 @@
   void markFailed(JobRun &Job, const TaskRef &Ref, std::int64_t Attempt,
                   Millis Now);
 
+  /// Add to the usage of a workspace; a negative count removes from it.
+  void countRun(const JobRun &Job, const StepSpec &Step, int Count);
+  void countUnexpectedRun(const UnexpectedRun &Entry, int Count);
+  /// Whether an earlier leader may have left a task of a restored job running
+  /// on a worker that is not reached yet.
+  static bool isUnlocated(const StepSpec &Step, const TaskState &Task);
+  /// Counts such tasks of a restored job, before the steps of an ended one are
+  /// dropped.
+  void countUnlocated(JobRun &Job);
+  /// Sets TaskState::Located_.
+  void locate(JobRun &Job, const TaskRef &Ref, TaskState &Task);
+  /// Called when the job is removed.
+  void forgetUnlocated(const JobRun &Job);
+  /// Sets WorkspaceUsage::Pending_ and ends turns.
+  void updatePendingUsage(Millis Now);
+  /// Adds the starts on the worker without a reply that may still be carried
+  /// out to the usage.
+  void addLateStarts(const Worker &W, Millis Now);
+  Size limitOf(const std::string &Workspace) const;
+  bool keepsTurn(WorkspaceUsage &Usage, const Size &Limit, Millis Now) const;
+  /// Whether the limit lets one more task, or the whole gang, start.
+  static bool hasRoom(const WorkspaceUsage &Usage, const StepSpec &Step,
+                      const Size &Limit);
+  /// Whether smaller steps could starve the step, and its turn could end.
+  static bool mayHaveTurn(const WorkspaceUsage &Usage, const StepSpec &Step,
+                          const Size &Limit);
+  /// How many of the waiting tasks may start within the limit of the workspace.
+  /// For a gang: all or none. Gives the step a turn if it needs one.
+  int allowedStarts(const RankedStep &Ranked, Millis Now);
+  /// Called when tasks were stopped for so many tasks of the step.
+  void awaitTasks(const RankedStep &Ranked, int Count);
+  /// Rejects a job with a gang beyond the limit. Errors: never_fits.
+  Status checkLimit(const JobSpec &Spec) const;
+  std::string verifyUsage() const;
+  /// Whether tasks of the priority or a more urgent one wait for capacity.
+  bool isFullFor(int Priority) const;
+  /// Called for a ready step whose waiting tasks the pass has not started.
+  void noteWaitingStep(const RankedStep &Ranked, Millis Now);
+  void updateShareLevels();
+  int shareLevelOf(const JobRun &Job) const;
+
   std::vector<RankedStep> rankedSteps(Millis Now);
   /// Position of the worker in WorkersById_.
   std::vector<Worker *>::const_iterator
@@ -501,6 +589,10 @@
                  Millis Now);
   void startTask(const RankedStep &Ranked, int Index,
                  Candidate &CandidateWorker, std::int64_t Attempt, Millis Now);
+  /// The runs in the rack that are expected to end.
+  const std::vector<RunEnd> &rackEnds(const std::string &Rack, Millis Now);
+  /// How many tasks of a step that has a preferred rack should wait for it.
+  int countTasksToHold(const RankedStep &Ranked, Millis Now);
   bool keepsReserve(const RankedStep &Ranked, const StepSpec &Step) const;
   /// Whether the step goes before batch work: one of the most urgent jobs, or
   /// long-running.
@@ -539,6 +631,11 @@
   /// When every lease that an earlier leader granted has expired.
   Millis EarlierLeaseExpiry_;
   std::map<std::string, QueuePolicy> Queues_;
+  WorkspacePolicies Workspaces_;
+  std::map<std::string, WorkspaceUsage> Usage_;  ///< By workspace.
+  std::map<std::string, WorkspaceShare> Shares_; ///< By workspace.
+  /// Most urgent priority of which the last pass left tasks without capacity.
+  std::optional<int> FullPriority_;
   std::unordered_map<std::string, std::unique_ptr<JobRun>> Jobs_;
   /// Jobs that have not ended, or whose end is not stored, or that have runs.
   std::map<std::string, JobRun *> ActiveJobs_;
@@ -581,9 +678,12 @@
   /// Workers that only urgent and long-running steps may use in this pass, so
   /// that capacity for a waiting gang builds up.
   std::set<std::string> WorkersHeldForGang_;
+  std::map<std::string, RackOutlook> RackOutlooks_; ///< Of this pass, by rack.
   /// Moving average, over tasks on all workers, of actual divided by estimated
   /// duration.
   double TypicalDurationRatio_ = 0;
+  WorkerSpeeds Speeds_;
+  Millis SpeedsUpdatedAt_{};
   AdviceQueue *AdviceQueue_ = nullptr; ///< Null: accepts all requests.
   std::size_t AdviceServerCount_ = 1;
   std::map<std::string, AllowedShare> AllowedShares_; ///< By queue.
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -104,6 +104,7 @@
   Worker &W = ensureWorker(Info.Id_);
   if (Added) {
     W.Info_ = Info;
+    setKind(W);
     W.Registered_ = false;
   }
   if (W.Info_.Address_ != Info.Address_) {
@@ -111,6 +112,7 @@
       return nullptr;
     ignoreEntry(W, "the process that may run tasks has another address");
     W.Info_ = Info;
+    setKind(W);
   }
   W.WantedRow_ = Row;
   W.OpenRowStored_ = Row == LeaseRow::Open;
@@ -159,7 +161,7 @@
     TaskState *Task = task(TaskRef{Range.Job_, Range.Step_, Index});
     if (!Task)
       return;
-    Task->Located_ = true;
+    locate(*job(Range.Job_), TaskRef{Range.Job_, Range.Step_, Index}, *Task);
   }
 }
 
--- a/dispatch/dispatcher_looks.cpp
+++ b/dispatch/dispatcher_looks.cpp
@@ -81,14 +81,18 @@
     UnexpectedRun NewRun{Entry.Task_, Entry.Attempt_, Size{}, Millis{}};
     const auto Ref = parseTaskName(Entry.Task_);
     if (const JobRun *Job = Ref ? findJob(Ref.value().Job_) : nullptr;
-        Job && Ref.value().Step_ < static_cast<int>(Job->Spec_.Steps_.size()))
-      NewRun.Reserved_ = reservedSize(
-          Job->Spec_.Steps_[static_cast<std::size_t>(Ref.value().Step_)]);
-    else
+        Job && Ref.value().Step_ < static_cast<int>(Job->Spec_.Steps_.size())) {
+      const StepSpec &Step =
+          Job->Spec_.Steps_[static_cast<std::size_t>(Ref.value().Step_)];
+      NewRun.Reserved_ = reservedSize(Step);
+      NewRun.Workspace_ = Job->Spec_.Workspace_;
+      NewRun.Size_ = Step.Size_;
+    } else
       // The size of the run is unknown: reserve all free capacity of the
       // worker.
       NewRun.Reserved_ = positivePart(freeCapacity(W));
     W.Used_ = W.Used_ + NewRun.Reserved_;
+    countUnexpectedRun(NewRun, 1);
     if (TaskState *Task = Ref ? task(Ref.value()) : nullptr)
       ++Task->UnexpectedRuns_;
     log(Entry.Task_.substr(0, Entry.Task_.find('.')), Entry.Task_, W.Info_.Id_,
@@ -106,6 +110,7 @@
 
 void Dispatcher::releaseUnexpectedRun(Worker &W, const UnexpectedRun &Ended) {
   W.Used_ = W.Used_ - Ended.Reserved_;
+  countUnexpectedRun(Ended, -1);
   const auto Ref = parseTaskName(Ended.Task_);
   TaskState *Task = Ref ? task(Ref.value()) : nullptr;
   // A job that was removed and added again has no count of its earlier runs.
@@ -176,24 +181,6 @@
   }
 }
 
-void Dispatcher::recordTaskDuration(Worker &W, const StepSpec &Step,
-                                    const Run &Attempt, Millis Now) {
-  // Skips tasks whose duration says little about the worker: fillers depend on
-  // idle processors, gang members wait for each other, and a task resumed from
-  // a checkpoint does only part of its work.
-  if (Step.Filler_ || Step.Gang_ || Step.Checkpointing_ ||
-      Step.Estimate_ <= Millis{} || Attempt.StartedAt_ == Millis{})
-    return;
-  constexpr double SmoothingFactor = 0.02;
-  const double Ratio = static_cast<double>((Now - Attempt.StartedAt_).Value_) /
-                       static_cast<double>(Step.Estimate_.Value_);
-  TypicalDurationRatio_ +=
-      TypicalDurationRatio_ == 0
-          ? Ratio
-          : SmoothingFactor * (Ratio - TypicalDurationRatio_);
-  recordDurationRatio(W, Ratio, Now);
-}
-
 void Dispatcher::handleEnd(Worker &W, const EndedTask &End, Millis Now) {
   if (End.SequenceNumber_ <= W.LastEnd_)
     return;
@@ -214,8 +201,11 @@
     Task.Checkpoint_ = End.Checkpoint_;
   const bool IsCurrentRun = Task.Run_ && Task.Run_->Attempt_ == End.Attempt_ &&
                             Task.Run_->Worker_ == W.Info_.Id_;
-  if (IsCurrentRun && End.End_ == TaskEnd::Done)
+  if (IsCurrentRun && End.End_ == TaskEnd::Done) {
     recordTaskDuration(W, Step, *Task.Run_, Now);
+    recordSpeedSample(W, Job.Steps_[static_cast<std::size_t>(Ref.Step_)], Step,
+                      *Task.Run_, Now);
+  }
   if (IsCurrentRun) {
     clearCrashes(Ref, Task, Now);
     removeRun(Task, Ref, Step);
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -68,10 +68,15 @@
         WorkerEntry != Workers_.end())
       paceFillers(WorkerEntry->second, Now);
   updateFleetCapacity(Now);
+  updatePendingUsage(Now);
+  updateSpeeds(Now);
+  updateShareLevels();
+  FullPriority_.reset();
   PreemptingSteps_ = 0;
   if (AdviceQueue_)
     AdviceQueue_->beginPass();
   WorkersHeldForGang_.clear();
+  RackOutlooks_.clear();
   // Advice is requested only for steps that can probably start before the
   // tickets expire. Until then, about one sixth of the fleet's processors
   // become free in addition to those that are free now.
@@ -95,9 +100,13 @@
     ++StepsReached_;
     if (State.Ready_)
       placeStep(Ranked, StartLimit, Now);
-    requestAdvice(Ranked, CapacityExpected, Now);
-    const auto WaitingTasks = static_cast<std::int64_t>(State.Tasks_.size()) -
-                              State.DoneCount_ - State.RunCount_;
+    // Tasks beyond the limit of their workspace need no capacity now.
+    const std::int64_t WaitingTasks =
+        State.Ready_ ? allowedStarts(Ranked, Now) : 0;
+    if (State.Ready_ && WaitingTasks > 0)
+      noteWaitingStep(Ranked, Now);
+    if (!State.Ready_ || WaitingTasks > 0)
+      requestAdvice(Ranked, CapacityExpected, Now);
     if (State.Ready_)
       HigherRankedMilliCpus += WaitingTasks * reservedSize(Spec).MilliCpus_;
   }
@@ -127,6 +136,8 @@
         Policy.Target_;
     Input.Work_ = Job->Work_;
     Input.Started_ = Job->Started_;
+    Input.OverShare_ = Job->OverShare_;
+    Input.ShareLevel_ = shareLevelOf(*Job);
     for (std::size_t Step = 0; Step < Job->Steps_.size(); ++Step) {
       const StepRun &State = Job->Steps_[Step];
       const StepSpec &Spec = Job->Spec_.Steps_[Step];
@@ -141,7 +152,8 @@
   std::sort(
       Steps.begin(), Steps.end(), [](const RankedStep &A, const RankedStep &B) {
         const auto SortKey = [](const RankedStep &Entry) {
-          return std::make_tuple(Entry.Rank_.Priority_, Entry.Rank_.Lateness_,
+          return std::make_tuple(Entry.Rank_.Priority_, Entry.Rank_.OverShare_,
+                                 Entry.Rank_.Lateness_, Entry.Rank_.ShareLevel_,
                                  Entry.Rank_.Weight_, Entry.Job_->ArrivedAt_,
                                  Entry.Step_);
         };
@@ -192,7 +204,8 @@
                                     Millis Now) const {
   return Candidate{
       &W,         countTasksOfStep(W, Job, Step),        W.ServingRuns_ > 0,
-      W.Fillers_, isSlow(W, TypicalDurationRatio_, Now), isSuspect(W, Now)};
+      W.Fillers_, isSlow(W, TypicalDurationRatio_, Now), isSuspect(W, Now),
+      0};
 }
 
 bool Dispatcher::isCandidate(const RankedStep &Ranked, const Worker &W,
@@ -212,10 +225,15 @@
   std::vector<Candidate> Candidates;
   if (!GainedCapacityOnly && !Ranked.Policy_->NeedsAdvice_)
     Candidates.reserve(WorkersByFreeCapacity_.size());
+  const std::vector<double> KindCosts = costsByKind(Ranked, Now);
   const auto AddIfSuitable = [&](Worker &W) {
     ++WorkerChecks_;
-    if (isCandidate(Ranked, W, Now))
-      Candidates.push_back(makeCandidate(W, *Ranked.Job_, Ranked.Step_, Now));
+    if (!isCandidate(Ranked, W, Now))
+      return;
+    Candidates.push_back(makeCandidate(W, *Ranked.Job_, Ranked.Step_, Now));
+    if (!KindCosts.empty())
+      Candidates.back().KindCost_ =
+          KindCosts[static_cast<std::size_t>(W.Kind_)];
   };
   const StepAdvice &Advice =
       Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)].Advice_;
@@ -267,6 +285,7 @@
   NewRun.Worker_ = W.Info_.Id_;
   NewRun.Process_ = W.ProcessStart_;
   NewRun.OrderedAt_ = Now;
+  NewRun.WholeTask_ = Task.Checkpoint_.empty();
   addRun(Task, Ref, Spec, NewRun);
   FleetFreeCapacity_ = FleetFreeCapacity_ - reservedSize(Spec);
   ++CandidateWorker.TasksOfStep_;
@@ -294,7 +313,7 @@
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const bool FoundNoCapacity =
       std::exchange(State.NoCapacityPass_, 0) == PassNumber_ - 1;
-  if (!keepsReserve(Ranked, Spec))
+  if (!keepsReserve(Ranked, Spec) || allowedStarts(Ranked, Now) == 0)
     return;
   // A step that found no capacity in the last pass examines only workers that
   // gained some since. Gangs and steps with a limit per worker examine all: the
@@ -313,6 +332,7 @@
   }
   const std::int64_t FirstAttempt = (Epoch_ - 1) * AttemptsPerEpoch + 1;
   CandidateCosts Costs(Spec, Candidates);
+  std::optional<int> TasksToHold; // Calculated when the rack has no room.
   int UnplacedTasks = 0;
   int UnplacedSuspects = 0;
   // Whether every waiting task is checked against every worker. False if
@@ -330,6 +350,10 @@
     if (!keepsReserve(Ranked, Spec) ||
         PendingActions_.Starts_.size() >= StartLimit)
       return;
+    if (allowedStarts(Ranked, Now) == 0) {
+      AllCombinationsChecked = false;
+      break;
+    }
     const std::int64_t Attempt = std::max(Task.LastAttempt_ + 1, FirstAttempt);
     if (isCrashSuspect(Task)) {
       AllCombinationsChecked = false;
@@ -346,6 +370,20 @@
       ++UnplacedTasks;
       continue;
     }
+    if (Limits_.RemotePenalty_ > 1 && !Spec.Rack_.empty() &&
+        !hasLabel(
+            Candidates[static_cast<std::size_t>(BestIndex)].Worker_->Info_,
+            Spec.Rack_)) {
+      if (!TasksToHold)
+        TasksToHold = countTasksToHold(Ranked, Now);
+      // Held tasks have capacity elsewhere, so every pass examines them again.
+      if (static_cast<int>(State.Tasks_.size()) - State.DoneCount_ -
+              State.RunCount_ <=
+          *TasksToHold) {
+        AllCombinationsChecked = false;
+        break;
+      }
+    }
     startTask(Ranked, static_cast<int>(Index),
               Candidates[static_cast<std::size_t>(BestIndex)], Attempt, Now);
     Costs.update(static_cast<std::size_t>(BestIndex));
@@ -355,7 +393,8 @@
     return;
   if (AllCombinationsChecked)
     State.NoCapacityPass_ = PassNumber_;
-  if (mayPreempt(Ranked, Now))
+  UnplacedTasks = std::min(UnplacedTasks, allowedStarts(Ranked, Now));
+  if (UnplacedTasks > 0 && mayPreempt(Ranked, Now))
     preemptFor(Ranked, UnplacedTasks,
                GainedCapacityOnly ? findCandidates(Ranked, false, Now)
                                   : Candidates,
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -95,6 +95,7 @@
         Moved || W.Info_.ProcessStart_ != Info.ProcessStart_;
     // Replaces the whole entry, including the draining state.
     W.Info_ = Info;
+    setKind(W);
     // Another process may be of another kind.
     W.LargestCapacity_ = IsOfAnotherProcess
                              ? Info.Capacity_
@@ -152,8 +153,9 @@
   W.Tasks_.insert(Ref);
   Task.LastAttempt_ = std::max(Task.LastAttempt_, Attempt.Attempt_);
   Task.Run_ = std::move(Attempt);
-  Task.Located_ = true;
   JobRun *Job = job(Ref.Job_);
+  locate(*Job, Ref, Task);
+  countRun(*Job, Step, 1);
   ++Job->Steps_[static_cast<std::size_t>(Ref.Step_)].RunCount_;
 }
 
@@ -166,6 +168,7 @@
   W.Tasks_.erase(Ref);
   Task.Run_.reset();
   JobRun *Job = job(Ref.Job_);
+  countRun(*Job, Step, -1);
   --Job->Steps_[static_cast<std::size_t>(Ref.Step_)].RunCount_;
   if (!isTerminal(Job->State_) || hasRuns(Ref.Job_))
     return;
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -4,6 +4,7 @@
 #include "dispatch/job.h"
 #include "ports/task_worker.h"
 
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,6 +28,11 @@
   friend bool operator==(const WorkerInfo &, const WorkerInfo &) = default;
 };
 
+inline bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
+  return std::find(Info.Labels_.begin(), Info.Labels_.end(), Label) !=
+         Info.Labels_.end();
+}
+
 /// Whether a worker answers the polls of this leader.
 enum class Reachability {
   Unknown,     ///< Has not answered this leader; may be running any task.
@@ -89,6 +95,8 @@
   bool Expected_ = false;    ///< Not reported yet.
   Millis StopConfirmedAt_{}; ///< Of expected runs; zero until confirmed.
   Millis ExpectedUntil_{};   ///< Of expected runs.
+  std::string Workspace_{};  ///< Of the job; empty if none is known.
+  Size Size_{};              ///< Of the task, with the processors of a filler.
 
   friend bool operator==(const UnexpectedRun &,
                          const UnexpectedRun &) = default;
@@ -104,6 +112,8 @@
   Millis OrderedAt_{};
   /// The process that rejects it because of a stop; zero if none does.
   std::int64_t StoppedIn_ = 0;
+  std::string Workspace_; ///< Of the job.
+  Size Size_;             ///< Of the task, with the processors of a filler.
 
   friend bool operator==(const UnansweredStart &,
                          const UnansweredStart &) = default;
@@ -135,6 +145,7 @@
   WorkerInfo Info_;
   /// Position in Dispatcher::WorkersByIndex_, not reused for another worker.
   int Index_ = 0;
+  int Kind_ = 0;           ///< Index of its kind in WorkerSpeeds::Kinds_.
   bool Registered_ = true; ///< Listed in the latest registry snapshot.
   /// Info_ is from an earlier snapshot, since the latest entry cannot be used.
   bool EntryIgnored_ = false;
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -125,6 +125,8 @@
   Body["q"] = Spec.Queue_;
   Body["p"] = Spec.Payload_;
   Body["t"] = Json::Int64(Spec.Accepted_.Value_);
+  if (!Spec.Workspace_.empty())
+    Body["w"] = Spec.Workspace_;
   Body["s"] = Json::arrayValue;
   for (const StepSpec &Step : Spec.Steps_)
     Body["s"].append(encodeStep(Step));
@@ -139,6 +141,7 @@
     Spec.Queue_ = Row["q"].asString();
     Spec.Payload_ = Row["p"].asString();
     Spec.Accepted_ = Millis{Row["t"].asInt64()};
+    Spec.Workspace_ = Row.get("w", "").asString();
     for (const Json::Value &StepRow : Row["s"])
       Spec.Steps_.push_back(decodeStep(StepRow));
     return Spec;
@@ -303,6 +306,25 @@
   return LongestPath;
 }
 
+Millis followingPath(const JobSpec &Spec, int Step) {
+  // Time from the end of the step to the end of each later one; below zero for
+  // those that do not depend on it.
+  std::vector<Millis> EndTimes(Spec.Steps_.size(), Millis{-1});
+  EndTimes[static_cast<std::size_t>(Step)] = Millis{};
+  Millis LongestPath{};
+  for (auto Later = static_cast<std::size_t>(Step) + 1;
+       Later < Spec.Steps_.size(); ++Later) {
+    for (const int Dependency : Spec.Steps_[Later].Dependencies_) {
+      const Millis Start = EndTimes[static_cast<std::size_t>(Dependency)];
+      if (Start >= Millis{})
+        EndTimes[Later] =
+            std::max(EndTimes[Later], Start + Spec.Steps_[Later].Estimate_);
+    }
+    LongestPath = std::max(LongestPath, EndTimes[Later]);
+  }
+  return LongestPath;
+}
+
 double estimatedWork(const JobSpec &Spec) {
   constexpr double MilliCpusPerCpu = 1000.0;
   double Work = 0;
--- a/dispatch/job.h
+++ b/dispatch/job.h
@@ -83,7 +83,8 @@
   std::string Queue_;
   std::string Payload_;
   std::vector<StepSpec> Steps_;
-  Millis Accepted_{}; ///< Wall-clock time at which the job was accepted.
+  Millis Accepted_{};     ///< Wall-clock time at which the job was accepted.
+  std::string Workspace_; ///< That submitted the job; empty if it has none.
 
   friend bool operator==(const JobSpec &, const JobSpec &) = default;
 };
@@ -153,6 +154,8 @@
 
 /// Estimated duration of the longest chain of dependent steps.
 Millis criticalPathEstimate(const JobSpec &Spec);
+/// Estimated duration of the longest chain of steps that follow the step.
+Millis followingPath(const JobSpec &Spec, int Step);
 /// Estimated processor time of all tasks, in processor milliseconds.
 double estimatedWork(const JobSpec &Spec);
 
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/advice.h"
 #include "dispatch/job.h"
+#include "dispatch/speed.h"
 
 #include <optional>
 #include <set>
@@ -35,6 +36,8 @@
   Millis StartedAt_{}; ///< When the start was confirmed; zero if it was not.
   /// Started while the worker started no task of another job.
   bool Apart_ = false;
+  /// Ordered by this leader and not resumed from a checkpoint.
+  bool WholeTask_ = false;
   bool Reported_ = false; ///< Listed in at least one poll reply of the worker.
   /// Progress that the worker reports; 100 in a long-running task: it serves.
   int Percent_ = 0;
@@ -78,6 +81,10 @@
   /// one more task of the step.
   std::int64_t NoCapacityPass_ = 0;
 
+  /// Durations of its tasks, from which the speeds of workers are learned once
+  /// it has ended.
+  std::vector<SpeedSample> SpeedSamples_;
+
   bool ended() const { return DoneCount_ == static_cast<int>(Tasks_.size()); }
 };
 
@@ -102,10 +109,14 @@
   /// the job, and how many of these crashes are stored.
   int Crashes_ = 0;
   int RecordedCrashes_ = 0;
-  bool Started_ = false; ///< A worker has had one of the tasks.
+  bool Started_ = false;   ///< A worker has had one of the tasks.
+  bool OverShare_ = false; ///< Accepted beyond the share of its workspace.
   /// Read from the store by this leader. Tasks that an earlier leader started
   /// may be running on any worker.
   bool Restored_ = false;
+  /// Size of its tasks that an earlier leader may have left running on workers
+  /// that are not reached yet.
+  Size Unlocated_;
   Millis ArrivedAt_{}; ///< On the leader's monotonic clock.
   Millis EndedAt_{};
   Millis CriticalPath_{}; ///< Estimated duration of the longest chain of steps.
--- a/main/cell_node.cpp
+++ b/main/cell_node.cpp
@@ -3,6 +3,7 @@
 #include "cell/config_follower.h"
 #include "cell/gateway.h"
 #include "cell/member.h"
+#include "core/boot_clock.h"
 #include "drivers/beast/loop_thread.h"
 #include "drivers/log/bounded_log.h"
 #include "drivers/log/log.h"
@@ -55,15 +56,25 @@
                                *Workers_, *Advisor_, *Registry_,
                                Peers_,    *Log_,     Metrics_},
         Member_(std::make_shared<cell::Member>(Ports_, Settings_)),
-        Gateway_(Ports_, Member_), ConfigPeers_(*ConfigHttp_),
-        Config_(cell::ConfigPorts{Clock_, ConfigThread_.loop(), *Configs_,
-                                  ConfigPeers_, *Log_, Metrics_},
-                Settings_.PeerListen_, [this](const SharedConfig &Config) {
-                  Loop_.after(Millis{},
-                              [this, Config, ReceivedAt = Clock_.monotonic()] {
-                                applyConfig(Config, ReceivedAt);
-                              });
-                }) {}
+        Gateway_(Ports_, Member_, Settings_.Access_, AgeClock_),
+        ConfigPeers_(*ConfigHttp_),
+        Config_(
+            cell::ConfigPorts{AgeClock_, ConfigThread_.loop(), *Configs_,
+                              ConfigPeers_, *Log_, Metrics_},
+            Settings_.PeerListen_,
+            [this](const SharedConfig &Config) {
+              Loop_.after(Millis{},
+                          [this, Config, ReceivedAt = Clock_.monotonic()] {
+                            applyConfig(Config, ReceivedAt);
+                          });
+            },
+            // The event loop runs tasks in order, so this arrives after the
+            // version that is confirmed.
+            [this](Millis ConfirmedAt) {
+              Loop_.after(Millis{}, [this, ConfirmedAt] {
+                Gateway_.setConfirmed(ConfirmedAt);
+              });
+            }) {}
 
   int run() {
     Member_->addMethods(Rpc_);
@@ -87,14 +98,24 @@
 
 private:
   Status listen() {
+    Loop_.limitSessions(
+        drivers::deriveSessionLimits(Settings_.MemoryMb_,
+                                     Settings_.MaxDescriptors_),
+        [this](const std::string &Reason) { reportRejection(Reason); });
     drivers::ListenerLimits Callers;
+    Callers.Guarded_ = true;
     BOOST_OUTCOME_TRYV(Loop_.listen(
         Settings_.CallerListen_, Callers,
         [this](const WebRequest &Request, const WebReplier &Reply) {
           platform::handleCallerRequest(Gateway_, Request, Reply);
         }));
+    drivers::ListenerLimits Checks = Callers;
+    constexpr std::size_t MaxCheckBody = 4096;
+    constexpr std::size_t ReservedForChecks = 16;
+    Checks.BodyBytes_ = MaxCheckBody;
+    Checks.ReservedSessions_ = ReservedForChecks;
     BOOST_OUTCOME_TRYV(
-        Loop_.listen(Settings_.ReadinessListen_, Callers,
+        Loop_.listen(Settings_.ReadinessListen_, Checks,
                      [this](const WebRequest &, const WebReplier &Reply) {
                        const bool Ready = !Stopping_ && Member_->ready();
                        Reply(WebReply{Ready ? Ok : Unavailable, ""});
@@ -109,7 +130,7 @@
         }));
     if (Settings_.MetricsListen_.empty())
       return success();
-    return Loop_.listen(Settings_.MetricsListen_, Callers,
+    return Loop_.listen(Settings_.MetricsListen_, drivers::ListenerLimits{},
                         [this](const WebRequest &, const WebReplier &Reply) {
                           onConfigThread([this, Reply] {
                             Config_.reportAge();
@@ -121,6 +142,12 @@
                         });
   }
 
+  void reportRejection(const std::string &Reason) {
+    Metrics_.count("http_rejected_" + Reason, 1.0);
+    cell::logEvent(Ports_, LogLevel::Info, "", "http_limit", "",
+                   "request rejected or session closed, reason=" + Reason);
+  }
+
   void onConfigThread(std::function<void()> Task) {
     ConfigThread_.loop().after(Millis{}, std::move(Task));
   }
@@ -128,17 +155,20 @@
   // The follower has a thread of its own: however much other work the event
   // loop has, a new configuration waits for one turn of it only.
   void connectConfig() {
-    Member_->setConfigHints(cell::ConfigHints{
-        [this](std::int64_t Version, const std::string &Holder) {
-          onConfigThread([this, Version, Holder] {
-            Config_.noteVersion(Version, Holder);
-          });
-        },
-        [this](std::vector<std::string> Nodes) {
-          onConfigThread([this, Nodes = std::move(Nodes)]() mutable {
-            Config_.setNodes(std::move(Nodes));
-          });
-        }});
+    cell::ConfigHints Hints;
+    Hints.OnNewerVersion_ = [this](std::int64_t Version,
+                                   const std::string &Holder) {
+      onConfigThread(
+          [this, Version, Holder] { Config_.noteVersion(Version, Holder); });
+    };
+    Hints.OnNodes_ = [this](std::vector<std::string> Nodes) {
+      onConfigThread([this, Nodes = std::move(Nodes)]() mutable {
+        Config_.setNodes(std::move(Nodes));
+      });
+    };
+    if (Settings_.Access_.StrictRevocation_)
+      tellConfigAge(Hints);
+    Member_->setConfigHints(std::move(Hints));
     Rpc_.add("config.get", [this](const Json::Value &Params,
                                   const cell::RpcReply &Reply) {
       onConfigThread([this, Params, Reply] {
@@ -149,6 +179,18 @@
     });
   }
 
+  // Nodes that the store turns away learn from the leader that their keys are
+  // current.
+  void tellConfigAge(cell::ConfigHints &Hints) {
+    Hints.Age_ = [this] { return Gateway_.configAge(); };
+    Hints.Now_ = [this] { return AgeClock_.monotonic(); };
+    Hints.OnConfirmed_ = [this](std::int64_t Version, Millis ConfirmedAt) {
+      onConfigThread([this, Version, ConfirmedAt] {
+        Config_.noteConfirmation(Version, ConfirmedAt);
+      });
+    };
+  }
+
   void applyConfig(const SharedConfig &Config, Millis ReceivedAt) {
     constexpr double MillisPerSecond = 1000;
     const Millis Waited = Clock_.monotonic() - ReceivedAt;
@@ -213,6 +255,7 @@
 
   const cell::CellSettings Settings_;
   const SystemClock Clock_;
+  const BootClock AgeClock_;
   drivers::EventLoop Loop_;
   drivers::LoopThread ConfigThread_;
   drivers::PrometheusMetrics Metrics_;
@@ -253,6 +296,15 @@
                  describe(Settings.error()).c_str());
     return ExitUsage;
   }
+  if (Settings.value().MemoryMb_ > 0) {
+    // The default threshold grows up to 32 MB with freed blocks. Bodies would
+    // then come from the heap, which keeps freed memory between others.
+    constexpr int MmapThreshold = 64 * 1024;
+    constexpr int MaxArenas = 2;
+    mallopt(M_MMAP_THRESHOLD, MmapThreshold);
+    mallopt(M_TRIM_THRESHOLD, MmapThreshold);
+    mallopt(M_ARENA_MAX, MaxArenas);
+  }
   CellNode Node(Settings.value());
   return Node.run();
 }
--- a/tests/dispatch/played_load.cpp
+++ b/tests/dispatch/played_load.cpp
@@ -15,8 +15,6 @@
 constexpr Millis DecisionPeriod{100};
 constexpr Millis PollPeriod{2000};
 
-DispatchLimits makeLimits() { return DispatchLimits{}; }
-
 Millis scaled(Millis Duration, double Factor) {
   return Millis{std::llround(static_cast<double>(Duration.Value_) * Factor)};
 }
@@ -29,7 +27,7 @@
 
 PlayedLoad::PlayedLoad(LoadSettings Settings)
     : Settings_(std::move(Settings)), Random_(Settings_.Seed_),
-      Dispatcher_(makeLimits(), 1, Now_),
+      Dispatcher_(Settings_.Limits_, 1, Now_),
       AdviceServersFreeAt_(
           static_cast<std::size_t>(Settings_.AdviceServerCount_), Now_) {
   std::map<std::string, QueuePolicy> Queues;
@@ -38,6 +36,7 @@
     Outcomes_[Class.Queue_];
   }
   Dispatcher_.setQueues(Queues);
+  Dispatcher_.setWorkspaces(Settings_.Workspaces_);
   Dispatcher_.setAdviceServerCount(AdviceServersFreeAt_.size());
   std::vector<WorkerInfo> Infos;
   for (int Number = 0; Number < Settings_.Workers_; ++Number) {
@@ -45,7 +44,11 @@
     Info.Id_ = workerName(Number);
     Info.Address_ = Info.Id_ + ":1";
     Info.Service_ = "desk";
-    Info.Labels_ = {"a", "r" + std::to_string(Number / 8)};
+    const auto &[Kind, Factor] =
+        Settings_
+            .Kinds_[static_cast<std::size_t>(Number) % Settings_.Kinds_.size()];
+    Info.Labels_ = {Kind, "r" + std::to_string(Number / 8)};
+    DurationFactors_[Info.Id_] = Factor;
     Info.Capacity_ = Settings_.Capacity_;
     Infos.push_back(Info);
   }
@@ -88,7 +91,10 @@
   if (Settings_.ArrivalsEnd_ > Millis{} &&
       Now_ > StartTime + Settings_.ArrivalsEnd_)
     return;
-  std::exponential_distribution<> ArrivalInterval(Class.JobsPerSecond_);
+  const bool IsFlood = Now_ >= StartTime + Class.FloodStart_ &&
+                       Now_ < StartTime + Class.FloodEnd_;
+  std::exponential_distribution<> ArrivalInterval(
+      Class.JobsPerSecond_ * (IsFlood ? Class.FloodFactor_ : 1));
   constexpr double MillisPerSecond = 1000;
   schedule(Millis{std::llround(ArrivalInterval(Random_) * MillisPerSecond)},
            [this, &Class] {
@@ -104,6 +110,9 @@
   Spec.Id_ = Id;
   Spec.Queue_ = Class.Queue_;
   Spec.Payload_ = "work";
+  const bool PrefersRack =
+      Class.RackShare_ > 0 && Now_ >= StartTime + Settings_.RackFrom_ &&
+      Now_ < StartTime + Settings_.RackUntil_ && uniform() < Class.RackShare_;
   for (int Number = 0; Number < Class.Steps_; ++Number) {
     StepSpec Step;
     // Widths and estimates vary by up to 50% around their means.
@@ -115,11 +124,22 @@
     Step.LongRunning_ = Class.LongRunning_;
     Step.Gang_ = Class.Gang_;
     Step.MaxPerWorker_ = Class.MaxPerWorker_;
+    if (PrefersRack)
+      (Settings_.RequireRack_ ? Step.Label_ : Step.Rack_) = "r0";
     if (Number > 0)
       Step.Dependencies_ = {Number - 1};
     Spec.Steps_.push_back(Step);
   }
+  Spec.Workspace_ = Class.Workspace_;
+  const ShareVerdict Verdict = Dispatcher_.decideJobShare(Spec, Now_).Verdict_;
+  if (Verdict == ShareVerdict::Rejected) {
+    ++Outcomes_[Class.Queue_].Jobs_;
+    ++Outcomes_[Class.Queue_].Rejected_;
+    return;
+  }
   Dispatcher_.addJob(Spec, Now_);
+  if (Verdict == ShareVerdict::OverShare)
+    Dispatcher_.markOverShare(Spec.Id_);
   Dispatcher_.confirmJob(Spec.Id_);
   if (!Class.LongRunning_)
     OpenJobs_[Spec.Id_] =
@@ -163,6 +183,7 @@
   ++StartCount_;
   const std::string &Worker = Action.Target_.Worker_;
   const std::string &Task = Action.Order_.Task_;
+  Placements_ += Worker + " " + Task + "\n";
   const JobRun &Job = *Dispatcher_.findJob(Action.Task_.Job_);
   const StepSpec &Step =
       Job.Spec_.Steps_[static_cast<std::size_t>(Action.Task_.Step_)];
@@ -172,15 +193,22 @@
   RunningTask NewTask;
   NewTask.Entry_ = RunningEntry{Task, Action.Order_.Attempt_, "", 0, 0};
   NewTask.StartedAt_ = Now_;
-  NewTask.Length_ = scaled(Step.Estimate_, 0.7 + 0.6 * uniform());
+  constexpr double LongTaskFactor = 7;
+  double Factor = DurationFactors_[Worker] * (0.7 + 0.6 * uniform());
+  if (!Step.Rack_.empty() &&
+      !hasLabel(Dispatcher_.findWorker(Worker)->Info_, Step.Rack_))
+    Factor *= Settings_.RackPenalty_;
+  if (Settings_.LongTaskShare_ > 0 && uniform() < Settings_.LongTaskShare_)
+    Factor *= LongTaskFactor;
+  NewTask.Length_ = scaled(Step.Estimate_, Factor);
   if (!Step.LongRunning_)
     schedule(NewTask.Length_,
              [this, Worker, Task, Attempt = Action.Order_.Attempt_] {
                endTask(Worker, Task, Attempt, TaskEnd::Done);
              });
   RunningTasks_[Worker][Task] = NewTask;
-  Dispatcher_.handleStartReply(Action, OrderReply{OrderOutcome::Done, Now_},
-                               Now_);
+  Dispatcher_.handleStartReply(
+      Action, OrderReply{OrderOutcome::Done, Now_ + Millis{50000}}, Now_);
 }
 
 void PlayedLoad::endTask(const std::string &Worker, const std::string &Task,
