--- a/cell/gateway.cpp
+++ b/cell/gateway.cpp
@@ -58,7 +58,7 @@
                                     const std::string &Key) {
   constexpr Millis Unknown{std::numeric_limits<std::int64_t>::max()};
   const Millis Age = configAge().value_or(Unknown);
-  const AccessDecision Decision =
+  AccessDecision Decision =
       decideAccess(Route, Key, *Config_, Age, AccessSettings_);
   if (Decision.Access_ == Access::Admitted)
     return Decision;
--- a/cell/store_clock.cpp
+++ b/cell/store_clock.cpp
@@ -19,9 +19,15 @@
 StoreClockLead updateLead(const std::optional<StoreClockLead> &Known,
                           const StoreClockReading &Reading) {
   const Millis Shown = Reading.StoreClock_ - Reading.SentAt_;
-  if (Known && mostNow(*Known, Reading.ReceivedAt_) < Shown)
-    return *Known;
-  return StoreClockLead{Shown, Reading.ReceivedAt_};
+  const StoreClockLead Latest{Shown, Reading.ReceivedAt_};
+  if (!Known)
+    return Latest;
+  const Millis Most = mostNow(*Known, Reading.ReceivedAt_);
+  // A reply from the future shows that the store's clock has been set, so the
+  // bound no longer holds.
+  if (Reading.StoreClock_ - Most > Reading.ReceivedAt_)
+    return Latest;
+  return Most < Shown ? *Known : Latest;
 }
 
 // A time outside the call shows that a clock has been set.
--- a/dispatch/dispatcher_shares.cpp
+++ b/dispatch/dispatcher_shares.cpp
@@ -51,9 +51,9 @@
     Job->OverShare_ = true;
 }
 
-// A step that waits for advice, for a retry or for its workspace's limit does
-// not show that capacity is missing. Workers are examined only until one has
-// room, and for the first such step of a priority.
+// A step that waits for advice, for a retry, for its workspace's limit or for
+// workers that are away does not show that capacity is missing. Workers are
+// examined only until one has room, and for the first such step of a priority.
 void Dispatcher::noteWaitingStep(const RankedStep &Ranked, Millis Now) {
   const StepRun &State =
       Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
@@ -62,14 +62,18 @@
   const int Priority = Ranked.Policy_->Priority_;
   if (isFullFor(Priority) || Now < State.ReadyAt_ + FullAfter)
     return;
-  const auto HasRoom = [&](const Worker *W) {
-    return W->Info_.Service_ == Ranked.Policy_->Service_ &&
-           mayRunOn(Spec, W->Info_) &&
-           fitsInto(reservedSize(Spec), freeCapacity(*W));
-  };
-  if (!keepsReserve(Ranked, Spec) ||
-      std::none_of(WorkersByFreeCapacity_.begin(), WorkersByFreeCapacity_.end(),
-                   HasRoom))
+  bool IsSuitable = false;
+  bool HasRoom = false;
+  for (const Worker *W : WorkersByFreeCapacity_) {
+    if (W->Info_.Service_ != Ranked.Policy_->Service_ ||
+        !mayRunOn(Spec, W->Info_))
+      continue;
+    IsSuitable = true;
+    HasRoom = fitsInto(reservedSize(Spec), freeCapacity(*W));
+    if (HasRoom)
+      break;
+  }
+  if (IsSuitable && (!HasRoom || !keepsReserve(Ranked, Spec)))
     FullPriority_ = Priority;
 }
 
--- a/dispatch/dispatcher_workspaces.cpp
+++ b/dispatch/dispatcher_workspaces.cpp
@@ -26,6 +26,15 @@
   return Step.Gang_ && Step.Count_ > 1;
 }
 
+// A turn ends with the first start, so that a step with many large tasks does
+// not hold the others back until all of them have started.
+bool hasStartedSince(const StepRun &State, Millis Since) {
+  return std::any_of(State.Tasks_.begin(), State.Tasks_.end(),
+                     [&](const TaskState &Task) {
+                       return Task.Run_ && Task.Run_->OrderedAt_ >= Since;
+                     });
+}
+
 Size startSize(const StepSpec &Step) {
   return needsWholeGang(Step) ? Step.Size_ * Step.Count_ : Step.Size_;
 }
@@ -93,11 +102,13 @@
 }
 
 // Any task that was not located may run on an unreached worker with an open
-// row. Of one with a closed row that lists its runs, only these.
+// row. Of one with a closed row that lists its runs, only these. The capacity
+// of a worker that has left the registry is not known.
 void Dispatcher::updatePendingUsage(Millis Now) {
   if (Workspaces_.empty())
     return;
   Size UnseenCapacity;
+  bool IsCapacityKnown = true;
   for (auto &[Name, Usage] : Usage_)
     Usage.Pending_ = Usage.Awaited_ = Size{};
   for (const Worker *W : WorkersById_) {
@@ -105,10 +116,11 @@
     if (W->Reachability_ != Reachability::Unknown ||
         W->LeaseExpiry_ == Millis{})
       continue;
-    if (!W->UnseenRunsKnown_)
-      UnseenCapacity =
-          UnseenCapacity + largest(W->Info_.Capacity_, W->LargestCapacity_);
-    else
+    if (!W->UnseenRunsKnown_) {
+      const Size Capacity = largest(W->Info_.Capacity_, W->LargestCapacity_);
+      IsCapacityKnown = IsCapacityKnown && !(Capacity == Size{});
+      UnseenCapacity = UnseenCapacity + Capacity;
+    } else {
       for (const TaskRef &Ref : W->UnseenRuns_)
         if (const JobRun *Job = findJob(Ref.Job_);
             Job && !Job->Spec_.Workspace_.empty() &&
@@ -118,12 +130,17 @@
               Pending +
               Job->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)].Size_;
         }
+    }
   }
   for (auto &[Name, Usage] : Usage_) {
     Usage.Pending_ =
-        Usage.Pending_ + smallest(UnseenCapacity, Usage.Unlocated_);
-    if (Usage.Turn_ && !keepsTurn(Usage, limitOf(Name), Now))
+        Usage.Pending_ + (IsCapacityKnown
+                              ? smallest(UnseenCapacity, Usage.Unlocated_)
+                              : Usage.Unlocated_);
+    if (Usage.Turn_ && !keepsTurn(Usage, limitOf(Name), Now)) {
       Usage.Turn_.reset();
+      Usage.TurnEndedAt_ = Now;
+    }
   }
 }
 
@@ -144,7 +161,7 @@
   const bool HasWaitingTasks = State.DoneCount_ + State.RunCount_ <
                                static_cast<int>(State.Tasks_.size());
   // Long-running tasks do not end to make room for it.
-  if (!HasWaitingTasks || (Spec.Gang_ && State.RunCount_ > 0) ||
+  if (!HasWaitingTasks || hasStartedSince(State, Turn.Since_) ||
       !mayHaveTurn(Usage, Spec, Limit))
     return false;
   if (!hasRoom(Usage, Spec, Limit)) {
@@ -196,7 +213,8 @@
                ? Waiting
                : static_cast<int>(startsWithinLimit(Usage.total(), Spec.Size_,
                                                     Limit, Waiting));
-  if (!Usage.Turn_ && State.Ready_ && Now > State.ReadyAt_ + TurnDelay &&
+  const Millis HeldSince = std::max(State.ReadyAt_, Usage.TurnEndedAt_);
+  if (!Usage.Turn_ && State.Ready_ && Now > HeldSince + TurnDelay &&
       mayHaveTurn(Usage, Spec, Limit)) {
     Usage.Turn_ = LimitTurn{Job.Id_, Ranked.Step_, Ranked.Policy_->Priority_,
                             Now, Millis{}};
--- a/dispatch/usage.h
+++ b/dispatch/usage.h
@@ -33,6 +33,7 @@
   /// Needed by tasks for which this pass has stopped others.
   Size Awaited_;
   std::optional<LimitTurn> Turn_;
+  Millis TurnEndedAt_{}; ///< Of the last turn.
 
   Size total() const { return Runs_ + Pending_ + Awaited_; }
 
--- a/drivers/beast/http_session.cpp
+++ b/drivers/beast/http_session.cpp
@@ -15,6 +15,13 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
+namespace {
+
+// Part of a buffer for a header that has arrived with the message before it.
+constexpr std::size_t MaxBufferedHeader = std::size_t{32} * 1024;
+
+} // namespace
+
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
   HttpSession(tcp::socket Socket, const ListenerLimits &Limits,
@@ -108,6 +115,9 @@
     if (!Limits_.Guarded_ || Time == Millis{})
       return readPart();
     if (Buffer_.size() > 0) {
+      hold(Limits_.HeaderBytes_);
+      if (!makeRoom())
+        return;
       Stream_.expires_after(std::chrono::milliseconds(Time.Value_));
       return readPart();
     }
@@ -294,7 +304,8 @@
   const ListenerLimits Limits_;
   const WebHandler Handler_;
   const std::shared_ptr<SessionRegistry> Registry_;
-  beast::flat_buffer Buffer_;
+  // Beast reads chunk extensions and trailers of any length into the buffer.
+  beast::flat_buffer Buffer_{MaxPartBytes + MaxBufferedHeader};
   std::optional<http::request_parser<http::string_body>> Parser_;
   http::response<http::string_body> Response_;
   bool KeepAlive_ = true;
--- a/tests/cell/access_test.cpp
+++ b/tests/cell/access_test.cpp
@@ -171,8 +171,11 @@
   const StoreClockLead Lead = updateLead(std::nullopt, First);
   const StoreClockReading Jumped{Millis{2000}, Millis{3000}, Millis{90000}};
   BOOST_TEST(earliestWriteTime(Lead, Jumped).Value_ == 2000);
-  BOOST_TEST(earliestWriteTime(updateLead(Lead, Jumped), Jumped).Value_ ==
-             2000);
+  const StoreClockLead After = updateLead(Lead, Jumped);
+  BOOST_TEST(earliestWriteTime(After, Jumped).Value_ == 2000);
+  // A late reply after the jump would seem new by the earlier bound.
+  const StoreClockReading Late{Millis{3000}, Millis{103000}, Millis{91000}};
+  BOOST_TEST(earliestWriteTime(After, Late).Value_ <= 3000);
 }
 
 // Guards against the age of another node's knowledge that is not added, and
