--- a/tests/overload/main.cpp
+++ b/tests/overload/main.cpp
@@ -39,7 +39,7 @@
 std::string local(int Port) { return "127.0.0.1:" + std::to_string(Port); }
 
 std::string writeSettings(const std::string &Folder, int FirstPort) {
-  const std::string Path = Folder + "/node.ini";
+  std::string Path = Folder + "/node.ini";
   std::ofstream Out(Path);
   Out << "[node]\nname = n0\nzone = z0\ncallers = "
       << local(FirstPort + Callers)
