--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,7 @@
              "workers that close each connection after its reply");
 DEFINE_bool(worker_faults, true, "workers crash, are replaced and cut off");
 DEFINE_bool(jobs, true, "callers submit jobs");
+DEFINE_bool(workspaces, false, "callers need API keys, which change");
 DEFINE_string(logs, "", "folder for logs; empty: a new temporary folder");
 
 int main(int Count, char **Arguments) {
@@ -45,6 +46,7 @@
   Settings.ClosingWorkers_ = FLAGS_closing_workers;
   Settings.WorkerFaults_ = FLAGS_worker_faults;
   Settings.Jobs_ = FLAGS_jobs;
+  Settings.Workspaces_ = FLAGS_workspaces;
   soak::Soak Run(Settings);
   return Run.run();
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,6 +3,7 @@
 
 #include "tests/process/launcher.h"
 #include "tests/soak/config_watch.h"
+#include "tests/soak/key_watch.h"
 #include "tests/soak/platform_server.h"
 #include "tests/soak/worker_server.h"
 #include "tests/stand_ins/relay.h"
@@ -22,6 +23,10 @@
 inline constexpr const char *QueueHost = "queue.example";
 inline constexpr const char *QueuePrefix = "/work/";
 
+/// A key that all versions have, and one that none has.
+inline constexpr const char *StableKey = "key-stable";
+inline constexpr const char *UnknownKey = "key-unknown";
+
 inline std::string local(int Port) {
   return "127.0.0.1:" + std::to_string(Port);
 }
@@ -39,6 +44,8 @@
   int ClosingWorkers_ = 2; ///< Close each connection after its reply.
   bool WorkerFaults_ = true;
   bool Jobs_ = true; ///< Without, only the configuration is checked.
+  /// Callers need API keys, and revocation is strict.
+  bool Workspaces_ = false;
 };
 
 struct Node {
@@ -70,6 +77,9 @@
   void dropHistoryLater();
   void probeConfig(std::size_t Number);
   void excuseNodes();
+  Json::Value makeWorkspaces() const;
+  void replaceKeyLater();
+  void probeKeys(std::size_t Number);
   void scheduleFault();
   void injectFault();
   void report(const std::string &What);
@@ -116,9 +126,11 @@
   std::minstd_rand ConfigRandom_;
   std::minstd_rand RestartRandom_;
   std::minstd_rand PathRandom_;
+  std::minstd_rand KeyRandom_;
   drivers::EventLoop Loop_;
   Observer Watch_{Time_};
   ConfigWatch Configs_;
+  KeyWatch Keys_;
   PlatformServer Platform_;
   std::unique_ptr<WebClient> Callers_ = Loop_.makeClient();
   std::vector<std::unique_ptr<WorkerServer>> Workers_;
@@ -129,6 +141,8 @@
   std::int64_t ConfigVersion_ = 0;
   std::set<std::string> AddedRoutes_;     ///< Of the newest version.
   std::deque<std::string> ChangedRoutes_; ///< The latest first.
+  std::string ReplacedKey_ = "key-0";     ///< Of the newest version.
+  std::deque<std::string> RevokedKeys_;   ///< The latest first.
   Millis StartedAt_{};
   int Jobs_ = 0;
   int Faults_ = 0;
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -22,6 +22,7 @@
   Call.Method_ = Method;
   Call.Target_ = QueuePrefix + Id;
   Call.Headers_ = {{"Host", QueueHost},
+                   {"Authorization", std::string("Bearer ") + StableKey},
                    {"Deadline-Ms", std::to_string(CallTimeout.Value_)}};
   Call.Body_ = Body;
   Call.Timeout_ = CallTimeout;
--- a/tests/soak/soak_config.cpp
+++ b/tests/soak/soak_config.cpp
@@ -47,6 +47,8 @@
     const std::string Name = "unused-" + std::to_string(Number);
     Config["routes"].append(makeRoute(Name, '/' + Name + '/'));
   }
+  if (Settings_.Workspaces_)
+    Config["tenants"] = makeWorkspaces();
   Platform_.put("op", "config", Config);
   Configs_.written(ConfigVersion_, AddedRoutes_, Time_.monotonic());
 }
@@ -144,6 +146,7 @@
   Call.Method_ = "GET";
   Call.Target_ = '/' + Route + '/';
   Call.Headers_ = {{"Host", QueueHost},
+                   {"Authorization", std::string("Bearer ") + StableKey},
                    {"Deadline-Ms", std::to_string(ProbeTimeout.Value_)}};
   Call.Timeout_ = ProbeTimeout;
   Call.ConnectionGroup_ = "probe";
