dispatch: Walk over the dependencies of a job once in a pass

timeUntilReady() called itself for each dependency and remembered nothing, so a planning pass made as many calls as there are paths through the steps. Steps name only earlier ones: one walk in their order now gives the times of all, and a pass makes it once a job.

Advice/PassWalksOverEachDependencyOnce counts the checks of dependencies in one pass over jobs of 20 steps.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -305,6 +305,8 @@
   /// How often planning has examined a worker for a step so far. Tests use it
   /// to measure the cost of planning.
   std::uint64_t workerChecks() const { return WorkerChecks_; }
+  /// The same for the dependencies of steps.
+  std::uint64_t dependencyChecks() const { return DependencyChecks_; }
   /// Recounts runs, completed tasks and reserved resources, and describes the
   /// first difference from the maintained values; empty if there is none.
   std::string verify() const;
@@ -612,7 +614,9 @@
                                                     Millis Now);
   static Millis remainingRunTime(const TaskState &Task, Millis Estimate,
                                  Millis Now);
-  Millis timeUntilReady(const JobRun &Job, int Step, Millis Now) const;
+  /// Estimated time until the dependencies of each step of the job are
+  /// complete; calculated once in a pass.
+  const std::vector<Millis> &timesUntilReady(const JobRun &Job, Millis Now);
   void retryStops(Millis Now);
   void stopStalledRuns(Worker &W, Millis Now);
   bool hasOverdueRun(const Worker &W, Millis Now) const;
@@ -655,6 +659,7 @@
   std::size_t StepsReached_ = 0;
   int PreemptingSteps_ = 0; ///< Steps that preempted tasks in this pass.
   std::uint64_t WorkerChecks_ = 0;
+  std::uint64_t DependencyChecks_ = 0;
   Millis StopsCheckedAt_{}; ///< When retryStops() last looked at the runs.
   /// Tasks whose run has been told to stop. Entries whose run has ended are
   /// removed by retryStops().
@@ -679,6 +684,8 @@
   /// that capacity for a waiting gang builds up.
   std::set<std::string> WorkersHeldForGang_;
   std::map<std::string, RackOutlook> RackOutlooks_; ///< Of this pass, by rack.
+  /// Of this pass, see timesUntilReady().
+  std::unordered_map<const JobRun *, std::vector<Millis>> TimesUntilReady_;
   /// Moving average, over tasks on all workers, of actual divided by estimated
   /// duration.
   double TypicalDurationRatio_ = 0;
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -162,27 +162,35 @@
          (Now - Attempt.ProgressAt_);
 }
 
-// Estimated time until all dependencies of a step are complete.
-Millis Dispatcher::timeUntilReady(const JobRun &Job, int Step,
-                                  Millis Now) const {
-  Millis LongestRemaining{};
-  for (const int Dependency :
-       Job.Spec_.Steps_[static_cast<std::size_t>(Step)].Dependencies_) {
-    const StepRun &State = Job.Steps_[static_cast<std::size_t>(Dependency)];
-    const Millis Estimate =
-        Job.Spec_.Steps_[static_cast<std::size_t>(Dependency)].Estimate_;
+// Steps depend on earlier ones only, so one walk in their order is enough.
+// Recursion over the dependencies would follow each path through the graph, of
+// which there may be exponentially many.
+const std::vector<Millis> &Dispatcher::timesUntilReady(const JobRun &Job,
+                                                       Millis Now) {
+  const auto [Entry, IsNew] = TimesUntilReady_.try_emplace(&Job);
+  std::vector<Millis> &Times = Entry->second;
+  if (!IsNew)
+    return Times;
+  std::vector<Millis> TimesUntilEnd;
+  for (std::size_t Step = 0; Step < Job.Steps_.size(); ++Step) {
+    const StepSpec &Spec = Job.Spec_.Steps_[Step];
+    Millis UntilReady{};
+    for (const int Dependency : Spec.Dependencies_)
+      UntilReady = std::max(
+          UntilReady, TimesUntilEnd[static_cast<std::size_t>(Dependency)]);
+    DependencyChecks_ += Spec.Dependencies_.size();
+    Times.push_back(UntilReady);
     // No task of a step that is not ready has a run.
-    if (!State.Ready_) {
-      LongestRemaining = std::max(
-          LongestRemaining, Estimate + timeUntilReady(Job, Dependency, Now));
-      continue;
-    }
-    for (const TaskState &Task : State.Tasks_)
-      if (!Task.Done_)
-        LongestRemaining =
-            std::max(LongestRemaining, remainingRunTime(Task, Estimate, Now));
+    Millis UntilEnd =
+        Job.Steps_[Step].Ready_ ? Millis{} : UntilReady + Spec.Estimate_;
+    if (Job.Steps_[Step].Ready_)
+      for (const TaskState &Task : Job.Steps_[Step].Tasks_)
+        if (!Task.Done_)
+          UntilEnd =
+              std::max(UntilEnd, remainingRunTime(Task, Spec.Estimate_, Now));
+    TimesUntilEnd.push_back(UntilEnd);
   }
-  return LongestRemaining;
+  return Times;
 }
 
 std::vector<std::string> Dispatcher::workersToAsk(const RankedStep &Ranked,
@@ -297,8 +305,9 @@
           PerWorker *
           static_cast<double>(std::min(WorkerCount, MaxWorkersPerQuestion)))};
   if (!State.Ready_) {
-    const Millis Early = timeUntilReady(*Ranked.Job_, Ranked.Step_, Now) -
-                         FullCallTime - AdviceLeadTime;
+    const Millis UntilReady = timesUntilReady(
+        *Ranked.Job_, Now)[static_cast<std::size_t>(Ranked.Step_)];
+    const Millis Early = UntilReady - FullCallTime - AdviceLeadTime;
     if (Early > Millis{}) {
       // The estimate shrinks faster than time passes if progress speeds up.
       Advice.NextRequestAt_ =
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -77,6 +77,7 @@
     AdviceQueue_->beginPass();
   WorkersHeldForGang_.clear();
   RackOutlooks_.clear();
+  TimesUntilReady_.clear();
   // Advice is requested only for steps that can probably start before the
   // tickets expire. Until then, about one sixth of the fleet's processors
   // become free in addition to those that are free now.
--- a/tests/dispatch/advice_test.cpp
+++ b/tests/dispatch/advice_test.cpp
@@ -38,10 +38,43 @@
   Fixture.Dispatcher_.handleAdviceReply(Question, AllowedWorkers, Fixture.Now_);
 }
 
+/// A job of which each step waits for that many steps before it.
+JobSpec jobOfDependentSteps(int Steps, int Dependencies) {
+  std::vector<StepSpec> Specs;
+  for (int Step = 0; Step < Steps; ++Step) {
+    std::vector<int> Before;
+    for (int Earlier = std::max(Step - Dependencies, 0); Earlier < Step;
+         ++Earlier)
+      Before.push_back(Earlier);
+    Specs.push_back(makeStep(1, 500, Before));
+  }
+  return makeJob("1", "slow", Specs);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Advice)
 
+// Guards against a walk that follows each path through the steps of a job. The
+// leader hung in it, and so did the next ones (review/11).
+BOOST_AUTO_TEST_CASE(PassWalksOverEachDependencyOnce) {
+  constexpr int Steps = 20;
+  for (const int Dependencies : {1, 2, Steps}) {
+    DispatcherFixture Fixture;
+    Fixture.Dispatcher_.setQueues({{"slow", slowAdvicePolicy()}});
+    Fixture.addWorkers({makeWorker("w1")});
+    const JobSpec Job = jobOfDependentSteps(Steps, Dependencies);
+    std::size_t AllDependencies = 0;
+    for (const StepSpec &Step : Job.Steps_)
+      AllDependencies += Step.Dependencies_.size();
+    Fixture.submit(Job);
+    Fixture.decideAndExecute();
+    BOOST_TEST(Fixture.Dispatcher_.dependencyChecks() <= AllDependencies,
+               Fixture.Dispatcher_.dependencyChecks()
+                   << " checks of " << AllDependencies << " dependencies");
+  }
+}
+
 // Guards against an advice request with more workers than the service accepts
 // (100). A step collects its allowed workers over several requests.
 BOOST_AUTO_TEST_CASE(QuestionsStayWithinServiceLimit) {
