dispatch: Reject gangs that never fit, and backfill beside those that wait

From 2 s on, no job of a queue with a lower priority started either, although all workers were idle.

Cause: checkFits() asked only whether some worker has room for a single task. holdWorkersForGang() then kept all candidates of a waiting gang free of other work, without a limit in time and without a calculation of when the gang could start. Gangs that do fit, but wait for lasting tasks, for long ones or for workers that have left, held workers the same way.

Change: a gang for which all known workers of its service together have no room is rejected. Workers that are away for a moment count. A waiting gang reserves the slots that are expected to be released first, and none if there are not enough of them; other work may use reserved slots if it is expected to end, with a margin, before the gang can start.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "dispatch/locality.h"
 #include "dispatch/placement.h"
 #include "dispatch/ranking.h"
+#include "dispatch/reservation.h"
 #include "dispatch/shares.h"
 #include "dispatch/usage.h"
 #include "dispatch/workspace.h"
@@ -349,6 +350,17 @@
     Rank Rank_;
   };
 
+  /// A waiting gang for which workers are reserved.
+  struct GangHold {
+    const StepRun *State_ = nullptr;
+    Size Member_; ///< reservedSize() of the step.
+  };
+  /// A worker that was removed, as far as it tells which jobs could run again
+  /// if it came back.
+  struct DepartedWorker {
+    Worker Worker_;
+    Millis RemovedAt_{};
+  };
   /// A run that is expected to end.
   struct RunEnd {
     Worker *Worker_ = nullptr;
@@ -365,6 +377,9 @@
   static TaskState *task(JobRun &Job, const TaskRef &Ref);
   /// The run of a task that has one.
   const Run &runOf(const TaskRef &Ref) const;
+  const StepSpec &stepOf(const TaskRef &Ref) const {
+    return findJob(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
+  }
   const QueuePolicy &policyOf(const JobRun &Job) const;
   const QueuePolicy &policyOf(const std::string &Queue) const;
   void markChanged(const std::string &Id) { ChangedJobs_.insert(Id); }
@@ -580,8 +595,24 @@
   std::vector<Candidate> findCandidates(const RankedStep &Ranked,
                                         bool GainedCapacityOnly, Millis Now);
   void placeStep(const RankedStep &Ranked, std::size_t StartLimit, Millis Now);
-  void holdWorkersForGang(const StepAdvice &Advice,
-                          const std::vector<Candidate> &Candidates);
+  void rememberDeparted(const Worker &W, Millis Now);
+  void forgetDeparted(Millis Now);
+  /// Whether all members would have room on the workers of the service, or of
+  /// all services if it is empty, if nothing else ran there.
+  bool couldHoldGang(const StepSpec &Spec, const std::string &Service) const;
+  /// When the run is expected to end; empty for one that lasts.
+  std::optional<Millis> expectedEnd(const Worker &W, const TaskRef &Ref,
+                                    Millis Now) const;
+  /// Adds when the worker will have room for members of the gang.
+  void addReleases(const RankedStep &Ranked, const Worker &W, Millis NotBefore,
+                   Millis Now, std::vector<SlotRelease> &Releases) const;
+  std::optional<Reservation> calculateReservation(const RankedStep &Ranked,
+                                                  Millis Now) const;
+  /// Reserves workers for a gang that has waited long, unless others are
+  /// reserved for another one in this pass.
+  void holdWorkersForGang(const RankedStep &Ranked, Millis Now);
+  /// Free capacity of the worker that the step has to leave to a gang.
+  Size reservedFor(const RankedStep &Ranked, const Worker &W, Millis Now) const;
   /// A candidate for each of so many tasks of the step; fewer if capacity does
   /// not suffice.
   static std::vector<std::size_t>
@@ -612,7 +643,7 @@
   std::vector<std::string> workersToAsk(const RankedStep &Ranked, Millis Now);
   std::vector<std::string> workersForUncoveredTasks(const RankedStep &Ranked,
                                                     Millis Now);
-  static Millis remainingRunTime(const TaskState &Task, Millis Estimate,
+  static Millis remainingRunTime(const Run &Attempt, Millis Estimate,
                                  Millis Now);
   /// Estimated time until the dependencies of each step of the job are
   /// complete; calculated once in a pass.
@@ -680,9 +711,9 @@
   /// may run there.
   bool AnyTaskMayRunUnseen_ = false;
   Millis RecoveryLoggedAt_{};
-  /// Workers that only urgent and long-running steps may use in this pass, so
-  /// that capacity for a waiting gang builds up.
-  std::set<std::string> WorkersHeldForGang_;
+  /// Of this pass. Applies to the steps that rank after the gang.
+  std::optional<GangHold> GangHold_;
+  std::vector<DepartedWorker> DepartedWorkers_;
   std::map<std::string, RackOutlook> RackOutlooks_; ///< Of this pass, by rack.
   /// Of this pass, see timesUntilReady().
   std::unordered_map<const JobRun *, std::vector<Millis>> TimesUntilReady_;
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -148,13 +148,12 @@
 
 // Estimated run time that an attempt still needs. Uses the progress that the
 // worker reports or, without any, the estimate in the job specification.
-Millis Dispatcher::remainingRunTime(const TaskState &Task, Millis Estimate,
+Millis Dispatcher::remainingRunTime(const Run &Attempt, Millis Estimate,
                                     Millis Now) {
   constexpr std::int64_t FullPercent = 100;
   constexpr std::int64_t MinPercent = 5;
-  if (!Task.Run_ || Task.Run_->StartedAt_ == Millis{})
+  if (Attempt.StartedAt_ == Millis{})
     return Estimate;
-  const Run &Attempt = *Task.Run_;
   if (Attempt.Percent_ < MinPercent)
     return Estimate - (Now - Attempt.StartedAt_);
   const Millis ProgressTime = Attempt.ProgressAt_ - Attempt.StartedAt_;
@@ -186,8 +185,10 @@
     if (Job.Steps_[Step].Ready_)
       for (const TaskState &Task : Job.Steps_[Step].Tasks_)
         if (!Task.Done_)
-          UntilEnd =
-              std::max(UntilEnd, remainingRunTime(Task, Spec.Estimate_, Now));
+          UntilEnd = std::max(
+              UntilEnd, Task.Run_
+                            ? remainingRunTime(*Task.Run_, Spec.Estimate_, Now)
+                            : Spec.Estimate_);
     TimesUntilEnd.push_back(UntilEnd);
   }
   return Times;
@@ -208,7 +209,8 @@
     if (Spec.MaxPerWorker_ > 0 &&
         countTasksOfStep(W, *Ranked.Job_, Ranked.Step_) >= Spec.MaxPerWorker_)
       return false;
-    return fitsInto(reservedSize(Spec), freeCapacity(W));
+    return fitsInto(reservedSize(Spec),
+                    freeCapacity(W) - reservedFor(Ranked, W, Now));
   };
   // No request is needed while an allowed worker with a valid ticket has
   // capacity.
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -166,15 +166,19 @@
 Status Dispatcher::checkFits(const JobSpec &Spec) const {
   if (!RegistryReceived_)
     return checkLimit(Spec);
+  const auto NeverFits = [](const std::string &Message) {
+    return Error{Reason::NeverFits, Effect::None, "check size", "", Message};
+  };
   for (const StepSpec &Step : Spec.Steps_) {
     const bool Fits =
         std::any_of(Workers_.begin(), Workers_.end(), [&](const auto &Entry) {
           return mightRunOn(Step, Entry.second);
         });
     if (!Fits)
-      return Error{Reason::NeverFits, Effect::None, "check size", "",
-                   "no known worker has the capacity and the label that a step "
-                   "requires"};
+      return NeverFits("no known worker has the capacity and the label that a "
+                       "step requires");
+    if (Step.Gang_ && !couldHoldGang(Step, policyOf(Spec.Queue_).Service_))
+      return NeverFits("all known workers together have no room for a gang");
   }
   return checkLimit(Spec);
 }
--- a/dispatch/dispatcher_locality.cpp
+++ b/dispatch/dispatcher_locality.cpp
@@ -7,8 +7,27 @@
 
 namespace damaskglade::dispatch {
 
-// Long-running tasks and fillers do not end, and a worker that accepts no work
-// gains nothing when a run ends.
+// Long-running tasks and fillers do not end.
+std::optional<Millis>
+Dispatcher::expectedEnd(const Worker &W, const TaskRef &Ref, Millis Now) const {
+  const StepSpec &Step = stepOf(Ref);
+  if (Step.LongRunning_ || Step.Filler_)
+    return std::nullopt;
+  const Run &Attempt = runOf(Ref);
+  if (Attempt.State_ == RunState::Stopping)
+    return Now;
+  const double Factor =
+      Speeds_.Kinds_[static_cast<std::size_t>(W.Kind_)].Factor_ *
+      penaltyOn(Step, W);
+  const Millis Estimate{
+      std::llround(static_cast<double>(Step.Estimate_.Value_) * Factor)};
+  // A run that exceeds its estimate may go on for long.
+  const Millis Elapsed = Now - Attempt.OrderedAt_;
+  return Now + std::max(remainingRunTime(Attempt, Estimate, Now),
+                        Millis{Elapsed.Value_ / 4});
+}
+
+// A worker that accepts no work gains nothing when a run ends.
 const std::vector<Dispatcher::RunEnd> &
 Dispatcher::rackEnds(const std::string &Rack, Millis Now) {
   const auto [Entry, Added] = RackOutlooks_.try_emplace(Rack);
@@ -18,25 +37,10 @@
   for (Worker *W : WorkersByFreeCapacity_) {
     if (!hasLabel(W->Info_, Rack))
       continue;
-    for (const TaskRef &Ref : W->Tasks_) {
-      const StepSpec &Step =
-          job(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
-      if (Step.LongRunning_ || Step.Filler_)
-        continue;
-      const Run &Attempt = runOf(Ref);
-      const double Factor =
-          Speeds_.Kinds_[static_cast<std::size_t>(W->Kind_)].Factor_ *
-          penaltyOn(Step, *W);
-      const Millis Estimate{
-          std::llround(static_cast<double>(Step.Estimate_.Value_) * Factor)};
-      // A run that exceeds its estimate may go on for long.
-      const Millis Elapsed = Now - Attempt.OrderedAt_;
-      const Millis Remaining =
-          std::max(remainingRunTime(*task(Ref), Estimate, Now),
-                   Millis{Elapsed.Value_ / 4});
-      Ends.push_back(RunEnd{
-          W, ExpectedEnd{Now + Remaining, reservedSize(Step).MilliCpus_}});
-    }
+    for (const TaskRef &Ref : W->Tasks_)
+      if (const auto EndsAt = expectedEnd(*W, Ref, Now))
+        Ends.push_back(RunEnd{
+            W, ExpectedEnd{*EndsAt, reservedSize(stepOf(Ref)).MilliCpus_}});
   }
   return Ends;
 }
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// Once a gang has waited this long for capacity, tasks that are neither urgent
-// nor long-running are kept off the workers that could run its members.
-constexpr Millis GangHoldDelay{2000};
 // Each epoch has its own range of attempt numbers of this size, so that the
 // numbers of a new leader exceed those of earlier leaders.
 constexpr std::int64_t AttemptsPerEpoch = 1000;
@@ -75,7 +72,7 @@
   PreemptingSteps_ = 0;
   if (AdviceQueue_)
     AdviceQueue_->beginPass();
-  WorkersHeldForGang_.clear();
+  GangHold_.reset();
   RackOutlooks_.clear();
   TimesUntilReady_.clear();
   // Advice is requested only for steps that can probably start before the
@@ -203,10 +200,14 @@
 
 Candidate Dispatcher::makeCandidate(Worker &W, const JobRun &Job, int Step,
                                     Millis Now) const {
-  return Candidate{
-      &W,         countTasksOfStep(W, Job, Step),        W.ServingRuns_ > 0,
-      W.Fillers_, isSlow(W, TypicalDurationRatio_, Now), isSuspect(W, Now),
-      0};
+  return Candidate{&W,
+                   countTasksOfStep(W, Job, Step),
+                   W.ServingRuns_ > 0,
+                   W.Fillers_,
+                   isSlow(W, TypicalDurationRatio_, Now),
+                   isSuspect(W, Now),
+                   0,
+                   Size{}};
 }
 
 bool Dispatcher::isCandidate(const RankedStep &Ranked, const Worker &W,
@@ -215,9 +216,7 @@
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
   return acceptsWork(W, Now) && isOpenTo(W, Ranked.Job_->Spec_.Id_, Now) &&
          W.Info_.Service_ == Ranked.Policy_->Service_ &&
-         mayRunOn(Spec, W.Info_) &&
-         (Ranked.Policy_->Priority_ == 0 || Spec.LongRunning_ ||
-          WorkersHeldForGang_.count(W.Info_.Id_) == 0);
+         mayRunOn(Spec, W.Info_);
 }
 
 std::vector<Candidate> Dispatcher::findCandidates(const RankedStep &Ranked,
@@ -232,6 +231,7 @@
     if (!isCandidate(Ranked, W, Now))
       return;
     Candidates.push_back(makeCandidate(W, *Ranked.Job_, Ranked.Step_, Now));
+    Candidates.back().Reserved_ = reservedFor(Ranked, W, Now);
     if (!KindCosts.empty())
       Candidates.back().KindCost_ =
           KindCosts[static_cast<std::size_t>(W.Kind_)];
@@ -314,32 +314,35 @@
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
   const bool FoundNoCapacity =
       std::exchange(State.NoCapacityPass_, 0) == PassNumber_ - 1;
-  if (!keepsReserve(Ranked, Spec) || allowedStarts(Ranked, Now) == 0)
+  if (allowedStarts(Ranked, Now) == 0)
+    return;
+  if (Spec.Gang_) {
+    const bool Placed =
+        keepsReserve(Ranked, Spec) &&
+        placeGang(Ranked, findCandidates(Ranked, false, Now), Now);
+    if (!Placed)
+      holdWorkersForGang(Ranked, Now);
+    return;
+  }
+  if (!keepsReserve(Ranked, Spec))
     return;
   // A step that found no capacity in the last pass examines only workers that
-  // gained some since. Gangs and steps with a limit per worker examine all: the
-  // limit may have kept a step from workers that had free capacity before.
-  const bool GainedCapacityOnly =
-      FoundNoCapacity && !Spec.Gang_ && Spec.MaxPerWorker_ == 0;
+  // gained some since. Steps with a limit per worker examine all: the limit may
+  // have kept a step from workers that had free capacity before.
+  const bool GainedCapacityOnly = FoundNoCapacity && Spec.MaxPerWorker_ == 0;
   std::vector<Candidate> Candidates =
       findCandidates(Ranked, GainedCapacityOnly, Now);
   if (Candidates.empty() && !GainedCapacityOnly)
     return;
-  if (Spec.Gang_) {
-    if (!placeGang(Ranked, Candidates, Now) &&
-        Now > State.ReadyAt_ + GangHoldDelay && WorkersHeldForGang_.empty())
-      holdWorkersForGang(State.Advice_, Candidates);
-    return;
-  }
   const std::int64_t FirstAttempt = (Epoch_ - 1) * AttemptsPerEpoch + 1;
   CandidateCosts Costs(Spec, Candidates);
   std::optional<int> TasksToHold; // Calculated when the rack has no room.
   int UnplacedTasks = 0;
   int UnplacedSuspects = 0;
   // Whether every waiting task is checked against every worker. False if
-  // workers are held for a gang or if a task still has to wait after a failure
-  // or starts apart from others.
-  bool AllCombinationsChecked = WorkersHeldForGang_.empty();
+  // workers are reserved for a gang or if a task still has to wait after a
+  // failure or starts apart from others.
+  bool AllCombinationsChecked = !GangHold_;
   for (std::size_t Index = 0; Index < State.Tasks_.size(); ++Index) {
     TaskState &Task = State.Tasks_[Index];
     if (Task.Done_ || Task.Run_)
@@ -402,18 +405,6 @@
                Now);
 }
 
-// Holds the workers that the gang may use. Those whose tickets have expired are
-// included: they are renewed once enough capacity is free.
-void Dispatcher::holdWorkersForGang(const StepAdvice &Advice,
-                                    const std::vector<Candidate> &Candidates) {
-  for (const Candidate &CandidateWorker : Candidates)
-    WorkersHeldForGang_.insert(CandidateWorker.Worker_->Info_.Id_);
-  for (const AllowedWorker &AllowedEntry : Advice.AllowedWorkers_)
-    if (const Worker *W = WorkersByIndex_[static_cast<std::size_t>(
-            AllowedEntry.WorkerIndex_)])
-      WorkersHeldForGang_.insert(W->Info_.Id_);
-}
-
 // Resources are reserved temporarily and released before the tasks start.
 std::vector<std::size_t>
 Dispatcher::chooseCandidates(const StepSpec &Spec,
@@ -475,6 +466,9 @@
     else
       startTask(Ranked, Member, Chosen, Attempt, Now);
   }
+  State.Reservation_.reset();
+  State.ReservationAt_ = Millis{};
+  State.HeldSince_ = Millis{};
   return true;
 }
 
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -125,6 +125,7 @@
 }
 
 void Dispatcher::removeGoneWorkers(Millis Now) {
+  forgetDeparted(Now);
   for (auto WorkerEntry = Workers_.begin(); WorkerEntry != Workers_.end();) {
     const Worker &W = WorkerEntry->second;
     const bool IsGone = !W.Registered_ && W.Tasks_.empty() &&
@@ -134,6 +135,7 @@
       ++WorkerEntry;
       continue;
     }
+    rememberDeparted(W, Now);
     forgetUnseenRuns(WorkerEntry->second);
     for (const UnexpectedRun &UnexpectedEntry : W.UnexpectedRuns_)
       releaseUnexpectedRun(WorkerEntry->second, UnexpectedEntry);
--- a/dispatch/job_run.h
+++ b/dispatch/job_run.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/advice.h"
 #include "dispatch/job.h"
+#include "dispatch/reservation.h"
 #include "dispatch/speed.h"
 
 #include <optional>
@@ -80,6 +81,11 @@
   /// Number of the last planning pass that found no worker with capacity for
   /// one more task of the step.
   std::int64_t NoCapacityPass_ = 0;
+  /// Of a gang that waits for capacity: the workers that it needs, if it can
+  /// start at all, when that was calculated, and since when they are reserved.
+  std::optional<Reservation> Reservation_;
+  Millis ReservationAt_{};
+  Millis HeldSince_{};
 
   /// Durations of its tasks, from which the speeds of workers are learned once
   /// it has ended.
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -27,7 +27,8 @@
   if (Step.MaxPerWorker_ > 0 &&
       CandidateWorker.TasksOfStep_ >= Step.MaxPerWorker_)
     return false;
-  return fitsInto(reservedSize(Step), freeCapacity(*CandidateWorker.Worker_));
+  return fitsInto(reservedSize(Step), freeCapacity(*CandidateWorker.Worker_) -
+                                          CandidateWorker.Reserved_);
 }
 
 double placementCost(const StepSpec &Step, const Candidate &CandidateWorker) {
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -23,6 +23,7 @@
   bool Suspect_ = false; ///< The latest task on the worker failed; isSuspect().
 
   double KindCost_ = 0; ///< See kindCosts().
+  Size Reserved_{};     ///< Free capacity that is reserved for a gang.
 
   friend bool operator==(const Candidate &, const Candidate &) = default;
 };
