dispatch: Count only tasks that could start against expected capacity

Cause: a pass requests advice only for steps that can probably start before their tickets expire. For this it added up the processors of all waiting tasks of the steps ranked before, also of tasks that wait for something else: their limit per worker, memory, a label, advice, or room for a whole gang. Nothing of theirs starts, so they stay in the sum.

Change: expected capacity is counted in pools of workers with the same service and labels, for each resource. A step claims from the pools that suit it only what its tasks will probably use. A gang claims nothing until it has room for all members.

Not changed, and only suspected: noteWaitingStep() calls the fleet full for a priority as soon as one step finds no suitable worker with room, which lets jobs over share be rejected for a label or memory alone.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -1,6 +1,7 @@
 #ifndef DAMASKGLADE_DISPATCH_DISPATCHER_H
 #define DAMASKGLADE_DISPATCH_DISPATCHER_H
 
+#include "dispatch/capacity_pool.h"
 #include "dispatch/fleet.h"
 #include "dispatch/job_run.h"
 #include "dispatch/locality.h"
@@ -494,7 +495,7 @@
   static void updateClock(Worker &W, Millis Clock, Millis SentAt, Millis Now);
   void recordTaskDuration(Worker &W, const StepSpec &Step, const Run &Attempt,
                           Millis Now);
-  void setKind(Worker &W);
+  void classify(Worker &W);
   /// Factor by which a task of the step takes longer on the worker because of
   /// the worker's rack.
   double penaltyOn(const StepSpec &Step, const Worker &W) const;
@@ -590,6 +591,19 @@
   /// Removes workers that have left the registry and cannot run tasks any more.
   void removeGoneWorkers(Millis Now);
   void updateFleetCapacity(Millis Now);
+  int poolIndex(const WorkerInfo &Info);
+  void resetPools();
+  static bool isSuitable(const RankedStep &Ranked, const CapacityPool &Pool);
+  /// Whether the steps that rank before this one probably leave capacity for
+  /// it.
+  bool expectsCapacity(const RankedStep &Ranked) const;
+  /// How many of the waiting tasks could start soon if enough capacity were
+  /// free.
+  double startableTasks(const RankedStep &Ranked, int Waiting,
+                        int SuitableWorkers, Millis Now) const;
+  /// Removes what the waiting tasks of the step will probably use from what the
+  /// steps that rank after it can expect.
+  void claimCapacity(const RankedStep &Ranked, int Waiting, Millis Now);
   void recordOfferedCapacity(Millis Now);
   bool isCandidate(const RankedStep &Ranked, const Worker &W, Millis Now) const;
   std::vector<Candidate> findCandidates(const RankedStep &Ranked,
@@ -636,8 +650,7 @@
   std::vector<TaskRef> findVictims(const Worker &W, const Size &Need,
                                    const RankedStep &Ranked,
                                    double &Cost) const;
-  void requestAdvice(const RankedStep &Ranked, bool CapacityExpected,
-                     Millis Now);
+  void requestAdvice(const RankedStep &Ranked, Millis Now);
   int maxParallelRequests() const;
   double expectedAllowedShare(const RankedStep &Ranked) const;
   std::vector<std::string> workersToAsk(const RankedStep &Ranked, Millis Now);
@@ -685,6 +698,9 @@
   std::vector<Worker *> WorkersByFreeCapacity_;
   /// Workers with more free capacity than at the end of the last pass.
   std::vector<Worker *> WorkersWithGainedCapacity_;
+  std::vector<CapacityPool> Pools_; ///< Of this pass, see expectsCapacity().
+  /// Indexes into Pools_, by service and labels.
+  std::map<std::pair<std::string, std::vector<std::string>>, int> PoolIndexes_;
   std::int64_t PassNumber_ = 1;
   /// Steps that the last pass has placed or examined, in its order.
   std::size_t StepsReached_ = 0;
--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -286,8 +286,7 @@
         allowWorker(Step.Advice_, W.Index_, Ticket{});
 }
 
-void Dispatcher::requestAdvice(const RankedStep &Ranked, bool CapacityExpected,
-                               Millis Now) {
+void Dispatcher::requestAdvice(const RankedStep &Ranked, Millis Now) {
   if (!Ranked.Policy_->NeedsAdvice_)
     return;
   StepRun &State = Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
@@ -323,7 +322,8 @@
       });
   if (AwaitsRecovery && RecoveryEnd_ - Now > FullCallTime + RecoveryLeadTime)
     return;
-  if (!CapacityExpected && !isUrgent(Ranked))
+  // Tickets of a step that cannot start before they expire are wasted.
+  if (!isUrgent(Ranked) && !expectsCapacity(Ranked))
     return;
   const bool Gang =
       Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)].Gang_;
--- a/dispatch/dispatcher_leases.cpp
+++ b/dispatch/dispatcher_leases.cpp
@@ -104,7 +104,7 @@
   Worker &W = ensureWorker(Info.Id_);
   if (Added) {
     W.Info_ = Info;
-    setKind(W);
+    classify(W);
     W.Registered_ = false;
   }
   if (W.Info_.Address_ != Info.Address_) {
@@ -112,7 +112,7 @@
       return nullptr;
     ignoreEntry(W, "the process that may run tasks has another address");
     W.Info_ = Info;
-    setKind(W);
+    classify(W);
   }
   W.WantedRow_ = Row;
   W.OpenRowStored_ = Row == LeaseRow::Open;
--- a/dispatch/dispatcher_plan.cpp
+++ b/dispatch/dispatcher_plan.cpp
@@ -16,6 +16,7 @@
 void Dispatcher::updateFleetCapacity(Millis Now) {
   FleetFreeCapacity_ = Size{};
   FleetCapacity_ = Size{};
+  resetPools();
   WorkersByFreeCapacity_.clear();
   WorkersWithGainedCapacity_.clear();
   // The index of a worker is part of the key, so that sorting does not look at
@@ -28,6 +29,8 @@
     const Size Free = freeCapacity(*W);
     FleetFreeCapacity_ = FleetFreeCapacity_ + Free;
     FleetCapacity_ = FleetCapacity_ + W->Info_.Capacity_;
+    if (W->Pool_ >= 0)
+      addWorker(Pools_[static_cast<std::size_t>(W->Pool_)], *W);
     SortKeys.emplace_back(-Free.MilliCpus_, W->Index_, W);
     if (!fits(Free, W->OfferedCapacity_))
       WorkersWithGainedCapacity_.push_back(W);
@@ -75,22 +78,11 @@
   GangHold_.reset();
   RackOutlooks_.clear();
   TimesUntilReady_.clear();
-  // Advice is requested only for steps that can probably start before the
-  // tickets expire. Until then, about one sixth of the fleet's processors
-  // become free in addition to those that are free now.
-  constexpr std::int64_t FleetShareDivisor = 6;
-  std::int64_t HigherRankedMilliCpus = 0; // Needed by the steps ranked before.
-  const std::int64_t ExpectedMilliCpus =
-      std::max<std::int64_t>(FleetFreeCapacity_.MilliCpus_, 0) +
-      FleetCapacity_.MilliCpus_ / FleetShareDivisor;
   bool IsFull = false;
   StepsReached_ = 0;
   for (const RankedStep &Ranked : rankedSteps(Now)) {
     const StepRun &State =
         Ranked.Job_->Steps_[static_cast<std::size_t>(Ranked.Step_)];
-    const StepSpec &Spec =
-        Ranked.Job_->Spec_.Steps_[static_cast<std::size_t>(Ranked.Step_)];
-    const bool CapacityExpected = HigherRankedMilliCpus < ExpectedMilliCpus;
     // The steps that follow wait for the next pass, with their advice.
     IsFull = PendingActions_.Starts_.size() >= StartLimit;
     if (IsFull)
@@ -99,14 +91,12 @@
     if (State.Ready_)
       placeStep(Ranked, StartLimit, Now);
     // Tasks beyond the limit of their workspace need no capacity now.
-    const std::int64_t WaitingTasks =
-        State.Ready_ ? allowedStarts(Ranked, Now) : 0;
+    const int WaitingTasks = State.Ready_ ? allowedStarts(Ranked, Now) : 0;
     if (State.Ready_ && WaitingTasks > 0)
       noteWaitingStep(Ranked, Now);
     if (!State.Ready_ || WaitingTasks > 0)
-      requestAdvice(Ranked, CapacityExpected, Now);
-    if (State.Ready_)
-      HigherRankedMilliCpus += WaitingTasks * reservedSize(Spec).MilliCpus_;
+      requestAdvice(Ranked, Now);
+    claimCapacity(Ranked, WaitingTasks, Now);
   }
   // The steps that were left out have examined what was offered before.
   if (!IsFull)
--- a/dispatch/dispatcher_speed.cpp
+++ b/dispatch/dispatcher_speed.cpp
@@ -15,10 +15,11 @@
 
 } // namespace
 
-void Dispatcher::setKind(Worker &W) {
+void Dispatcher::classify(Worker &W) {
   W.Kind_ =
       kindIndex(Speeds_, W.Info_.Labels_.empty() ? std::string()
                                                  : W.Info_.Labels_.front());
+  W.Pool_ = poolIndex(W.Info_);
 }
 
 double Dispatcher::penaltyOn(const StepSpec &Step, const Worker &W) const {
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -95,7 +95,7 @@
         Moved || W.Info_.ProcessStart_ != Info.ProcessStart_;
     // Replaces the whole entry, including the draining state.
     W.Info_ = Info;
-    setKind(W);
+    classify(W);
     // Another process may be of another kind.
     W.LargestCapacity_ = IsOfAnotherProcess
                              ? Info.Capacity_
--- a/dispatch/fleet.h
+++ b/dispatch/fleet.h
@@ -146,6 +146,7 @@
   /// Position in Dispatcher::WorkersByIndex_, not reused for another worker.
   int Index_ = 0;
   int Kind_ = 0;           ///< Index of its kind in WorkerSpeeds::Kinds_.
+  int Pool_ = -1;          ///< Index into Dispatcher::Pools_, once known.
   bool Registered_ = true; ///< Listed in the latest registry snapshot.
   /// Info_ is from an earlier snapshot, since the latest entry cannot be used.
   bool EntryIgnored_ = false;
