dispatch: Accept no gang before the workers are known

Cause: a leader that has not read the registry yet, or that knows a worker by its row only, cannot tell whether a gang fits.

Change: such a gang is answered "not ready", without effect; the node that was asked tries again until the caller's deadline. A gang that fits on the workers whose capacity is known is accepted as before.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -612,8 +612,10 @@
   void rememberDeparted(const Worker &W, Millis Now);
   void forgetDeparted(Millis Now);
   /// Whether all members would have room on the workers of the service, or of
-  /// all services if it is empty, if nothing else ran there.
-  bool couldHoldGang(const StepSpec &Spec, const std::string &Service) const;
+  /// all services if it is empty, if nothing else ran there. Empty if it
+  /// depends on workers whose capacity is not known.
+  std::optional<bool> couldHoldGang(const StepSpec &Spec,
+                                    const std::string &Service) const;
   /// When the run is expected to end; empty for one that lasts.
   std::optional<Millis> expectedEnd(const Worker &W, const TaskRef &Ref,
                                     Millis Now) const;
--- a/dispatch/dispatcher_gangs.cpp
+++ b/dispatch/dispatcher_gangs.cpp
@@ -50,10 +50,11 @@
   DepartedWorkers_.push_back(std::move(Departed));
 }
 
-// Workers that are away for the moment count, and so do those of which only a
-// row is known, whose capacity may be any.
-bool Dispatcher::couldHoldGang(const StepSpec &Spec,
-                               const std::string &Service) const {
+// Workers that are away for the moment count. Of some only a row is known until
+// they are in the registry again or their leases have expired.
+std::optional<bool>
+Dispatcher::couldHoldGang(const StepSpec &Spec,
+                          const std::string &Service) const {
   std::int64_t Slots = 0;
   bool IsCapacityKnown = true;
   const auto Add = [&](const Worker &W) {
@@ -68,7 +69,9 @@
     Add(W);
   for (const DepartedWorker &Departed : DepartedWorkers_)
     Add(Departed.Worker_);
-  return Slots >= Spec.Count_ || !IsCapacityKnown;
+  if (Slots < Spec.Count_ && !IsCapacityKnown)
+    return std::nullopt;
+  return Slots >= Spec.Count_;
 }
 
 void Dispatcher::addReleases(const RankedStep &Ranked, const Worker &W,
--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -164,8 +164,15 @@
 }
 
 Status Dispatcher::checkFits(const JobSpec &Spec) const {
-  if (!RegistryReceived_)
+  const auto IsGang = [](const StepSpec &Step) { return Step.Gang_; };
+  if (!RegistryReceived_ &&
+      std::none_of(Spec.Steps_.begin(), Spec.Steps_.end(), IsGang))
     return checkLimit(Spec);
+  // A gang that is accepted although it never fits waits for good.
+  const Error NotKnown{Reason::NotReady, Effect::None, "check size", "",
+                       "not all workers are known yet"};
+  if (!RegistryReceived_)
+    return NotKnown;
   const auto NeverFits = [](const std::string &Message) {
     return Error{Reason::NeverFits, Effect::None, "check size", "", Message};
   };
@@ -177,7 +184,13 @@
     if (!Fits)
       return NeverFits("no known worker has the capacity and the label that a "
                        "step requires");
-    if (Step.Gang_ && !couldHoldGang(Step, policyOf(Spec.Queue_).Service_))
+    if (!Step.Gang_)
+      continue;
+    const std::optional<bool> HasRoom =
+        couldHoldGang(Step, policyOf(Spec.Queue_).Service_);
+    if (!HasRoom)
+      return NotKnown;
+    if (!*HasRoom)
       return NeverFits("all known workers together have no room for a gang");
   }
   return checkLimit(Spec);
--- a/tests/dispatch/gang_test.cpp
+++ b/tests/dispatch/gang_test.cpp
@@ -78,6 +78,25 @@
   BOOST_TEST(Fits(makeStep(1000, 2000)));
 }
 
+// Guards against a gang that never fits but is accepted by a new leader, which
+// does not know the workers yet.
+BOOST_AUTO_TEST_CASE(GangIsNotAcceptedBeforeTheWorkersAreKnown) {
+  DispatcherFixture Fixture;
+  const auto Check = [&](int Members) {
+    return Fixture.Dispatcher_.checkFits(
+        makeJob("1", "batch", {makeGangStep(Members, 2000)}));
+  };
+  BOOST_TEST_REQUIRE(!Check(64).has_value());
+  BOOST_TEST((Check(64).error().Reason_ == Reason::NotReady));
+  WorkerInfo Unlisted = makeWorker("w8");
+  Unlisted.Capacity_ = Size{};
+  Fixture.Dispatcher_.restoreWorker(Unlisted);
+  Fixture.addWorkers(makeFleet());
+  BOOST_TEST(Check(64).has_value());
+  BOOST_TEST_REQUIRE(!Check(65).has_value());
+  BOOST_TEST((Check(65).error().Reason_ == Reason::NotReady));
+}
+
 // Guards against a gang that is said never to fit while workers are away for a
 // moment, with their zone or because their registry entries have expired.
 BOOST_AUTO_TEST_CASE(WorkersThatAreAwayCountForAGang) {
