cell: Reject what arrives after its cancellation or its deadline

Causes: a cancellation of an unknown job left no trace, so its submission was accepted later, whatever had held it up. Deadlines were counted from the time a request was read, not from when it may have arrived.

Change: the leader records a cancellation of an unknown job in a row before it acknowledges it, and rejects submissions with that id and workspace for 60 s, also under later leaders. The event loop tells requests how long they may have waited while it did not run; the gateway subtracts this from the deadline, and calls to the leader are not sent after it. A leader denies a job only once a read of the leader row that was sent later has confirmed that it leads. Callers whose cancellation is pending when a leader stops get an answer.

The explorer plays late submissions, and jobs with deep and dense graphs, gangs, a limit per worker or much memory; so does the soak, whose workers now run gangs as the platform's do, and check memory and the limit per worker.

--- a/cell/context.h
+++ b/cell/context.h
@@ -37,13 +37,15 @@
 /// Have the jobs that are accepted while the store does not serve the main one.
 inline constexpr std::array<const char *, 2> SpareParts{"spare-1", "spare-2"};
 // Tables of the store. "jobs" has the specification of each job, "progress" its
-// state, and "workers" the workers that leaders send orders to.
+// state, "workers" the workers that leaders send orders to, and "canceled" the
+// jobs that were canceled before they were submitted.
 inline constexpr const char *LeaderTable = "cell";
 inline constexpr const char *LeaderKey = "leader";
 inline constexpr const char *ResignationKey = "resignation";
 inline constexpr const char *JobsTable = "jobs";
 inline constexpr const char *ProgressTable = "progress";
 inline constexpr const char *WorkersTable = "workers";
+inline constexpr const char *CanceledTable = "canceled";
 
 /// The row with the current leader. That of the main partition is written by
 /// elections. Those of the others follow it: a new leader writes them before it
@@ -57,6 +59,10 @@
 inline RowName workerRow(const std::string &Id) {
   return RowName{WorkersTable, MainPart, Id};
 }
+/// Key is that of CanceledIds.
+inline RowName canceledRow(const std::string &Key) {
+  return RowName{CanceledTable, MainPart, Key};
+}
 inline RowName jobRow(const std::string &Id,
                       const std::string &Part = MainPart) {
   return RowName{JobsTable, Part, Id};
--- a/cell/gateway.cpp
+++ b/cell/gateway.cpp
@@ -89,11 +89,19 @@
     }
     Params["spec"] = dispatch::encodeSpec(Request.Spec_);
   }
+  const Millis Start = Ports_.Clock_.monotonic();
   const Millis Timeout =
-      Request.Timeout_ > Millis{} ? Request.Timeout_ : DefaultTimeout;
+      (Request.Timeout_ > Millis{} ? Request.Timeout_ : DefaultTimeout) -
+      Request.Waited_;
+  // The caller has given up, and may have canceled the job since.
+  if (Timeout <= Millis{})
+    return Reply(refuse(Request,
+                        Error{Reason::DeadlineUnreachable, Effect::None,
+                              rpcMethod(Request.Verb_), "",
+                              "the request was read after its deadline"},
+                        Start));
   const Millis AnswerMargin =
       std::min(MaxAnswerMargin, Millis{Timeout.Value_ / 2});
-  const Millis Start = Ports_.Clock_.monotonic();
   Node_->callLeader(
       rpcMethod(Request.Verb_), Params, Start + Timeout - AnswerMargin,
       [this, Request, Reply, Start](const Result<Json::Value> &Outcome) {
@@ -104,20 +112,23 @@
           Answer.PendingJobs_ = Outcome.value().get("pending", 0).asInt();
           return Reply(Answer);
         }
-        Error Failure = Outcome.error();
-        if (Failure.RetryAfter_ == Millis{} &&
-            Failure.Reason_ != Reason::NotFound &&
-            Failure.Reason_ != Reason::IdempotencyKeyReused &&
-            Failure.Reason_ != Reason::NeverFits)
-          Failure.RetryAfter_ = RetryAfter;
-        Ports_.Metrics_.countRefusal(Failure.Reason_);
-        logEvent(
-            Ports_, LogLevel::Warning, Request.Id_, rpcMethod(Request.Verb_),
-            Failure.Peer_,
-            describe(Failure) + " after_ms=" +
-                std::to_string((Ports_.Clock_.monotonic() - Start).Value_));
-        Reply(Failure);
+        Reply(refuse(Request, Outcome.error(), Start));
       });
 }
 
+Error Gateway::refuse(const CallerRequest &Request, Error Failure,
+                      Millis Start) const {
+  if (Failure.RetryAfter_ == Millis{} && Failure.Reason_ != Reason::NotFound &&
+      Failure.Reason_ != Reason::IdempotencyKeyReused &&
+      Failure.Reason_ != Reason::NeverFits &&
+      Failure.Reason_ != Reason::Canceled)
+    Failure.RetryAfter_ = RetryAfter;
+  Ports_.Metrics_.countRefusal(Failure.Reason_);
+  logEvent(Ports_, LogLevel::Warning, Request.Id_, rpcMethod(Request.Verb_),
+           Failure.Peer_,
+           describe(Failure) + " after_ms=" +
+               std::to_string((Ports_.Clock_.monotonic() - Start).Value_));
+  return Failure;
+}
+
 } // namespace damaskglade::cell
--- a/cell/gateway.h
+++ b/cell/gateway.h
@@ -16,6 +16,7 @@
   std::string Id_;         ///< Job id; empty for CountPendingJobs.
   dispatch::JobSpec Spec_; ///< Only for submissions.
   Millis Timeout_{};       ///< How long the caller waits.
+  Millis Waited_{};        ///< How much of this may be over.
   std::string Workspace_;  ///< Of the caller's key; empty if none is needed.
 
   friend bool operator==(const CallerRequest &,
@@ -59,6 +60,9 @@
   void handle(const CallerRequest &Request, const CallerReply &Reply);
 
 private:
+  /// Counts and logs an error reply, and completes it.
+  Error refuse(const CallerRequest &Request, Error Failure, Millis Start) const;
+
   const CellPorts Ports_;
   const std::shared_ptr<Member> Node_;
   const AccessSettings AccessSettings_;
--- a/cell/leader.cpp
+++ b/cell/leader.cpp
@@ -139,6 +139,10 @@
           Error{Reason::NotOwner, Effect::Unknown, "submit", "",
                 "leadership ended before the write of the job was confirmed"});
   PendingSubmissions_.clear();
+  for (const auto &[Number, Reply] : std::exchange(PendingCancels_, {}))
+    Reply(Error{Reason::NotOwner, Effect::Unknown, "cancel", "",
+                "leadership ended before the cancellation was recorded"});
+  answerUnknownJobQueries();
 }
 
 // The ends that workers have reported are recorded first. No further ones are
@@ -149,6 +153,7 @@
     return Done();
   }
   Stopped_ = true;
+  answerUnknownJobQueries();
   Workers_->flush();
   AdviceBalancer_.stop();
   Recorder_.collectChanges();
@@ -213,10 +218,12 @@
   if (now() > ConfirmSentAt_ + ConfirmPeriod &&
       now() > Recorder_.confirmedAt() + ConfirmPeriod)
     confirmLeadership();
+  answerUnknownJobQueries();
   if (now() > EndedJobsRemovedAt_ + EndedJobRemovalPeriod) {
     EndedJobsRemovedAt_ = now();
     Recorder_.removeJobs(
         Dispatcher_.removeEndedJobs(now() - Settings_.StatusRetention_));
+    removeExpiredCancels();
   }
   closeLeaseRows();
   if (now() > LoadLoggedAt_ + LoadLogPeriod)
@@ -311,6 +318,7 @@
             Rows.front().Version_ != Self->LeaderRecord_.Version_)
           return Self->loseLeadership();
         Self->Recorder_.handleConfirmation(SentAt);
+        Self->answerUnknownJobQueries();
       });
 }
 
--- a/cell/leader.h
+++ b/cell/leader.h
@@ -2,6 +2,7 @@
 #define DAMASKGLADE_CELL_LEADER_H
 
 #include "cell/advice_balancer.h"
+#include "cell/canceled_ids.h"
 #include "cell/context.h"
 #include "cell/loop_delay.h"
 #include "cell/recorder.h"
@@ -86,7 +87,7 @@
   // exist; an empty one is that of a request without a key.
   void submit(const dispatch::JobSpec &Spec, const RpcReply &Reply);
   void state(const std::string &Id, const std::string &Workspace,
-             const RpcReply &Reply) const;
+             const RpcReply &Reply);
   void cancel(const std::string &Id, const std::string &Workspace,
               const RpcReply &Reply);
   void countPendingJobs(const std::string &Queue, const RpcReply &Reply) const;
@@ -108,7 +109,25 @@
     bool ReplyWantedSoon_ = false;
   };
 
+  /// A query for a job that this leader does not know.
+  struct UnknownJobQuery {
+    Millis AskedAt_{};
+    std::string Id_;
+    std::string Workspace_;
+    RpcReply Reply_;
+  };
+
   Millis now() const { return Ports_.Clock_.monotonic(); }
+  const dispatch::JobRun *findJob(const std::string &Id,
+                                  const std::string &Workspace) const;
+  /// Answers queries for unknown jobs once the leadership has been confirmed
+  /// since they were made.
+  void answerUnknownJobQueries();
+  void cancelUnknownJob(const std::string &Id, const std::string &Workspace,
+                        const RpcReply &Reply);
+  /// A reply to a cancellation. stop() sends an error unless it was called.
+  RpcReply replyToCancel(const RpcReply &Reply);
+  void removeExpiredCancels();
   /// Until when this node may give orders, as far as it knows.
   Millis mayActUntil() const;
   bool mayIssueOrders() const { return now() < mayActUntil(); }
@@ -186,6 +205,11 @@
   int LoadPageRows_ = 200;
   /// Submitters that wait until their job is recorded, by job.
   std::map<std::string, std::vector<RpcReply>> PendingSubmissions_;
+  /// Callers whose cancellation is not recorded yet.
+  std::map<std::uint64_t, RpcReply> PendingCancels_;
+  std::uint64_t LastCancel_ = 0;
+  CanceledIds CanceledIds_;
+  std::deque<UnknownJobQuery> UnknownJobQueries_; ///< The oldest one first.
   Millis MajorityHeardAt_{}; ///< Last contact with a majority of the nodes.
   Millis ConfirmSentAt_{};
   Millis LastDecisionAt_{};
--- a/cell/leader_load.cpp
+++ b/cell/leader_load.cpp
@@ -14,7 +14,7 @@
 constexpr int MinLoadPageRows = 20;
 constexpr std::array JobTables{JobsTable, ProgressTable};
 constexpr std::array MainTables{JobsTable, ProgressTable, WorkersTable,
-                                LeaderTable};
+                                LeaderTable, CanceledTable};
 
 } // namespace
 
@@ -125,6 +125,8 @@
     const std::string &Id = Row.Name_.Key_;
     if (Range.Table_ == WorkersTable) {
       loadWorkerRow(Row, Reading);
+    } else if (Range.Table_ == CanceledTable) {
+      CanceledIds_.restore(Id, now());
     } else if (Range.Table_ == LeaderTable) {
       if (Id == ResignationKey)
         loadResignation(Row, Reading);
--- a/cell/member_calls.cpp
+++ b/cell/member_calls.cpp
@@ -217,6 +217,12 @@
 }
 
 void Member::tryCall(const std::shared_ptr<LeaderCall> &Call) {
+  // This node may have been stopped since the call was made or last tried.
+  if (now() >= Call->Deadline_)
+    return Call->Reply_(
+        Error{Reason::DeadlineUnreachable,
+              Call->MayHaveEffect_ ? Effect::Unknown : Effect::None,
+              Call->Method_, "", "the deadline has passed"});
   const auto HandleReply = [Self = shared_from_this(),
                             Call](Result<Json::Value> Reply) {
     if (Reply)
@@ -229,6 +235,7 @@
                          Failure.Reason_ == Reason::QuotaExceeded ||
                          Failure.Reason_ == Reason::QueueFull ||
                          Failure.Reason_ == Reason::DeadlineUnreachable ||
+                         Failure.Reason_ == Reason::Canceled ||
                          Failure.Reason_ == Reason::TableUnavailable;
     if (IsFinal && !Call->MayHaveEffect_)
       return Call->Reply_(Failure);
--- a/cell/part_recorder.cpp
+++ b/cell/part_recorder.cpp
@@ -54,6 +54,15 @@
   scheduleFlush(GroupDelay);
 }
 
+void PartRecorder::recordRow(const RowName &Name,
+                             std::optional<std::string> Value) {
+  ++LastChangeNumber_;
+  const auto [Entry, Added] =
+      NewRows_.try_emplace(Name, RowChange{std::nullopt, LastChangeNumber_});
+  Entry->second.Value_ = std::move(Value);
+  scheduleFlush(GroupDelay);
+}
+
 bool PartRecorder::isOverdue() const {
   return !BatchesInFlight_.empty() &&
          Ports_.Clock_.monotonic() >
@@ -83,15 +92,21 @@
                  std::to_string((Ports_.Clock_.monotonic() - Start).Value_));
 }
 
-// Each call of recordProgress() gives its changes the next number.
-// A job keeps the number of its oldest change that is not recorded yet.
+// Each call of recordProgress() or recordRow() gives its changes the next
+// number. A job or row keeps the number of its oldest change that is not
+// recorded yet.
 std::uint64_t PartRecorder::oldestUnrecordedChange() const {
   std::uint64_t Oldest = LastChangeNumber_ + 1;
   for (const auto &[Id, Number] : DirtyJobs_)
     Oldest = std::min(Oldest, Number);
-  for (const auto &[BatchNumber, SentBatch] : BatchesInFlight_)
+  for (const auto &[Name, Change] : NewRows_)
+    Oldest = std::min(Oldest, Change.OldestChange_);
+  for (const auto &[BatchNumber, SentBatch] : BatchesInFlight_) {
     for (const auto &[Id, Change] : SentBatch.Progress_)
       Oldest = std::min(Oldest, Change.OldestChange_);
+    for (const auto &[Name, Change] : SentBatch.Rows_)
+      Oldest = std::min(Oldest, Change.OldestChange_);
+  }
   return Oldest;
 }
 
@@ -207,7 +222,7 @@
 
 bool PartRecorder::queuesEmpty() const {
   return NewJobs_.empty() && DirtyJobs_.empty() && JobsToRemove_.empty() &&
-         NewWorkers_.empty() && RemovedWorkers_.empty();
+         NewWorkers_.empty() && RemovedWorkers_.empty() && NewRows_.empty();
 }
 
 void PartRecorder::scheduleFlush(Millis Delay) {
@@ -326,12 +341,36 @@
   }
 }
 
+// Of each row one transaction at a time is in flight, so that they are carried
+// out in order.
+void PartRecorder::addRows(Batch &NewBatch, RowTransaction &Transaction,
+                           std::size_t &EntryCount) {
+  const auto IsInFlight = [this](const RowName &Name) {
+    return std::any_of(
+        BatchesInFlight_.begin(), BatchesInFlight_.end(),
+        [&](const auto &Entry) { return Entry.second.Rows_.count(Name) > 0; });
+  };
+  for (auto Iter = NewRows_.begin();
+       Iter != NewRows_.end() && EntryCount < MaxEntries;) {
+    const auto Row = Iter++;
+    if (IsInFlight(Row->first))
+      continue;
+    if (Row->second.Value_)
+      Transaction.Puts_.push_back(RowPut{Row->first, *Row->second.Value_});
+    else
+      Transaction.Removes_.push_back(Row->first);
+    ++EntryCount;
+    NewBatch.Rows_.insert(NewRows_.extract(Row));
+  }
+}
+
 RowTransaction PartRecorder::buildTransaction(Batch &NewBatch) {
   RowTransaction Transaction;
   Transaction.Conditions_.push_back(
       RowCondition{leaderRow(Part_), LeaderRowVersion_});
   std::size_t EntryCount = 1;
   addWorkers(NewBatch, Transaction, EntryCount);
+  addRows(NewBatch, Transaction, EntryCount);
   for (; !NewJobs_.empty() && EntryCount < MaxEntries; EntryCount += 2) {
     NewJob Submission = std::move(NewJobs_.front());
     NewJobs_.pop_front();
@@ -458,6 +497,11 @@
   JobsToRemove_.insert(FailedBatch.RemovedJobs_.begin(),
                        FailedBatch.RemovedJobs_.end());
   // What was queued since then is newer.
+  for (const auto &[Name, Change] : FailedBatch.Rows_) {
+    const auto [Entry, Added] = NewRows_.try_emplace(Name, Change);
+    Entry->second.OldestChange_ =
+        std::min(Entry->second.OldestChange_, Change.OldestChange_);
+  }
   for (const auto &[Id, Row] : FailedBatch.Workers_)
     if (RemovedWorkers_.count(Id) == 0)
       NewWorkers_.try_emplace(Id, Row);
--- a/cell/part_recorder.h
+++ b/cell/part_recorder.h
@@ -46,6 +46,9 @@
   void recordJob(const std::string &Id, std::function<void(Status)> Done);
   /// Writes the progress of jobs, which the dispatcher knows.
   void recordProgress(const std::vector<std::string> &Ids);
+  /// Writes a row whose content does not depend on the one before, or removes
+  /// it if there is no value.
+  void recordRow(const RowName &Name, std::optional<std::string> Value);
   /// Calls back once all changes made so far are recorded.
   void whenRecorded(std::function<void()> Done);
   /// Sets the version of a progress row that was loaded from the store.
@@ -114,6 +117,11 @@
     dispatch::JobState State_ = dispatch::JobState::Queued; ///< As written.
     int Crashes_ = 0; ///< JobRun::Crashes_ as written.
   };
+  /// A row to write or, without a value, to remove.
+  struct RowChange {
+    std::optional<std::string> Value_;
+    std::uint64_t OldestChange_ = 0; ///< Number of the oldest change.
+  };
   /// Changes in one transaction that the store has not answered yet.
   struct Batch {
     Millis SentAt_{};
@@ -122,6 +130,7 @@
     std::vector<std::string> RemovedJobs_;
     std::map<std::string, WorkerRow> Workers_;
     std::set<std::string> RemovedWorkers_;
+    std::map<RowName, RowChange> Rows_;
   };
 
   void updateConfirmedAt(Millis SentAt) {
@@ -155,6 +164,8 @@
   closedRow(const dispatch::LeaseClosing &Closing) const;
   void addWorkers(Batch &NewBatch, RowTransaction &Transaction,
                   std::size_t &EntryCount);
+  void addRows(Batch &NewBatch, RowTransaction &Transaction,
+               std::size_t &EntryCount);
   std::uint64_t oldestUnrecordedChange() const;
   void notifyWaiters();
 
@@ -173,6 +184,7 @@
   /// Rows of workers to write.
   std::map<std::string, WorkerRow> NewWorkers_;
   std::set<std::string> RemovedWorkers_;
+  std::map<RowName, RowChange> NewRows_; ///< See recordRow().
   std::vector<Waiter> Waiters_;
   std::map<std::uint64_t, Batch> BatchesInFlight_; ///< By batch number.
   std::uint64_t LastBatchNumber_ = 0;
--- a/cell/recorder.h
+++ b/cell/recorder.h
@@ -33,6 +33,15 @@
   void whenRecorded(const std::function<void()> &Done);
   /// Calls back once all changes of the job made so far are recorded.
   void whenJobRecorded(const std::string &Id, std::function<void()> Done);
+  /// PartRecorder::recordRow() for a row of the main partition.
+  void recordRow(const RowName &Name, std::optional<std::string> Value) {
+    main().recordRow(Name, std::move(Value));
+  }
+  /// Calls back once all changes of the main partition made so far are
+  /// recorded.
+  void whenMainRecorded(std::function<void()> Done) {
+    main().whenRecorded(std::move(Done));
+  }
   /// Removes the rows of jobs.
   void removeJobs(const std::vector<std::string> &Ids);
   bool allRecorded() const;
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -234,13 +234,17 @@
   }
 }
 
+bool isJobId(const std::string &Text) {
+  constexpr std::size_t Digits = 16;
+  return Text.size() == Digits &&
+         Text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
 Status checkSpec(const JobSpec &Spec) {
-  constexpr std::size_t IdDigits = 16;
   constexpr std::size_t MaxPayload = 4000;
   constexpr std::size_t MaxSteps = 100;
   constexpr const char *Operation = "check job";
-  if (Spec.Id_.size() != IdDigits ||
-      Spec.Id_.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
+  if (!isJobId(Spec.Id_))
     return invalidField(Operation, "id", "must be 16 hexadecimal digits");
   if (Spec.Payload_.size() > MaxPayload)
     return invalidField(Operation, "payload", "is longer than 4000 bytes");
--- a/dispatch/job.h
+++ b/dispatch/job.h
@@ -134,6 +134,9 @@
 std::string encodeProgress(const JobProgress &Progress);
 Result<JobProgress> decodeProgress(const std::string &Body);
 
+/// Whether the text is 16 hexadecimal digits.
+bool isJobId(const std::string &Text);
+
 /// Validates a submitted job. Errors: invalid_field with the field's name.
 Status checkSpec(const JobSpec &Spec);
 
--- a/drivers/beast/event_loop.cpp
+++ b/drivers/beast/event_loop.cpp
@@ -1,6 +1,7 @@
 #include "drivers/beast/event_loop.h"
 
 #include "core/address.h"
+#include "core/boot_clock.h"
 #include "drivers/beast/http_session.h"
 #include "drivers/beast/web_client.h"
 
@@ -135,6 +136,16 @@
   State_->Registry_->OnRejected_ = std::move(OnRejected);
 }
 
+// What arrived during a stall has been read once the loop is idle. A loop with
+// too much work is never idle, hence the limit.
+void EventLoop::watchStalls() {
+  constexpr Millis ReadTimeLimit{1000};
+  StallWatch &Watch = State_->Registry_->Stalls_;
+  if (recordCheck(Watch, BootClock().monotonic()))
+    whenIdle(ReadTimeLimit, [&Watch] { endStall(Watch); });
+  after(StallWatch::CheckPeriod, [this] { watchStalls(); });
+}
+
 std::unique_ptr<WebClient>
 EventLoop::makeClient(WebTransferHandler OnTransfer) {
   return makeWebClient(State_->Loop_, std::move(OnTransfer));
--- a/drivers/beast/event_loop.h
+++ b/drivers/beast/event_loop.h
@@ -37,6 +37,9 @@
   /// reason of each closed session and rejected request.
   void limitSessions(const SessionLimits &Limits,
                      std::function<void(const std::string &)> OnRejected);
+  /// Lets requests tell how long they may have waited while the loop did not
+  /// run (WebRequest::Waited_). run() ends only after stop() then.
+  void watchStalls();
   /// The handler, if any, is told how large replies were received.
   std::unique_ptr<WebClient> makeClient(WebTransferHandler OnTransfer = {});
 
--- a/drivers/beast/http_session.cpp
+++ b/drivers/beast/http_session.cpp
@@ -1,5 +1,6 @@
 #include "drivers/beast/http_session.h"
 
+#include "core/boot_clock.h"
 #include "drivers/beast/message_parts.h"
 
 #include <algorithm>
@@ -246,6 +247,7 @@
       Request.Headers_[Name] = std::string(Field.value());
     }
     Request.Body_ = std::move(Message.body());
+    Request.Waited_ = longestWait(Registry_->Stalls_, BootClock().monotonic());
     Parser_.reset();
     Stream_.expires_never();
     InHandler_ = true;
--- a/drivers/beast/http_session.h
+++ b/drivers/beast/http_session.h
@@ -2,6 +2,7 @@
 #define DAMASKGLADE_DRIVERS_BEAST_HTTP_SESSION_H
 
 #include "drivers/beast/event_loop.h"
+#include "drivers/beast/stall_watch.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +19,7 @@
   std::size_t OpenRequests_ = 0;
   bool Draining_ = false;
   SessionLimits Limits_;
+  StallWatch Stalls_;       ///< In the time of BootClock.
   std::size_t Guarded_ = 0; ///< Open sessions of guarded listeners.
   std::size_t Bytes_ = 0;   ///< Held by these.
   std::function<void(const std::string &)> OnRejected_;
--- a/main/cell_node.cpp
+++ b/main/cell_node.cpp
@@ -85,6 +85,7 @@
       return ExitFailed;
     }
     Loop_.onSignal([this](int Number) { handleSignal(Number); });
+    Loop_.watchStalls();
     cell::logEvent(Ports_, LogLevel::Info, "", "start", Settings_.CallerListen_,
                    "listening");
     Member_->start();
--- a/ports/async_http.h
+++ b/ports/async_http.h
@@ -20,6 +20,9 @@
   std::string Target_; ///< Path and query as sent.
   std::map<std::string, std::string> Headers_;
   std::string Body_;
+  /// How long it may have waited before it was read, because the process was
+  /// stopped or its event loop did not run; normally zero.
+  Millis Waited_{};
 
   friend bool operator==(const WebRequest &, const WebRequest &) = default;
 };
--- a/tests/cell/fake_cell.cpp
+++ b/tests/cell/fake_cell.cpp
@@ -850,8 +850,9 @@
 }
 
 std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
-FakeCell::submitStep(const std::string &Name, const std::string &Id,
-                     const dispatch::StepSpec &Step, Millis Duration) {
+FakeCell::submitSteps(const std::string &Name, const std::string &Id,
+                      const std::vector<dispatch::StepSpec> &Steps,
+                      Millis Duration) {
   cell::CallerRequest Request;
   Request.Verb_ = cell::CallerVerb::Submit;
   Request.Queue_ = "queue";
@@ -859,7 +860,7 @@
   Request.Spec_.Id_ = Id;
   Request.Spec_.Queue_ = "queue";
   Request.Spec_.Payload_ = std::to_string(Duration.Value_);
-  Request.Spec_.Steps_ = {Step};
+  Request.Spec_.Steps_ = Steps;
   return call(Name, Request);
 }
 
@@ -870,7 +871,7 @@
   Step.Count_ = Tasks;
   Step.Size_ = dispatch::Size{500, 100, 0};
   Step.Estimate_ = Duration;
-  return submitStep(Name, Id, Step, Duration);
+  return submitSteps(Name, Id, {Step}, Duration);
 }
 
 std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
@@ -881,7 +882,7 @@
   Step.Count_ = Tasks;
   Step.Size_ = dispatch::Size{500, 100, 0};
   Step.LongRunning_ = true;
-  return submitStep(Name, Id, Step, LongerThanAnyTest);
+  return submitSteps(Name, Id, {Step}, LongerThanAnyTest);
 }
 
 void FakeCell::drainWorker(const std::string &Id) {
--- a/tests/cell/fake_cell.h
+++ b/tests/cell/fake_cell.h
@@ -296,6 +296,10 @@
   /// The same for a job whose tasks run until it is canceled.
   std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
   submitLongRunning(const std::string &Node, const std::string &Id, int Tasks);
+  /// The same for a job with these steps, whose tasks take the given time.
+  std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
+  submitSteps(const std::string &Node, const std::string &Id,
+              const std::vector<dispatch::StepSpec> &Steps, Millis Duration);
   /// Marks a worker as draining; it goes on running its tasks.
   void drainWorker(const std::string &Id);
   /// The host of a worker loses power; after the time given, the worker starts
@@ -322,9 +326,6 @@
   struct Node;
   class PeerHttp;
   const std::size_t RelayMinWorkers_;
-  std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>
-  submitStep(const std::string &Node, const std::string &Id,
-             const dispatch::StepSpec &Step, Millis Duration);
   std::map<std::string, std::unique_ptr<Node>> Nodes_;
   std::vector<std::unique_ptr<Node>> KilledNodes_;
   /// Whether a zone is cut off that only one of both belongs to.
--- a/tests/cell/recorder_test.cpp
+++ b/tests/cell/recorder_test.cpp
@@ -199,3 +199,31 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RecorderOfPlainRows)
+
+// Guards against a row that is reported as recorded although its write failed,
+// and against a retried write that puts back a removed row.
+BOOST_AUTO_TEST_CASE(FailedWritesAreRepeatedWithTheLatestValue) {
+  RecorderFixture Fixture;
+  const RowName Name = canceledRow("key");
+  bool Recorded = false;
+  Fixture.Recorder_.recordRow(Name, "{}");
+  Fixture.Recorder_.whenMainRecorded([&] { Recorded = true; });
+  Fixture.Loop_.run(Millis{10});
+  Fixture.Store_.failFirst(Effect::Unknown);
+  BOOST_TEST(!Recorded);
+  Fixture.Loop_.run(Millis{500});
+  Fixture.Store_.applyFirst();
+  BOOST_TEST(Recorded);
+  BOOST_TEST(Fixture.Store_.State_.Rows_.count(Name) == 1U);
+  Fixture.Recorder_.recordRow(Name, "{}");
+  Fixture.Loop_.run(Millis{10});
+  Fixture.Recorder_.recordRow(Name, std::nullopt);
+  Fixture.Store_.failFirst(Effect::None);
+  Fixture.Loop_.run(Millis{500});
+  Fixture.applyAll();
+  BOOST_TEST(Fixture.Store_.State_.Rows_.count(Name) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/takeover_explorer_test.cpp
+++ b/tests/cell/takeover_explorer_test.cpp
@@ -23,6 +23,7 @@
 constexpr PlaySettings InSparePart{false, true};
 constexpr PlaySettings WithArrivals{false, false, true};
 constexpr PlaySettings WithRelaysAndArrivals{true, false, true};
+constexpr PlaySettings WithOddJobs{false, false, false, true};
 
 struct Finding {
   Schedule Events_;
@@ -152,6 +153,22 @@
   return Schedules;
 }
 
+/// Schedules of a late submission and of another event before or after it.
+std::vector<Schedule> schedulesOfLateSubmissions() {
+  std::vector<Schedule> Schedules;
+  for (int Point = 0; Point < PointsOfTwoEvents / 2; ++Point) {
+    const Event Late{Point, EventKind::SubmitLate, ""};
+    Schedules.push_back({Late});
+    for (int Other = 0; Other < PointsOfTwoEvents; ++Other)
+      for (const Event &Happening : eventsWithWorkers({"w1"})) {
+        Schedules.push_back({Late, atPoint(Happening, Other)});
+        if (Other < Point)
+          std::swap(Schedules.back()[0], Schedules.back()[1]);
+      }
+  }
+  return Schedules;
+}
+
 /// Schedules in which a worker is cut off, comes back and is cut off again
 /// before the leader changes.
 std::vector<Schedule> schedulesOfAReturningWorker() {
@@ -500,3 +517,36 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// The same with submissions that arrive after they were canceled, and with jobs
+// of odd shapes.
+BOOST_AUTO_TEST_SUITE(OddRequestExplorer)
+
+// Guards against a job that starts after its cancellation was acknowledged.
+BOOST_AUTO_TEST_CASE(CanceledJobsDoNotStart) {
+  checkNoViolation(schedulesOfLateSubmissions());
+}
+
+BOOST_AUTO_TEST_CASE(SampledEventsStartNoCanceledJob) {
+  constexpr std::size_t Count = 150;
+  checkNoViolation(sampleSchedules(
+      {EventKind::SubmitLate, EventKind::SubmitLate, EventKind::PauseLeader},
+      Count));
+}
+
+// Guards against accepted jobs that never end.
+BOOST_AUTO_TEST_CASE(JobsOfOddShapesEnd) {
+  constexpr std::size_t Count = 150;
+  checkNoViolation(sampleSchedules({EventKind::PauseLeader}, Count),
+                   WithOddJobs);
+}
+
+// Plays the schedule that follows "--" on the command line.
+BOOST_AUTO_TEST_CASE(GivenScheduleBreaksNoPromise) {
+  const auto &Suite = boost::unit_test::framework::master_test_suite();
+  const auto Events = parseSchedule(Suite.argc > 1 ? Suite.argv[1] : "");
+  BOOST_TEST_REQUIRE(Events.has_value());
+  checkNoViolation({*Events}, WithOddJobs);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/takeover_play.cpp
+++ b/tests/cell/takeover_play.cpp
@@ -37,6 +37,11 @@
 constexpr Millis EntryDelay{300};
 constexpr Millis ArrivalInterval{170};
 constexpr Millis ArrivingTaskDuration{250};
+// Ids of late jobs and of those with odd shapes.
+constexpr int FirstLateJob = 1000000;
+constexpr int FirstOddJob = 2000000;
+constexpr Millis OddTaskDuration{200};
+constexpr Millis CancelDelay{300};
 constexpr Millis SettleTime{12000};
 // Covers the wait for the leases of a leader that only a minority elected.
 constexpr Millis RecoveryLimit{20000};
@@ -46,7 +51,7 @@
   const char *Name_;
 };
 
-constexpr std::array<NamedKind, 25> NamedKinds{{
+constexpr std::array<NamedKind, 26> NamedKinds{{
     {EventKind::KillLeader, "kill-leader"},
     {EventKind::StopLeader, "stop-leader"},
     {EventKind::IsolateLeader, "isolate-leader"},
@@ -72,6 +77,7 @@
     {EventKind::RestartWorkerTwice, "restart-worker-twice"},
     {EventKind::RestartWithLateReplies, "restart-with-late-replies"},
     {EventKind::RestartAfterLostReplies, "restart-after-lost-replies"},
+    {EventKind::SubmitLate, "submit-late"},
 }};
 
 std::string nameOf(EventKind Kind) {
@@ -136,6 +142,8 @@
          (Found.ForeignAcknowledgements_ > 0 ? "unlisted ends acknowledged "
                                              : "") +
          list("not running at the end", Found.MissingTasks_) +
+         list("runs although canceled", Found.CanceledRuns_) +
+         list("has not ended", Found.UnfinishedJobs_) +
          list("with an older configuration", Found.StaleNodes_);
 }
 
@@ -169,6 +177,8 @@
     return Found;
   JobsArrive_ = Settings_.WithArrivals_;
   submitShortJobs();
+  if (Settings_.WithOddJobs_)
+    submitOddJobs();
   auto Next = Events.begin();
   for (int Point = 0; Next != Events.end(); ++Point) {
     Cell_.changeConfig();
@@ -190,6 +200,10 @@
     Cell_.Loop_.run(CheckInterval);
   if (MissingCount() > TasksWithoutRoom)
     Found.MissingTasks_ = missingTasks();
+  while (!unfinishedJobs().empty() && Cell_.Loop_.monotonic() < End)
+    Cell_.Loop_.run(CheckInterval);
+  Found.UnfinishedJobs_ = unfinishedJobs();
+  Found.CanceledRuns_ = canceledRuns();
   Found.ConcurrentRuns_ = Cell_.Fleet_.ConcurrentRuns_;
   Found.StartedAfterAcknowledgement_ =
       Cell_.Fleet_.StartedAfterAcknowledgement_;
@@ -240,6 +254,8 @@
     if (const std::string Relay = chooseRelay(); !Relay.empty())
       applyToRelay(Happening.Kind_, Relay);
     return;
+  case EventKind::SubmitLate:
+    return submitLate();
   case EventKind::MainPartRejects:
     return rejectPart(cell::MainPart);
   case EventKind::SparePartRejects:
@@ -284,6 +300,106 @@
   Cell_.Loop_.after(ArrivalInterval, [this] { submitShortJobs(); });
 }
 
+void TakeoverPlay::submitOddJobs() {
+  constexpr int ChainSteps = 8;
+  constexpr int GraphSteps = 5;
+  dispatch::StepSpec Small;
+  Small.Size_ = dispatch::Size{100, 100, 0};
+  Small.Estimate_ = OddTaskDuration;
+  std::vector<dispatch::StepSpec> Chain;
+  for (int Step = 0; Step < ChainSteps; ++Step) {
+    Chain.push_back(Small);
+    if (Step > 0)
+      Chain.back().Dependencies_ = {Step - 1};
+  }
+  std::vector<dispatch::StepSpec> Graph;
+  for (int Step = 0; Step < GraphSteps; ++Step) {
+    Graph.push_back(Small);
+    Graph.back().Count_ = 2;
+    for (int Earlier = 0; Earlier < Step; ++Earlier)
+      Graph.back().Dependencies_.push_back(Earlier);
+  }
+  dispatch::StepSpec Gang = Small;
+  Gang.Count_ = WorkerCount;
+  Gang.Gang_ = true;
+  dispatch::StepSpec Apart = Small;
+  Apart.Count_ = WorkerCount * 2;
+  Apart.MaxPerWorker_ = 1;
+  dispatch::StepSpec Large = Small;
+  Large.Count_ = WorkerCount + 1;
+  Large.Size_.MemoryMib_ = SizeOfTwoTasks.MemoryMib_ * 2 / 3;
+  int Number = FirstOddJob;
+  for (const auto &Steps : {Chain, Graph, std::vector{Gang}, std::vector{Apart},
+                            std::vector{Large}}) {
+    const std::string Id = jobId(++Number);
+    OddJobs_[Id] =
+        Cell_.submitSteps(Cell_.nodes().front(), Id, Steps, OddTaskDuration);
+  }
+}
+
+std::vector<std::string> TakeoverPlay::unfinishedJobs() {
+  std::vector<std::string> Unfinished;
+  const std::vector<std::string> Nodes = Cell_.nodes();
+  if (usableWorkers() < WorkerCount)
+    return Unfinished;
+  for (const auto &[Id, Submission] : OddJobs_)
+    if (Submission->has_value() && (*Submission)->has_value() &&
+        Cell_.state(Nodes.front(), Id) != dispatch::JobState::Complete)
+      Unfinished.push_back(Id);
+  return Unfinished;
+}
+
+bool TakeoverPlay::LateJob::isCanceled() const {
+  return std::any_of(Cancellations_.begin(), Cancellations_.end(),
+                     [](const PendingAnswer &Answer) {
+                       return Answer->has_value() &&
+                              ((*Answer)->has_value() ||
+                               (*Answer)->error().Reason_ == Reason::NotFound);
+                     });
+}
+
+void TakeoverPlay::submitLate() {
+  const std::string Late = chooseRelay();
+  if (Late.empty())
+    return;
+  const std::size_t Index = LateJobs_.size();
+  const std::string Id = jobId(FirstLateJob + static_cast<int>(Index));
+  LateJobs_.push_back(LateJob{Id, {}});
+  Cell_.pauseNode(Late, FaultDuration);
+  Cell_.submitLongRunning(Late, Id, 1);
+  Cell_.Loop_.after(CancelDelay,
+                    [this, Index, Late] { cancelLateJob(Index, Late); });
+}
+
+// The caller tries other nodes in turn until one acknowledges.
+void TakeoverPlay::cancelLateJob(std::size_t Index, const std::string &Late) {
+  LateJob &Job = LateJobs_[Index];
+  if (Job.isCanceled())
+    return;
+  std::vector<std::string> Nodes = Cell_.nodes();
+  std::erase(Nodes, Late);
+  if (!Nodes.empty()) {
+    cell::CallerRequest Request;
+    Request.Verb_ = cell::CallerVerb::Cancel;
+    Request.Queue_ = "queue";
+    Request.Id_ = Job.Id_;
+    Job.Cancellations_.push_back(
+        Cell_.call(Nodes[Job.Cancellations_.size() % Nodes.size()], Request));
+  }
+  Cell_.Loop_.after(CancelDelay,
+                    [this, Index, Late] { cancelLateJob(Index, Late); });
+}
+
+std::vector<std::string> TakeoverPlay::canceledRuns() const {
+  std::vector<std::string> Tasks;
+  for (const LateJob &Job : LateJobs_)
+    if (std::string Task = Job.Id_ + ".0.0.0";
+        Job.isCanceled() &&
+        Cell_.Fleet_.isRunning(Task, Cell_.Loop_.monotonic()))
+      Tasks.push_back(std::move(Task));
+  return Tasks;
+}
+
 void TakeoverPlay::applyToRelay(EventKind Kind, const std::string &Relay) {
   switch (Kind) {
   case EventKind::KillRelay:
--- a/tests/cell/takeover_play.h
+++ b/tests/cell/takeover_play.h
@@ -43,6 +43,9 @@
   RestartWithLateReplies,  ///< Its last replies arrive after those of the next.
   RestartAfterLostReplies, ///< The replies to its last orders are lost.
   DelayStarts,             ///< A worker carries out starts late, for a while.
+  /// A node other than the leader is paused for a while, with a submission that
+  /// its caller cancels at another node.
+  SubmitLate,
 };
 
 struct Event {
@@ -70,6 +73,10 @@
   /// Polls that acknowledged ends which the process had not listed.
   int ForeignAcknowledgements_ = 0;
   std::vector<std::string> MissingTasks_;
+  /// Tasks that run although the cancellation of their job was acknowledged.
+  std::vector<std::string> CanceledRuns_;
+  /// Accepted jobs of odd shapes that have not ended, with all workers there.
+  std::vector<std::string> UnfinishedJobs_;
   /// Nodes without the newest configuration in the end, and those that have
   /// gone back to an older one.
   std::vector<std::string> StaleNodes_;
@@ -79,7 +86,8 @@
   }
   bool any() const {
     return repeatedRuns() || ForeignAcknowledgements_ > 0 ||
-           !MissingTasks_.empty() || !StaleNodes_.empty();
+           !MissingTasks_.empty() || !CanceledRuns_.empty() ||
+           !UnfinishedJobs_.empty() || !StaleNodes_.empty();
   }
 };
 
@@ -92,6 +100,9 @@
   bool InSparePart_ = false;
   /// Jobs with a short task arrive all along.
   bool WithArrivals_ = false;
+  /// Jobs with deep and wide graphs, gangs, a limit per worker, or much memory
+  /// are submitted before the events.
+  bool WithOddJobs_ = false;
 };
 
 /// Plays one schedule on a new cell with a job of long-running tasks and a
@@ -109,15 +120,30 @@
   std::string chooseRelay() const;
   void restart(const Event &Happening);
   void submitShortJobs();
+  void submitOddJobs();
+  void submitLate();
+  void cancelLateJob(std::size_t Index, const std::string &Late);
+  std::vector<std::string> canceledRuns() const;
+  std::vector<std::string> unfinishedJobs();
   void setStoreMode(const std::string &Node, StoreMode Mode);
   void rejectPart(const std::string &Part);
   std::string chooseLeader() const;
   int usableWorkers() const;
   std::vector<std::string> missingTasks() const;
 
+  using PendingAnswer =
+      std::shared_ptr<std::optional<Result<cell::CallerAnswer>>>;
+  struct LateJob {
+    std::string Id_;
+    std::vector<PendingAnswer> Cancellations_;
+    bool isCanceled() const;
+  };
+
   const PlaySettings Settings_;
   FakeCell Cell_;
   std::set<std::string> DisturbedNodes_; ///< Isolated or without the store.
+  std::vector<LateJob> LateJobs_;
+  std::map<std::string, PendingAnswer> OddJobs_; ///< Submissions by id.
   int LastJob_ = 2;
   bool JobsArrive_ = false;
 };
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/job.h"
 
+#include <algorithm>
+
 namespace damaskglade::soak {
 
 namespace {
@@ -86,9 +88,11 @@
          At->second);
   if (Done_.count(Task) > 0 && Noted_.count(Task) > 0)
     find("TWICE: " + Task + " starts after its end was noted");
-  if (Ref.value().Step_ > 0 &&
-      !allDone(Found->first, static_cast<std::size_t>(Ref.value().Step_) - 1))
-    find("ORDER: " + Task + " starts before the step before has ended");
+  for (const int Earlier :
+       Found->second.Dependencies_[static_cast<std::size_t>(Ref.value().Step_)])
+    if (!allDone(Found->first, static_cast<std::size_t>(Earlier)))
+      find("ORDER: " + Task + " starts before step " + std::to_string(Earlier) +
+           " has ended");
   const Millis Acked = Found->second.CancelAckAt_;
   if (Acked > Millis{} && Time_.monotonic() > Acked + CancelBound && calm() &&
       !LateOrder)
@@ -140,9 +144,32 @@
   });
 }
 
+// The end of one member of a gang represents all.
 void Observer::done(const std::string &Worker, const std::string &Task) {
   gone(Worker, Task);
-  Done_.insert(Task);
+  for (const std::string &Member : membersOf(Task))
+    Done_.insert(Member);
+}
+
+std::vector<std::string> Observer::membersOf(const std::string &Task) const {
+  dispatch::TaskRef Ref = dispatch::parseTaskName(Task).value();
+  const CallerJob &Job = Jobs_.at(Ref.Job_);
+  if (!Job.Gang_)
+    return {Task};
+  std::vector<std::string> Members;
+  const int Width = Job.Widths_[static_cast<std::size_t>(Ref.Step_)];
+  for (Ref.Index_ = 0; Ref.Index_ < Width; ++Ref.Index_)
+    Members.push_back(dispatch::taskName(Ref));
+  return Members;
+}
+
+bool Observer::isGangPresent(const std::string &Task) const {
+  const std::vector<std::string> Members = membersOf(Task);
+  return Done_.count(Task) > 0 ||
+         std::all_of(Members.begin(), Members.end(),
+                     [this](const std::string &Member) {
+                       return RunsOn_.count(Member) > 0;
+                     });
 }
 
 void Observer::noted(const std::string &Task) { Noted_.insert(Task); }
@@ -154,6 +181,14 @@
          std::to_string(Capacity));
 }
 
+void Observer::tasksTogether(const std::string &Worker, const std::string &Task,
+                             int Count) {
+  const int Most = Jobs_.at(Task.substr(0, Task.find('.'))).MaxPerWorker_;
+  if (Most > 0 && Count > Most)
+    find("APART: " + Worker + " runs " + std::to_string(Count) +
+         " tasks of the step of " + Task + ", at most " + std::to_string(Most));
+}
+
 std::vector<std::string> Observer::openJobs() const {
   std::vector<std::string> Out;
   for (const auto &[Id, Job] : Jobs_)
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -14,8 +14,13 @@
 /// A job as a caller handed it in.
 struct CallerJob {
   std::string Payload_;
-  std::vector<int> Widths_; ///< Tasks of each step; steps follow each other.
+  std::vector<int> Widths_; ///< Tasks of each step.
+  /// The steps that each step waits for.
+  std::vector<std::vector<int>> Dependencies_;
   std::int64_t MilliCpus_ = 0;
+  std::int64_t MemoryMb_ = 0;
+  int MaxPerWorker_ = 0; ///< Tasks of a step on one worker; zero: no limit.
+  bool Gang_ = false;    ///< The tasks of each step run together.
   bool LongRunning_ = false;
   bool Deadly_ = false; ///< Its task crashes the workers that start it.
   bool Failed_ = false; ///< Shown so, with cause.
@@ -54,12 +59,17 @@
                const std::string &Payload, bool LateOrder);
   void gone(const std::string &Worker, const std::string &Task);
   void done(const std::string &Worker, const std::string &Task);
+  /// Whether all members of the task's gang run, or one of them is done.
+  bool isGangPresent(const std::string &Task) const;
   /// The worker crashes while it runs the task.
   void crashed(const std::string &Worker, const std::string &Task);
   /// The end of a task was acknowledged to the worker.
   void noted(const std::string &Task);
   void usedRoom(const std::string &Worker, std::int64_t MilliCpus,
                 std::int64_t Capacity);
+  /// A worker runs so many tasks of a step.
+  void tasksTogether(const std::string &Worker, const std::string &Task,
+                     int Count);
   /// While something is disturbed, and a while after it, bounds on time do not
   /// hold.
   void disturbed() { DisturbedAt_ = Time_.monotonic(); }
@@ -80,6 +90,8 @@
 
 private:
   void find(const std::string &What) { Findings_.push_back(What); }
+  /// The tasks of a gang; otherwise only the task itself.
+  std::vector<std::string> membersOf(const std::string &Task) const;
   void checkBudget(const std::string &Task);
   bool allDone(const std::string &Id, std::size_t Step) const;
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -26,7 +26,8 @@
       EntryRandom_(Settings_.Seed_), PartRandom_(Settings_.Seed_ + 1),
       SilenceRandom_(Settings_.Seed_ + 2), ConfigRandom_(Settings_.Seed_ + 3),
       RestartRandom_(Settings_.Seed_ + 4), PathRandom_(Settings_.Seed_ + 5),
-      KeyRandom_(Settings_.Seed_ + 6),
+      KeyRandom_(Settings_.Seed_ + 6), ShapeRandom_(Settings_.Seed_ + 7),
+      LateRandom_(Settings_.Seed_ + 8),
       Platform_(Loop_, Time_, Settings_.Seed_) {
   std::filesystem::create_directories(Settings_.Folder_);
   // The store has a port for each node, so that it can turn some away.
@@ -136,7 +137,7 @@
   Entry["zone"] = "z0";
   Entry["state"] = "ready";
   Entry["capacity"]["cpu"] = Json::Int64(Each.capacity());
-  Entry["capacity"]["memMb"] = 64000;
+  Entry["capacity"]["memMb"] = Json::Int64(WorkerMemoryMb);
   Entry["labels"].append("a");
   return Entry;
 }
@@ -204,8 +205,10 @@
   restartEnded();
   constexpr Millis Warmup{1500};
   Loop_.after(Warmup, [this] {
-    if (Settings_.Jobs_)
+    if (Settings_.Jobs_) {
       submitLater();
+      submitLateLater();
+    }
     scheduleFault();
     if (Settings_.WorkerFaults_) {
       shrinkLater();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -103,11 +103,22 @@
   void changeCapacity(WorkerServer &Each, std::int64_t MilliCpus);
   void submitLater();
   void submit();
+  CallerJob drawJob();
+  void shapeJob(CallerJob &Job);
+  std::string nextJobId();
+  /// Passes the reply to a submission on to the observer. Returns whether the
+  /// job is accepted.
+  bool noteSubmission(const std::string &Id, const Result<WebReply> &Reply);
+  void submitLate(Node &Each);
+  void submitLateLater();
   void send(const std::string &Id, const std::string &Body, int TriesLeft);
   void poll(const std::string &Id);
   void cancel(const std::string &Id);
   void call(const std::string &Method, const std::string &Id,
             const std::string &Body, WebReplyHandler Done);
+  void callNode(const Node &Where, const std::string &Method,
+                const std::string &Id, const std::string &Body,
+                WebReplyHandler Done);
   void cancelUnending();
   bool isOver();
   void settle(Millis Until);
@@ -127,6 +138,8 @@
   std::minstd_rand RestartRandom_;
   std::minstd_rand PathRandom_;
   std::minstd_rand KeyRandom_;
+  std::minstd_rand ShapeRandom_;
+  std::minstd_rand LateRandom_;
   drivers::EventLoop Loop_;
   Observer Watch_{Time_};
   ConfigWatch Configs_;
--- a/tests/soak/worker_server.cpp
+++ b/tests/soak/worker_server.cpp
@@ -17,6 +17,9 @@
 constexpr Millis StopTime{150};
 constexpr Millis ExpiryPeriod{50};
 constexpr Millis DeadlyTime{10};
+constexpr Millis GangCheckPeriod{50};
+constexpr Millis GangTime{400};
+constexpr Millis GangTimeout{5000};
 constexpr Millis ClockStart{100000};
 // One in so many tasks fails by its own fault.
 constexpr unsigned FailingShare = 50;
@@ -156,13 +159,23 @@
   Run New;
   New.Attempt_ = Attempt;
   New.MilliCpus_ = Job == Watch_.jobs().end() ? 0 : Job->second.MilliCpus_;
+  New.MemoryMb_ = Job == Watch_.jobs().end() ? 0 : Job->second.MemoryMb_;
   New.StartedAt_ = Time_.monotonic();
   New.Length_ = draw(ShortestTask, LongestTask);
   Running_[Task] = New;
   Watch_.started(Id_, Task, Body["spec"].asString(), Late);
   std::int64_t Used = 0;
-  for (const auto &[Name, Each] : Running_)
+  std::int64_t UsedMemory = 0;
+  int OfStep = 0;
+  const std::string Step = Task.substr(0, Task.rfind('.') + 1);
+  for (const auto &[Name, Each] : Running_) {
     Used += Each.MilliCpus_;
+    UsedMemory += Each.MemoryMb_;
+    OfStep += Name.rfind(Step, 0) == 0 ? 1 : 0;
+  }
+  Watch_.usedRoom(Id_, UsedMemory, WorkerMemoryMb);
+  if (Job != Watch_.jobs().end())
+    Watch_.tasksTogether(Id_, Task, OfStep);
   // A late order was placed before its worker shrank.
   Watch_.usedRoom(Id_, Used, Late ? FullCapacity_ : Limit_);
   if (Job != Watch_.jobs().end() && Job->second.Deadly_)
@@ -173,6 +186,10 @@
   if (Job != Watch_.jobs().end() &&
       (Job->second.LongRunning_ || Job->second.Deadly_))
     return WebReply{Ok, writeJson(Out)};
+  if (Job != Watch_.jobs().end() && Job->second.Gang_) {
+    runGangMember(Task, Attempt);
+    return WebReply{Ok, writeJson(Out)};
+  }
   const bool Fails = Random_() % FailingShare == 0 && Attempt % 3 == 1;
   Loop_.after(New.Length_, [this, Task, Attempt, Fails, Born = Born_] {
     if (Born == Born_)
@@ -181,6 +198,25 @@
   return WebReply{Ok, writeJson(Out)};
 }
 
+// The members of a gang work only while all of them run, and end together.
+void WorkerServer::runGangMember(const std::string &Task,
+                                 std::int64_t Attempt) {
+  Loop_.after(GangCheckPeriod, [this, Task, Attempt, Born = Born_] {
+    const auto Known = Running_.find(Task);
+    if (Born != Born_ || Known == Running_.end() ||
+        Known->second.Attempt_ != Attempt)
+      return;
+    if (Watch_.isGangPresent(Task))
+      return Loop_.after(GangTime, [this, Task, Attempt, Born] {
+        if (Born == Born_)
+          end(Task, Attempt, Watch_.isGangPresent(Task) ? "done" : "broken");
+      });
+    if (Time_.monotonic() > Known->second.StartedAt_ + GangTimeout)
+      return end(Task, Attempt, "alone");
+    runGangMember(Task, Attempt);
+  });
+}
+
 WebReply WorkerServer::stop(const Json::Value &Body) {
   const std::string Task = Body["task"].asString();
   const std::int64_t Attempt = Body["attempt"].asInt64();
--- a/tests/soak/worker_server.h
+++ b/tests/soak/worker_server.h
@@ -13,6 +13,8 @@
 
 namespace damaskglade::soak {
 
+/// Memory of each worker.
+inline constexpr std::int64_t WorkerMemoryMb = 64000;
 /// How often a worker writes to the registry.
 inline constexpr Millis Heartbeat{1500};
 
@@ -50,6 +52,7 @@
   struct Run {
     std::int64_t Attempt_ = 0;
     std::int64_t MilliCpus_ = 0;
+    std::int64_t MemoryMb_ = 0;
     Millis StartedAt_{};
     Millis Length_{};
   };
@@ -62,6 +65,7 @@
 
   void handle(const WebRequest &Request, const WebReplier &Reply);
   WebReply start(const Json::Value &Body, bool Late);
+  void runGangMember(const std::string &Task, std::int64_t Attempt);
   WebReply stop(const Json::Value &Body);
   void hold(const Json::Value &Body, const WebReplier &Reply);
   void end(const std::string &Task, std::int64_t Attempt,
