cell: Shorten long names of workspaces in the keys of cancellations

Cause: the key of a row in the table "canceled" had the whole name of the workspace. The store takes keys of at most 200 bytes, and a row with a longer one makes it reject each transaction of the partition.

Change: a name of more than 100 bytes is replaced by its digest.

Result: tests/cell CanceledIdsTests/KeysOfLongNamesAreShort fails before the change (a key of 517 bytes) and passes now.

--- a/cell/canceled_ids.cpp
+++ b/cell/canceled_ids.cpp
@@ -1,5 +1,6 @@
 #include "cell/canceled_ids.h"
 
+#include "core/job.h"
 #include "dispatch/job.h"
 
 #include <algorithm>
@@ -11,23 +12,30 @@
 // Ids have none of these, so the rest of a key is the workspace.
 constexpr char Separator = '/';
 
+// The store takes keys of at most 200 bytes, and rejects each transaction with
+// a longer one.
+std::string shortName(const std::string &Workspace) {
+  constexpr std::size_t MaxBytes = 100;
+  return Workspace.size() <= MaxBytes ? Workspace : digestOf(Workspace);
+}
+
 } // namespace
 
 std::string CanceledIds::keyOf(const std::string &Id,
                                const std::string &Workspace) {
-  return Id + Separator + Workspace;
+  return Id + Separator + shortName(Workspace);
 }
 
 bool CanceledIds::contains(const std::string &Id,
                            const std::string &Workspace) const {
-  const auto Entry = Times_.find(Workspace);
+  const auto Entry = Times_.find(shortName(Workspace));
   return Entry != Times_.end() && Entry->second.count(Id) > 0;
 }
 
 std::optional<std::string> CanceledIds::add(const std::string &Id,
                                             const std::string &Workspace,
                                             Millis Now) {
-  std::map<std::string, Millis> &Times = Times_[Workspace];
+  std::map<std::string, Millis> &Times = Times_[shortName(Workspace)];
   Times[Id] = Now;
   if (Times.size() <= MaxPerWorkspace)
     return std::nullopt;
--- a/tests/cell/late_request_test.cpp
+++ b/tests/cell/late_request_test.cpp
@@ -208,6 +208,18 @@
   BOOST_TEST(Ids.contains(jobId(1), "other"));
 }
 
+// Guards against a key that the store does not take.
+BOOST_AUTO_TEST_CASE(KeysOfLongNamesAreShort) {
+  constexpr std::size_t MaxKeyBytes = 200;
+  const std::string Long(500, 'w');
+  const std::string Key = cell::CanceledIds::keyOf(jobId(1), Long);
+  BOOST_TEST(Key.size() <= MaxKeyBytes);
+  cell::CanceledIds Ids;
+  Ids.restore(Key, Millis{1000});
+  BOOST_TEST(Ids.contains(jobId(1), Long));
+  BOOST_TEST(!Ids.contains(jobId(1), Long + "w"));
+}
+
 // Guards against rows that a new leader cannot read back.
 BOOST_AUTO_TEST_CASE(RestoredIdsExpire) {
   cell::CanceledIds Ids;
