dispatch: Bound the rows and the numbers of jobs

Cause: no check compared a row with the 65,536 bytes that the store takes. A row that is too large is tried again with every other change.

Change: a job whose row does not fit is refused at once (413, body_too_large). The done tasks of jobs with more than 8,000 of them are encoded as bits, and failed attempts that do not fit are left out.

--- a/cell/gateway.cpp
+++ b/cell/gateway.cpp
@@ -87,7 +87,13 @@
       Ports_.Metrics_.countRefusal(SpecStatus.error().Reason_);
       return Reply(SpecStatus.error());
     }
-    Params["spec"] = dispatch::encodeSpec(Request.Spec_);
+    const std::string Encoded = dispatch::encodeSpec(Request.Spec_);
+    if (const Status SizeStatus = dispatch::checkSpecSize(Encoded);
+        !SizeStatus) {
+      Ports_.Metrics_.countRefusal(SizeStatus.error().Reason_);
+      return Reply(SizeStatus.error());
+    }
+    Params["spec"] = Encoded;
   }
   const Millis Start = Ports_.Clock_.monotonic();
   const Millis Timeout =
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -107,6 +107,11 @@
   if (Step.Size_.MilliCpus_ < 0 || Step.Size_.MemoryMib_ < 0 ||
       Step.Size_.Accelerators_ < 0 || Step.Estimate_ < Millis{})
     return invalidField(Operation, "size", "must not be negative");
+  // Sums over many tasks have to fit into 64 bits.
+  constexpr std::int64_t MaxSize = 1000000000;
+  if (Step.Size_.MilliCpus_ > MaxSize || Step.Size_.MemoryMib_ > MaxSize ||
+      Step.Size_.Accelerators_ > MaxSize || Step.Estimate_ > MaxEstimate)
+    return invalidField(Operation, "size", "is too large");
   const bool NamesEarlierSteps =
       std::all_of(Step.Dependencies_.begin(), Step.Dependencies_.end(),
                   [&](int Dependency) {
@@ -156,13 +161,64 @@
 
 using JsonWriter = rapidjson::Writer<rapidjson::StringBuffer>;
 
+// Beyond this number, done tasks are encoded as bits, which earlier releases
+// cannot read; their rows of so many tasks exceed what the store takes.
+constexpr std::size_t MaxListedTasks = 8000;
+constexpr unsigned BitsPerDigit = 4;
+constexpr std::string_view Digits = "0123456789abcdef";
+
+void encodeDoneTasks(const std::vector<int> &Indexes, bool AsBits,
+                     JsonWriter &Out) {
+  if (!AsBits) {
+    Out.StartArray();
+    for (const int Index : Indexes)
+      Out.Int(Index);
+    Out.EndArray();
+    return;
+  }
+  std::string Text;
+  for (const int Index : Indexes) {
+    const auto Digit = static_cast<unsigned>(Index) / BitsPerDigit;
+    if (Text.size() <= Digit)
+      Text.resize(Digit + 1, '0');
+    const auto Bits = Digits.find(Text[Digit]);
+    Text[Digit] =
+        Digits[Bits | (1U << (static_cast<unsigned>(Index) % BitsPerDigit))];
+  }
+  Out.String(Text.data(), static_cast<rapidjson::SizeType>(Text.size()));
+}
+
+std::vector<int> decodeDoneTasks(const Json::Value &Row) {
+  std::vector<int> Indexes;
+  if (!Row.isString()) {
+    for (const Json::Value &Index : Row)
+      Indexes.push_back(Index.asInt());
+    return Indexes;
+  }
+  int Index = 0;
+  for (const char Digit : Row.asString()) {
+    const auto Bits = Digits.find(Digit);
+    if (Bits == std::string_view::npos)
+      throw Json::RuntimeError("done tasks are no hexadecimal digits");
+    for (unsigned Bit = 0; Bit < BitsPerDigit; ++Bit, ++Index)
+      if ((Bits & (std::size_t{1} << Bit)) != 0)
+        Indexes.push_back(Index);
+  }
+  return Indexes;
+}
+
+// Attempts that do not fit into the row are left out. The next leader then
+// allows their tasks further attempts.
 void encodeAttempts(const AttemptsByTask &Tasks, const char *Field,
-                    JsonWriter &Out) {
+                    const rapidjson::StringBuffer &Text, JsonWriter &Out) {
+  constexpr std::size_t MaxEntryBytes = 1024;
   if (Tasks.empty())
     return;
   Out.Key(Field);
   Out.StartArray();
   for (const auto &[Task, Attempts] : Tasks) {
+    if (Text.GetSize() + MaxEntryBytes > MaxRowBytes)
+      break;
     Out.StartArray();
     Out.Int(Task.first);
     Out.Int(Task.second);
@@ -196,18 +252,17 @@
   Out.Key("s");
   Out.Int(static_cast<int>(Progress.State_));
   if (!isTerminal(Progress.State_)) {
+    std::size_t DoneCount = 0;
+    for (const auto &Step : Progress.Done_)
+      DoneCount += Step.size();
     Out.Key("d");
     Out.StartArray();
-    for (const auto &Step : Progress.Done_) {
-      Out.StartArray();
-      for (const int Index : Step)
-        Out.Int(Index);
-      Out.EndArray();
-    }
+    for (const auto &Step : Progress.Done_)
+      encodeDoneTasks(Step, DoneCount > MaxListedTasks, Out);
     Out.EndArray();
   }
-  encodeAttempts(Progress.FailedAttempts_, "f", Out);
-  encodeAttempts(Progress.CrashedAttempts_, "c", Out);
+  encodeAttempts(Progress.CrashedAttempts_, "c", Text, Out);
+  encodeAttempts(Progress.FailedAttempts_, "f", Text, Out);
   Out.EndObject();
   return std::string(Text.GetString(), Text.GetSize());
 }
@@ -221,11 +276,8 @@
     if (State < 0 || State > static_cast<int>(JobState::Canceled))
       return invalidField(Operation, "s", "is not a job state");
     Progress.State_ = static_cast<JobState>(State);
-    for (const Json::Value &Step : Row["d"]) {
-      auto &Indexes = Progress.Done_.emplace_back();
-      for (const Json::Value &Index : Step)
-        Indexes.push_back(Index.asInt());
-    }
+    for (const Json::Value &Step : Row["d"])
+      Progress.Done_.push_back(decodeDoneTasks(Step));
     Progress.FailedAttempts_ = decodeAttempts(Row["f"]);
     Progress.CrashedAttempts_ = decodeAttempts(Row["c"]);
     return Progress;
@@ -250,13 +302,28 @@
     return invalidField(Operation, "payload", "is longer than 4000 bytes");
   if (Spec.Steps_.empty() || Spec.Steps_.size() > MaxSteps)
     return invalidField(Operation, "steps", "must be 1 to 100");
+  std::int64_t Tasks = 0;
   for (std::size_t StepIndex = 0; StepIndex < Spec.Steps_.size(); ++StepIndex) {
     if (auto Checked = checkStep(Spec, StepIndex); !Checked)
       return Checked;
+    Tasks += Spec.Steps_[StepIndex].Count_;
   }
+  if (Tasks > MaxTasksOfJob)
+    return invalidField(Operation, "count",
+                        "adds up to more than " +
+                            std::to_string(MaxTasksOfJob) + " tasks");
   return success();
 }
 
+Status checkSpecSize(const std::string &Encoded) {
+  if (Encoded.size() <= MaxSpecBytes)
+    return success();
+  return Error{Reason::BodyTooLarge, Effect::None, "check job", "",
+               "the job takes " + std::to_string(Encoded.size()) +
+                   " bytes, at most " + std::to_string(MaxSpecBytes) +
+                   " can be stored"};
+}
+
 std::string taskName(const TaskRef &Task) {
   std::string Name = stepName(Task.Job_, Task.Step_);
   Name += '.';
--- a/dispatch/job.h
+++ b/dispatch/job.h
@@ -137,9 +137,19 @@
 /// Whether the text is 16 hexadecimal digits.
 bool isJobId(const std::string &Text);
 
+/// Bounds of a job. A leader keeps some 200 bytes for each task.
+inline constexpr int MaxTasksOfJob = 50000;
+inline constexpr Millis MaxEstimate{1000000000000};
 /// Validates a submitted job. Errors: invalid_field with the field's name.
 Status checkSpec(const JobSpec &Spec);
 
+/// Size of the rows that the store takes.
+inline constexpr std::size_t MaxRowBytes = 65536;
+/// The same for a job as submitted, to whose row the leader adds.
+inline constexpr std::size_t MaxSpecBytes = MaxRowBytes - 1024;
+/// Whether the encoded specification can be stored. Errors: body_too_large.
+Status checkSpecSize(const std::string &Encoded);
+
 /// Identifies a task of a job.
 struct TaskRef {
   std::string Job_;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -276,6 +276,22 @@
       !decodeSubmission("1", "r1", R"({"phases":[{"count":[]}]})").has_value());
 }
 
+// Guards against numbers that no integer holds, and against a job whose row
+// grows with dependencies that are named again and again.
+BOOST_AUTO_TEST_CASE(OddNumbersOfASubmissionAreBounded) {
+  const auto Spec = decodeSubmission(
+      "5c0e7a21d94b36f8", "r1",
+      R"({"phases":[{"estimateMs":1e300},{"estimateMs":-1e300},)"
+      R"({"after":[1,0,1,0,0],"targetMs":1e30}]})");
+  BOOST_TEST_REQUIRE(Spec.has_value());
+  BOOST_TEST(Spec.value().Steps_.at(0).Estimate_.Value_ >
+             dispatch::MaxEstimate.Value_);
+  BOOST_TEST(Spec.value().Steps_.at(1).Estimate_.Value_ < 0);
+  BOOST_TEST(Spec.value().Steps_.at(2).TargetLatency_.Value_ > 0);
+  BOOST_TEST((Spec.value().Steps_.at(2).Dependencies_ == std::vector{0, 1}));
+  BOOST_TEST(!dispatch::checkSpec(Spec.value()).has_value());
+}
+
 // Guards against accepting a job that is to be repeated, which the cell does
 // not support, and running it only once.
 BOOST_AUTO_TEST_CASE(RepeatedJobIsRefused) {
--- a/tests/dispatch/job_test.cpp
+++ b/tests/dispatch/job_test.cpp
@@ -1,5 +1,7 @@
 #include "tests/dispatch/fixture.h"
 
+#include <limits>
+
 using namespace damaskglade;
 using namespace damaskglade::dispatch;
 using namespace damaskglade::dispatch::testing;
@@ -38,11 +40,67 @@
   BOOST_TEST((Decoded.value() == Progress));
 }
 
+// Guards against rows of large jobs that the store does not take, which kept it
+// from taking those of any other job.
+BOOST_AUTO_TEST_CASE(ProgressOfALargeJobFitsIntoARow) {
+  constexpr int Tasks = 14800;
+  JobProgress Progress;
+  Progress.State_ = JobState::Active;
+  Progress.Done_.resize(2);
+  for (int Index = 0; Index < Tasks; ++Index)
+    if (Index % 7 != 3)
+      Progress.Done_.back().push_back(Index);
+  const std::string Row = encodeProgress(Progress);
+  BOOST_TEST(Row.size() <= MaxRowBytes);
+  const auto Decoded = decodeProgress(Row);
+  BOOST_TEST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((Decoded.value() == Progress));
+}
+
+// The same if many tasks have failed: what does not fit is left out.
+BOOST_AUTO_TEST_CASE(ProgressOfManyFailuresFitsIntoARow) {
+  constexpr int Tasks = 9000;
+  JobProgress Progress;
+  Progress.State_ = JobState::Active;
+  Progress.Done_ = {{1, 2}};
+  Progress.CrashedAttempts_[{0, Tasks}] = {7};
+  for (int Index = 0; Index < Tasks; ++Index)
+    Progress.FailedAttempts_[{0, Index}] = {1001, 1002, 1003};
+  const std::string Row = encodeProgress(Progress);
+  BOOST_TEST(Row.size() <= MaxRowBytes);
+  const auto Decoded = decodeProgress(Row);
+  BOOST_TEST_REQUIRE(Decoded.has_value());
+  BOOST_TEST((Decoded.value().Done_ == Progress.Done_));
+  BOOST_TEST((Decoded.value().CrashedAttempts_ == Progress.CrashedAttempts_));
+  BOOST_TEST(Decoded.value().FailedAttempts_.size() > 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(JobsBeyondAllBoundsAreRefused) {
+  const JobSpec Most =
+      makeJob("1", "batch", std::vector(5, makeStep(MaxTasksOfJob / 5, 1)));
+  BOOST_TEST(checkSpec(Most).has_value());
+  JobSpec Wide = Most;
+  Wide.Steps_.push_back(makeStep(1, 1));
+  BOOST_TEST(!checkSpec(Wide).has_value());
+  JobSpec Large = makeJob("1", "batch", {makeStep(1, 1)});
+  Large.Steps_.front().Size_.MilliCpus_ =
+      std::numeric_limits<std::int64_t>::max();
+  BOOST_TEST(!checkSpec(Large).has_value());
+  JobSpec Long = makeJob("1", "batch", {makeStep(1, 1)});
+  Long.Steps_.front().Estimate_ = MaxEstimate + Millis{1};
+  BOOST_TEST(!checkSpec(Long).has_value());
+  BOOST_TEST(checkSpecSize(std::string(MaxSpecBytes, ' ')).has_value());
+  const Status TooLarge = checkSpecSize(std::string(MaxSpecBytes + 1, ' '));
+  BOOST_TEST_REQUIRE(!TooLarge.has_value());
+  BOOST_TEST((TooLarge.error().Reason_ == Reason::BodyTooLarge));
+}
+
 // Guards against a corrupted row that terminates the process.
 BOOST_AUTO_TEST_CASE(CorruptedRowsAreErrors) {
   BOOST_TEST(!decodeSpec("1", "{\"s\":[[[]]]").has_value());
   BOOST_TEST(!decodeSpec("1", "{\"s\":[[\"x\"]]}").has_value());
   BOOST_TEST(!decodeProgress("{\"s\":99}").has_value());
+  BOOST_TEST(!decodeProgress("{\"s\":0,\"d\":[\"0g\"]}").has_value());
   BOOST_TEST(!decodeProgress("").has_value());
 }
 
