dispatch: Ignore entries of services that no queue uses

The worker went on, and its tasks were started elsewhere beside their runs.

Cause: a later start time counted as proof of a restart, whatever the service of the entry.

Change: such an entry does not replace that of a worker with another service, unless the process that answers polls has its start time.

--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -382,6 +382,8 @@
     return findJob(Ref.Job_)->Spec_.Steps_[static_cast<std::size_t>(Ref.Step_)];
   }
   const QueuePolicy &policyOf(const JobRun &Job) const;
+  /// Whether some queue uses the workers of the service.
+  bool isNamedService(const std::string &Service) const;
   const QueuePolicy &policyOf(const std::string &Queue) const;
   void markChanged(const std::string &Id) { ChangedJobs_.insert(Id); }
   void log(const std::string &Request, const std::string &Step,
--- a/dispatch/dispatcher_workers.cpp
+++ b/dispatch/dispatcher_workers.cpp
@@ -66,6 +66,12 @@
   return HasNoTimes || IsOfPolledProcess || Info.ProcessStart_ > KnownStart;
 }
 
+bool Dispatcher::isNamedService(const std::string &Service) const {
+  return std::any_of(Queues_.begin(), Queues_.end(), [&](const auto &Queue) {
+    return Queue.second.Service_ == Service;
+  });
+}
+
 void Dispatcher::setWorkers(const std::vector<WorkerInfo> &Workers, Millis Now,
                             const std::set<std::string> &UnusableEntries) {
   RegistryReceived_ = true;
@@ -87,6 +93,13 @@
       ignoreEntry(W, "the process that answers has another address or service");
       continue;
     }
+    // Another writer may have overwritten the entry of a worker that goes on.
+    if (IsOfAnother && Info.Service_ != W.Info_.Service_ &&
+        Info.ProcessStart_ != W.ProcessStart_ &&
+        !isNamedService(Info.Service_)) {
+      ignoreEntry(W, "no queue has its service");
+      continue;
+    }
     W.EntryIgnored_ = false;
     if (Moved)
       handleMove(W, Info, Now);
--- a/tests/dispatch/capacity_pool_test.cpp
+++ b/tests/dispatch/capacity_pool_test.cpp
@@ -27,6 +27,7 @@
                            {"advised", Advised},
                            {"advised-before", AdvisedBefore}});
     std::vector<WorkerInfo> Workers;
+    Workers.reserve(WorkerCount);
     for (int Number = 0; Number < WorkerCount; ++Number)
       Workers.push_back(
           makeWorker("w" + std::to_string(Number), WorkerMilliCpus));
--- a/tests/dispatch/gang_test.cpp
+++ b/tests/dispatch/gang_test.cpp
@@ -14,6 +14,7 @@
 
 std::vector<WorkerInfo> makeFleet(int Workers = WorkerCount) {
   std::vector<WorkerInfo> Infos;
+  Infos.reserve(static_cast<std::size_t>(Workers));
   for (int Number = 0; Number < Workers; ++Number)
     Infos.push_back(makeWorker("w" + std::to_string(Number), WorkerMilliCpus));
   return Infos;
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -796,4 +796,31 @@
       (Known || !Fixture.Dispatcher_.decide(Fixture.Now_).Probes_.empty()));
 }
 
+// Guards against tasks that are started again while they run, because another
+// writer has put an entry of a service that no queue has under the id of their
+// worker (review/8).
+BOOST_AUTO_TEST_CASE(EntryOfAnUnknownServiceReplacesNoWorker) {
+  DispatcherFixture Fixture;
+  WorkerInfo First = makeWorker("w1");
+  First.ProcessStart_ = 1;
+  WorkerInfo Second = makeWorker("w2");
+  Second.ProcessStart_ = 1;
+  Fixture.addWorkers({First, Second});
+  const JobSpec Job = makeJob("1", "batch", {makeStep(2, 3000)});
+  Fixture.submit(Job);
+  BOOST_TEST_REQUIRE(Fixture.decideAndExecute().Starts_.size() == 2U);
+  WorkerInfo Foreign = First;
+  Foreign.Service_ = "foreign";
+  Foreign.Address_ = "elsewhere:1";
+  Foreign.ProcessStart_ = 2;
+  Fixture.Dispatcher_.setWorkers({Foreign, Second}, Fixture.Now_);
+  Fixture.pollWorker("w1");
+  Fixture.pollWorker("w2");
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+  BOOST_TEST(Fixture.Dispatcher_.findWorker("w1")->Tasks_.size() == 1U);
+  Fixture.Dispatcher_.setWorkers({First, Second}, Fixture.Now_);
+  Fixture.pollWorker("w1");
+  BOOST_TEST(Fixture.decideAndExecute().Starts_.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
