dispatch: Keep the policy of its queue with each accepted job

Cause: the policies of removed queues were in the memory of the leader only. Under the next one these jobs had no service, so no worker suited.

Change: the row of a job has the policy that its queue had when the job was accepted; a leader that loads it uses that if the configuration does not name the queue.

--- a/dispatch/dispatcher_jobs.cpp
+++ b/dispatch/dispatcher_jobs.cpp
@@ -92,6 +92,8 @@
     return false;
   auto Job = std::make_unique<JobRun>();
   Job->Spec_ = Spec;
+  if (const auto Queue = Queues_.find(Spec.Queue_); Queue != Queues_.end())
+    Job->Spec_.Policy_ = Queue->second;
   initialize(*Job, Now);
   Jobs_[Spec.Id_] = std::move(Job);
   UnconfirmedJobs_.insert(Spec.Id_);
@@ -116,6 +118,9 @@
   auto NewJob = std::make_unique<JobRun>();
   JobRun &Job = *NewJob;
   Job.Spec_ = Spec;
+  // The configuration may have removed the queue since the job was accepted.
+  if (Spec.Policy_)
+    Queues_.emplace(Spec.Queue_, *Spec.Policy_);
   Job.Restored_ = true;
   Job.State_ = Progress.State_;
   Job.RecordedState_ = Progress.State_;
--- a/dispatch/job.cpp
+++ b/dispatch/job.cpp
@@ -125,6 +125,39 @@
 
 } // namespace
 
+namespace {
+
+Json::Value encodePolicy(const QueuePolicy &Policy) {
+  Json::Value Row(Json::arrayValue);
+  Row.append(Policy.Service_);
+  Row.append(Policy.Priority_);
+  Row.append(Policy.MaxAttempts_);
+  Row.append(Policy.SlackFactor_);
+  Row.append(Json::Int64(Policy.Target_.Value_));
+  Row.append(Policy.NeedsAdvice_);
+  Row.append(Json::Int64(Policy.AdviceBase_.Value_));
+  Row.append(Policy.AdvicePerWorker_);
+  Row.append(Json::Int64(Policy.TicketValid_.Value_));
+  return Row;
+}
+
+QueuePolicy decodePolicy(const Json::Value &Row) {
+  QueuePolicy Policy;
+  Json::ArrayIndex Column = 0;
+  Policy.Service_ = Row[Column++].asString();
+  Policy.Priority_ = Row[Column++].asInt();
+  Policy.MaxAttempts_ = Row[Column++].asInt();
+  Policy.SlackFactor_ = Row[Column++].asDouble();
+  Policy.Target_ = Millis{Row[Column++].asInt64()};
+  Policy.NeedsAdvice_ = Row[Column++].asBool();
+  Policy.AdviceBase_ = Millis{Row[Column++].asInt64()};
+  Policy.AdvicePerWorker_ = Row[Column++].asDouble();
+  Policy.TicketValid_ = Millis{Row[Column].asInt64()};
+  return Policy;
+}
+
+} // namespace
+
 std::string encodeSpec(const JobSpec &Spec) {
   Json::Value Body;
   Body["q"] = Spec.Queue_;
@@ -132,6 +165,8 @@
   Body["t"] = Json::Int64(Spec.Accepted_.Value_);
   if (!Spec.Workspace_.empty())
     Body["w"] = Spec.Workspace_;
+  if (Spec.Policy_)
+    Body["o"] = encodePolicy(*Spec.Policy_);
   Body["s"] = Json::arrayValue;
   for (const StepSpec &Step : Spec.Steps_)
     Body["s"].append(encodeStep(Step));
@@ -147,6 +182,8 @@
     Spec.Payload_ = Row["p"].asString();
     Spec.Accepted_ = Millis{Row["t"].asInt64()};
     Spec.Workspace_ = Row.get("w", "").asString();
+    if (Row.isMember("o"))
+      Spec.Policy_ = decodePolicy(Row["o"]);
     for (const Json::Value &StepRow : Row["s"])
       Spec.Steps_.push_back(decodeStep(StepRow));
     return Spec;
--- a/dispatch/job.h
+++ b/dispatch/job.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <json/value.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -78,17 +79,6 @@
   friend bool operator==(const StepSpec &, const StepSpec &) = default;
 };
 
-struct JobSpec {
-  std::string Id_;
-  std::string Queue_;
-  std::string Payload_;
-  std::vector<StepSpec> Steps_;
-  Millis Accepted_{};     ///< Wall-clock time at which the job was accepted.
-  std::string Workspace_; ///< That submitted the job; empty if it has none.
-
-  friend bool operator==(const JobSpec &, const JobSpec &) = default;
-};
-
 /// Policy of a queue, taken from the active configuration.
 struct QueuePolicy {
   std::string Service_; ///< Only workers of this service run the tasks.
@@ -109,6 +99,19 @@
   friend bool operator==(const QueuePolicy &, const QueuePolicy &) = default;
 };
 
+struct JobSpec {
+  std::string Id_;
+  std::string Queue_;
+  std::string Payload_;
+  std::vector<StepSpec> Steps_;
+  Millis Accepted_{};     ///< Wall-clock time at which the job was accepted.
+  std::string Workspace_; ///< That submitted the job; empty if it has none.
+  /// That of its queue when the job was accepted; only of accepted jobs.
+  std::optional<QueuePolicy> Policy_;
+
+  friend bool operator==(const JobSpec &, const JobSpec &) = default;
+};
+
 enum class JobState { Queued, Active, Complete, Failed, Canceled };
 
 std::string_view jobStateName(JobState Value);
--- a/tests/dispatch/job_test.cpp
+++ b/tests/dispatch/job_test.cpp
@@ -24,6 +24,17 @@
   Step.MaxUnavailable_ = 1;
   JobSpec Spec = makeJob("1", "batch", {Step, makeStep(1, 100, {0})});
   Spec.Accepted_ = Millis{77};
+  QueuePolicy Policy;
+  Policy.Service_ = "desk";
+  Policy.Priority_ = 2;
+  Policy.MaxAttempts_ = 3;
+  Policy.SlackFactor_ = 1.5;
+  Policy.Target_ = Millis{250};
+  Policy.NeedsAdvice_ = true;
+  Policy.AdviceBase_ = Millis{400};
+  Policy.AdvicePerWorker_ = 0.25;
+  Policy.TicketValid_ = Millis{2500};
+  Spec.Policy_ = Policy;
   const auto Decoded = decodeSpec(Spec.Id_, encodeSpec(Spec));
   BOOST_TEST_REQUIRE(Decoded.has_value());
   BOOST_TEST((Decoded.value() == Spec));
--- a/tests/dispatch/worker_life_test.cpp
+++ b/tests/dispatch/worker_life_test.cpp
@@ -796,6 +796,33 @@
       (Known || !Fixture.Dispatcher_.decide(Fixture.Now_).Probes_.empty()));
 }
 
+// Guards against accepted jobs that never start under the next leader, because
+// their queue was removed from the configuration (review/9).
+BOOST_AUTO_TEST_CASE(JobOfARemovedQueueRunsUnderTheNextLeader) {
+  DispatcherFixture First;
+  First.addWorkers({makeWorker("w1")});
+  const JobSpec Job = makeJob("1", "batch", {makeStep(1, 1000)});
+  First.submit(Job);
+  const auto Row = decodeSpec(
+      Job.Id_, encodeSpec(First.Dispatcher_.findJob(Job.Id_)->Spec_));
+  BOOST_TEST_REQUIRE(Row.has_value());
+  Dispatcher Next(DispatcherFixture::makeLimits(), 2, First.Now_);
+  QueuePolicy Other;
+  Other.Service_ = "other";
+  Next.setQueues({{"other", Other}});
+  Next.restoreJob(Row.value(), JobProgress{}, First.Now_);
+  Next.finishRestore();
+  Next.setWorkers({makeWorker("w1")}, First.Now_);
+  Next.markWorkerRecorded("w1", "w1:1");
+  PollReply Reply;
+  Reply.Clock_ = First.Now_ + DispatcherFixture::ClockOffset;
+  Reply.ProcessStart_ = 1;
+  First.advance(Millis{1});
+  Next.handlePollReply("w1", Reply, First.Now_ - Millis{1}, First.Now_);
+  First.advance(Millis{1});
+  BOOST_TEST(Next.decide(First.Now_).Starts_.size() == 1U);
+}
+
 // Guards against tasks that are started again while they run, because another
 // writer has put an entry of a service that no queue has under the id of their
 // worker (review/8).
