--- a/misc/scripts/lint.sh
+++ b/misc/scripts/lint.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Checks format and lint rules of all sources. Usage: lint.sh [BUILD_DIR]
+# Checks format and lint rules of all sources, and that the scripts which README
+# names can be run. Usage: lint.sh [BUILD_DIR]
 # A file that passed is not linted again while it, every header it includes,
 # its compile command and the lint rules stay the same.
 set -euo pipefail
@@ -8,6 +9,14 @@
 export BUILD STAMPS=$BUILD/lint-stamps
 mkdir -p "$STAMPS"
 
+# README shows these as commands.
+for script in $(grep -oE 'misc/scripts/[a-z_]+\.sh' README.md | sort -u); do
+  if [ ! -x "$script" ]; then
+    echo "README.md names $script, which is not executable" >&2
+    exit 1
+  fi
+done
+
 # Generated stubs follow their generator's style.
 mapfile -t FILES < <(git ls-files --cached --others --exclude-standard \
   '*.h' '*.cpp' | grep -v '/generated/')
