tests: Let the observer of the soak take ends of jobs that nobody handed in

Cause: the overload cases use the soak's worker without registering jobs with its observer. Since the end of a task looked the job up to find the members of its gang, and ended the process (map::at).

Change: a task of an unknown job is no member of a gang.

--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -153,11 +153,11 @@
 
 std::vector<std::string> Observer::membersOf(const std::string &Task) const {
   dispatch::TaskRef Ref = dispatch::parseTaskName(Task).value();
-  const CallerJob &Job = Jobs_.at(Ref.Job_);
-  if (!Job.Gang_)
+  const auto Job = Jobs_.find(Ref.Job_);
+  if (Job == Jobs_.end() || !Job->second.Gang_)
     return {Task};
   std::vector<std::string> Members;
-  const int Width = Job.Widths_[static_cast<std::size_t>(Ref.Step_)];
+  const int Width = Job->second.Widths_[static_cast<std::size_t>(Ref.Step_)];
   for (Ref.Index_ = 0; Ref.Index_ < Width; ++Ref.Index_)
     Members.push_back(dispatch::taskName(Ref));
   return Members;
