dispatch: Count the slots of a step in one place

slotsIn() stood beside the same calculation in freeSlots(). It is in placement.h now. A worker that was removed and is back counts once when the room for a gang is checked (Gangs/WorkerThatIsBackCountsOnce).

--- a/dispatch/dispatcher_advice.cpp
+++ b/dispatch/dispatcher_advice.cpp
@@ -62,19 +62,10 @@
 
 int Dispatcher::freeSlots(const Worker &W, const JobRun &Job, int Step) {
   const StepSpec &Spec = Job.Spec_.Steps_[static_cast<std::size_t>(Step)];
-  const Size Need = reservedSize(Spec);
-  const Size Free = freeCapacity(W);
-  std::int64_t Slots = Spec.Count_;
-  if (Spec.MaxPerWorker_ > 0)
-    Slots = Spec.MaxPerWorker_ - countTasksOfStep(W, Job, Step);
-  const auto Limit = [&Slots](std::int64_t Needed, std::int64_t Available) {
-    if (Needed > 0)
-      Slots = std::min(Slots, Available / Needed);
-  };
-  Limit(Need.MilliCpus_, Free.MilliCpus_);
-  Limit(Need.MemoryMib_, Free.MemoryMib_);
-  Limit(Need.Accelerators_, Free.Accelerators_);
-  return static_cast<int>(std::max<std::int64_t>(Slots, 0));
+  const int MaxTasks = Spec.MaxPerWorker_ > 0
+                           ? Spec.MaxPerWorker_ - countTasksOfStep(W, Job, Step)
+                           : Spec.Count_;
+  return slotsIn(freeCapacity(W), Spec, MaxTasks);
 }
 
 // Workers with capacity for the tasks that neither valid tickets nor requests
--- a/dispatch/dispatcher_gangs.cpp
+++ b/dispatch/dispatcher_gangs.cpp
@@ -18,20 +18,11 @@
 // while the store was away, are back before this.
 constexpr Millis DepartedWorkerPeriod{60000};
 
-// Tasks of the step that fit into the capacity and the limit per worker.
 int slotsIn(const Size &Capacity, const StepSpec &Spec) {
-  const Size Need = reservedSize(Spec);
-  std::int64_t Slots = Spec.Count_;
-  if (Spec.MaxPerWorker_ > 0)
-    Slots = std::min<std::int64_t>(Slots, Spec.MaxPerWorker_);
-  const auto Limit = [&Slots](std::int64_t Needed, std::int64_t Available) {
-    if (Needed > 0)
-      Slots = std::min(Slots, Available / Needed);
-  };
-  Limit(Need.MilliCpus_, Capacity.MilliCpus_);
-  Limit(Need.MemoryMib_, Capacity.MemoryMib_);
-  Limit(Need.Accelerators_, Capacity.Accelerators_);
-  return static_cast<int>(std::max<std::int64_t>(Slots, 0));
+  return slotsIn(Capacity, Spec,
+                 Spec.MaxPerWorker_ > 0
+                     ? std::min(Spec.Count_, Spec.MaxPerWorker_)
+                     : Spec.Count_);
 }
 
 } // namespace
@@ -68,7 +59,8 @@
   for (const auto &[Id, W] : Workers_)
     Add(W);
   for (const DepartedWorker &Departed : DepartedWorkers_)
-    Add(Departed.Worker_);
+    if (Workers_.count(Departed.Worker_.Info_.Id_) == 0)
+      Add(Departed.Worker_);
   if (Slots < Spec.Count_ && !IsCapacityKnown)
     return std::nullopt;
   return Slots >= Spec.Count_;
@@ -90,11 +82,11 @@
                         reservedSize(stepOf(Ref)));
   std::sort(Ends.begin(), Ends.end(),
             [](const auto &A, const auto &B) { return A.first < B.first; });
-  for (const auto &[At, Released] : Ends) {
+  for (const auto &[Time, Released] : Ends) {
     Free = Free + Released;
     const int NewSlots = slotsIn(Free, Spec);
     if (NewSlots > Slots)
-      Releases.push_back(SlotRelease{W.Index_, At, NewSlots - Slots});
+      Releases.push_back(SlotRelease{W.Index_, Time, NewSlots - Slots});
     Slots = std::max(Slots, NewSlots);
   }
 }
--- a/dispatch/placement.cpp
+++ b/dispatch/placement.cpp
@@ -23,6 +23,19 @@
          fits(reservedSize(Step), W.LargestCapacity_);
 }
 
+int slotsIn(const Size &Capacity, const StepSpec &Step, int MaxTasks) {
+  const Size Need = reservedSize(Step);
+  std::int64_t Slots = MaxTasks;
+  const auto Limit = [&Slots](std::int64_t Needed, std::int64_t Available) {
+    if (Needed > 0)
+      Slots = std::min(Slots, Available / Needed);
+  };
+  Limit(Need.MilliCpus_, Capacity.MilliCpus_);
+  Limit(Need.MemoryMib_, Capacity.MemoryMib_);
+  Limit(Need.Accelerators_, Capacity.Accelerators_);
+  return static_cast<int>(std::max<std::int64_t>(Slots, 0));
+}
+
 bool fitsNow(const StepSpec &Step, const Candidate &CandidateWorker) {
   if (Step.MaxPerWorker_ > 0 &&
       CandidateWorker.TasksOfStep_ >= Step.MaxPerWorker_)
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -41,6 +41,9 @@
 /// The same for the largest capacity that the worker has had.
 bool mightRunOn(const StepSpec &Step, const Worker &W);
 
+/// How many tasks of the step fit into the capacity, at most MaxTasks.
+int slotsIn(const Size &Capacity, const StepSpec &Step, int MaxTasks);
+
 /// Whether one more task of the step fits into the worker's free capacity and
 /// the step's limit per worker.
 bool fitsNow(const StepSpec &Step, const Candidate &CandidateWorker);
--- a/tests/dispatch/gang_test.cpp
+++ b/tests/dispatch/gang_test.cpp
@@ -124,6 +124,23 @@
   BOOST_TEST(!Fixture.Dispatcher_.checkFits(Gang).has_value());
 }
 
+// Guards against a worker that counts twice because it was removed and is back.
+BOOST_AUTO_TEST_CASE(WorkerThatIsBackCountsOnce) {
+  DispatcherFixture Fixture;
+  Fixture.addWorkers(makeFleet());
+  Fixture.Dispatcher_.handlePollFailure("w0", startError(Effect::Unknown),
+                                        Fixture.Now_);
+  Fixture.Dispatcher_.setWorkers({}, Fixture.Now_);
+  Fixture.advance(Millis{15000});
+  Fixture.Dispatcher_.expireUnreachable(Fixture.Now_);
+  Fixture.Dispatcher_.setWorkers({}, Fixture.Now_);
+  BOOST_TEST_REQUIRE(Fixture.Dispatcher_.findWorker("w0") == nullptr);
+  Fixture.addWorkers(makeFleet());
+  BOOST_TEST(!Fixture.Dispatcher_
+                  .checkFits(makeJob("1", "batch", {makeGangStep(65, 2000)}))
+                  .has_value());
+}
+
 // Guards against workers that are held for a gang which can no longer start
 // since some of them have left for good.
 BOOST_AUTO_TEST_CASE(GangWithoutEnoughWorkersHoldsNone) {
